--- /dev/null
+++ b/cmake/product.cmake
@@ -0,0 +1,28 @@
+# Thrift's generated code, built without the project's warnings.
+add_library(skylark_wire STATIC src/peer/gen/peer_types.cpp)
+target_compile_options(skylark_wire PRIVATE -w)
+target_include_directories(skylark_wire SYSTEM PUBLIC src)
+target_link_libraries(skylark_wire PUBLIC thrift)
+
+# Adapters to the platform and to peers.
+add_library(skylark_platform STATIC
+    src/platform/consul_protocol.cpp src/platform/store.cpp)
+target_link_libraries(skylark_platform PUBLIC skylark_io)
+add_library(skylark_peer STATIC src/peer/codec.cpp)
+target_link_libraries(skylark_peer PUBLIC skylark_decide skylark_wire)
+
+# The entry as a library, so that tests can use its parts.
+add_library(skylark_entry STATIC
+    src/entry/settings.cpp src/entry/journal.cpp src/entry/metrics.cpp
+    src/entry/fleet.cpp src/entry/upstream_table.cpp src/entry/router.cpp
+    src/entry/request_head.cpp src/entry/connection_pool.cpp
+    src/entry/forwarder_admission.cpp src/entry/forwarder_attempt.cpp
+    src/entry/forwarder_answer.cpp src/entry/configurator.cpp
+    src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
+    src/entry/node.cpp)
+target_link_libraries(skylark_entry PUBLIC
+    skylark_platform skylark_peer log4cplus prometheus-cpp-core
+    Threads::Threads)
+
+add_executable(skylark-entry src/entry/main.cpp)
+target_link_libraries(skylark-entry PRIVATE skylark_entry)
--- /dev/null
+++ b/cmake/standin.cmake
@@ -0,0 +1,9 @@
+# Stand-ins for the outside systems; never linked into the product.
+add_executable(standin-platform standin/platform.cpp standin/platform_main.cpp)
+add_executable(standin-upstream standin/upstream.cpp standin/upstream_main.cpp)
+add_executable(standin-load standin/load.cpp standin/experiment.cpp
+               standin/load_result.cpp standin/load_main.cpp)
+foreach(name standin-platform standin-upstream standin-load)
+    target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
+    target_link_libraries(${name} PRIVATE skylark_io)
+endforeach()
--- /dev/null
+++ b/cmake/test.cmake
@@ -0,0 +1,1 @@
+# Tests mirror the module tree, one file for each header.
--- /dev/null
+++ b/include/skylark/config/config.hpp
@@ -0,0 +1,43 @@
+/*! @file
+ *  The single configuration header: version and defaults that a build may
+ *  override. */
+#ifndef SKYLARK_CONFIG_CONFIG_HPP
+#define SKYLARK_CONFIG_CONFIG_HPP
+
+#include <cstddef>
+#include <string_view>
+
+#include <skylark/core/time.hpp>
+
+namespace skylark {
+
+inline constexpr std::string_view version = "0.1.0";
+
+namespace defaults {
+
+inline constexpr duration heartbeat_period = milliseconds{200};
+//! An owner stops using its shares this long after a majority last answered.
+inline constexpr duration share_self_stop = milliseconds{1000};
+//! A majority must not have answered a member for this long before its shares
+//! pass on; exceeds self_stop by the longest cancel time of an upstream.
+inline constexpr duration share_hold_down = milliseconds{2000};
+//! A gap in the loop above this counts as a pause of the process.
+inline constexpr duration pause_limit = milliseconds{400};
+//! Without store and majority for this long an entry refuses new work.
+inline constexpr duration isolation_limit = milliseconds{2500};
+//! How long callers keep the answer of GET /entries.
+inline constexpr duration entries_ttl = milliseconds{2000};
+inline constexpr duration default_deadline = milliseconds{2000};
+//! A connection unused for longer is not given non-idempotent work.
+inline constexpr duration fresh_connection_age = milliseconds{500};
+inline constexpr duration idle_connection_limit = seconds{20};
+inline constexpr std::size_t document_bytes = std::size_t{1} << 20U;
+inline constexpr std::size_t header_bytes = std::size_t{16} << 10U;
+inline constexpr std::size_t body_bytes = std::size_t{1} << 20U;
+inline constexpr std::size_t event_ring = 4096; //!< events kept in memory
+
+} // namespace defaults
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/include/skylark/config/document.hpp
@@ -0,0 +1,59 @@
+/*! @file
+ *  The configuration document of one deployment, kept in the platform's
+ *  store and changed by compare-and-swap. */
+#ifndef SKYLARK_CONFIG_DOCUMENT_HPP
+#define SKYLARK_CONFIG_DOCUMENT_HPP
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <skylark/config/limits.hpp>
+#include <skylark/config/rule.hpp>
+#include <skylark/config/service.hpp>
+#include <skylark/config/zone.hpp>
+#include <skylark/core/error.hpp>
+
+namespace skylark {
+
+/*! @brief Everything the operators have declared. */
+struct document {
+    //! Change id of the write that made this revision; tells a writer whose
+    //! answer was lost whether its write took effect.
+    std::string m_change_id;
+    std::vector<zone> m_zones;
+    std::vector<service> m_services;
+    std::vector<rule> m_rules; //!< first match wins
+    limits m_limits;
+
+    bool operator==(const document&) const = default;
+
+    [[nodiscard]] const zone* find_zone(std::string_view name) const;
+    [[nodiscard]] const service* find_service(std::string_view name) const;
+    [[nodiscard]] const rule* find_rule(std::string_view name) const;
+};
+
+/*! @brief Checks what no single field shows: references, duplicates, sums.
+ *  @param subject the document
+ *  @return nothing, or the first contradiction with its place */
+parsed<void> check(const document& subject);
+
+/*! @brief Reads the document's JSON form and checks it.
+ *  @param text JSON
+ *  @return the document, or the first error with its place */
+parsed<document> parse_document(std::string_view text);
+
+/*! @brief Writes the JSON form.
+ *  @param subject the document
+ *  @return indented JSON that parse_document reads back */
+std::string format_document(const document& subject);
+
+/*! @brief Name of a request class as documents and commands write it. */
+std::string_view name_of(request_class value);
+
+/*! @brief Name of a zone state as documents and commands write it. */
+std::string_view name_of(zone_state value);
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/include/skylark/config/fwd.hpp
@@ -0,0 +1,16 @@
+/*! @file
+ *  Declarations of the config module: the operators' document. */
+#ifndef SKYLARK_CONFIG_FWD_HPP
+#define SKYLARK_CONFIG_FWD_HPP
+
+namespace skylark {
+
+struct zone;
+struct service;
+struct rule;
+struct limits;
+struct document;
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/include/skylark/config/limits.hpp
@@ -0,0 +1,30 @@
+/*! @file
+ *  Budgets that hold for the whole deployment. */
+#ifndef SKYLARK_CONFIG_LIMITS_HPP
+#define SKYLARK_CONFIG_LIMITS_HPP
+
+#include <cstdint>
+
+#include <skylark/core/time.hpp>
+
+namespace skylark {
+
+/*! @brief Budgets, with the names that the document uses. */
+struct limits {
+    //! Probes a second that measuring may place on one upstream.
+    std::uint32_t m_probes_per_upstream{2};
+    //! Probes a second over all upstreams, by all entries together.
+    std::uint32_t m_probes_fleet{100};
+    std::uint32_t m_retry_percent{10}; //!< retries in 100 requests
+    std::uint32_t m_hedge_percent{5};  //!< hedges in 100 requests, when idle
+    duration m_hedge_after{milliseconds{30}}; //!< shortest wait for a hedge
+    //! Connections to one upstream, by all entries together.
+    std::uint32_t m_connections_per_upstream{220};
+    std::uint32_t m_queue_length{512}; //!< waiting requests for each class
+
+    bool operator==(const limits&) const = default;
+};
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/include/skylark/config/service.hpp
@@ -0,0 +1,26 @@
+/*! @file
+ *  Service: a set of upstreams that answer the same requests. */
+#ifndef SKYLARK_CONFIG_SERVICE_HPP
+#define SKYLARK_CONFIG_SERVICE_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace skylark {
+
+/*! @brief What the operators declare about a service. The upstreams
+ *  themselves come from the platform's instance list. */
+struct service {
+    std::string m_name;
+    std::uint32_t m_slots{1};      //!< requests one upstream works on at once
+    std::uint32_t m_cold_slots{1}; //!< the same while in cold start
+    //! Slots of each upstream that bulk work never takes.
+    std::uint32_t m_urgent_reserve{1};
+    std::string m_policy{"preferred_least"}; //!< name of a routing policy
+
+    bool operator==(const service&) const = default;
+};
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/include/skylark/core/suggest.hpp
@@ -0,0 +1,61 @@
+/*! @file
+ *  Nearest known name for a misspelt one, for error messages. */
+#ifndef SKYLARK_CORE_SUGGEST_HPP
+#define SKYLARK_CORE_SUGGEST_HPP
+
+#include <algorithm>
+#include <numeric>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylark {
+
+/*! @brief Edit distance of two words.
+ *  @param left one word
+ *  @param right the other
+ *  @return inserted, removed and replaced characters */
+inline std::size_t edit_distance(std::string_view left,
+                                 std::string_view right) {
+    std::vector<std::size_t> row(right.size() + 1);
+    std::iota(row.begin(), row.end(), std::size_t{0});
+    for (std::size_t i = 1; i <= left.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= right.size(); ++j) {
+            const std::size_t change =
+                diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
+            diagonal = row[j];
+            row[j] = std::min({row[j] + 1, row[j - 1] + 1, change});
+        }
+    }
+    return row.back();
+}
+
+/*! @brief Expectation text for an unknown name.
+ *  @param name what was written
+ *  @param known the names that are accepted
+ *  @return the nearest name first when one is near, then all of them */
+inline std::string expect_one_of(std::string_view name,
+                                 std::span<const std::string_view> known) {
+    std::string all;
+    std::string_view nearest;
+    std::size_t best = 3; // more edits are no misspelling
+    for (const std::string_view candidate : known) {
+        all += all.empty() ? "" : ", ";
+        all += candidate;
+        const std::size_t distance = edit_distance(name, candidate);
+        if (distance < best) {
+            best = distance;
+            nearest = candidate;
+        }
+    }
+    if (nearest.empty())
+        return "one of: " + all;
+    return "\"" + std::string{nearest} + "\" perhaps; one of: " + all;
+}
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/include/skylark/discovery/fwd.hpp
@@ -0,0 +1,13 @@
+/*! @file
+ *  Declarations of the discovery module: the platform's instance list. */
+#ifndef SKYLARK_DISCOVERY_FWD_HPP
+#define SKYLARK_DISCOVERY_FWD_HPP
+
+namespace skylark {
+
+struct instance;
+struct instance_list;
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/include/skylark/discovery/instance.hpp
@@ -0,0 +1,39 @@
+/*! @file
+ *  Instance as the platform lists it; the list lags and is only a hint. */
+#ifndef SKYLARK_DISCOVERY_INSTANCE_HPP
+#define SKYLARK_DISCOVERY_INSTANCE_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <skylark/core/address.hpp>
+
+namespace skylark {
+
+/*! @brief What an instance is for. */
+enum class instance_role : std::uint8_t { upstream, entry };
+
+/*! @brief One instance. */
+struct instance {
+    std::string m_id;
+    instance_role m_role{instance_role::upstream};
+    address m_address;     //!< requests; heartbeats for an entry
+    std::string m_service; //!< empty for an entry
+    std::string m_zone;
+    bool m_leaving{};
+
+    bool operator==(const instance&) const = default;
+};
+
+/*! @brief The list at one moment. */
+struct instance_list {
+    std::uint64_t m_index{}; //!< grows with each change
+    std::vector<instance> m_instances;
+
+    bool operator==(const instance_list&) const = default;
+};
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/include/skylark/share/fwd.hpp
@@ -0,0 +1,12 @@
+/*! @file
+ *  Declarations of the share module: parts of a limit that one entry owns. */
+#ifndef SKYLARK_SHARE_FWD_HPP
+#define SKYLARK_SHARE_FWD_HPP
+
+namespace skylark {
+
+class share_table;
+
+} // namespace skylark
+
+#endif
--- /dev/null
+++ b/src/attempt/machine.cpp
@@ -0,0 +1,129 @@
+// Attempt machine: one request from admission to its verdict.
+#include <skylark/attempt/machine.hpp>
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace internal {
+
+static bool contains(const std::vector<attempt_id>& list, attempt_id item) {
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+} // namespace internal
+
+bool attempt_machine::may_start(time_point now) const {
+    if (m_done || m_answering || now >= m_terms.m_deadline)
+        return false;
+    if (m_count >= m_terms.m_max_attempts)
+        return false;
+    if (m_terms.m_idempotent)
+        return true;
+    return m_running.empty() && !m_may_have_run;
+}
+
+void attempt_machine::started(attempt_id attempt) {
+    m_running.push_back(attempt);
+    ++m_count;
+}
+
+bool attempt_machine::sending(attempt_id attempt, time_point now) {
+    if (m_done || m_answering || now >= m_terms.m_deadline)
+        return false;
+    if (!internal::contains(m_running, attempt))
+        return false;
+    m_sent.push_back(attempt);
+    return true;
+}
+
+actions attempt_machine::cancel_running(attempt_id except) {
+    actions out;
+    for (const attempt_id running : m_running) {
+        if (running == except)
+            continue;
+        if (internal::contains(m_sent, running))
+            m_may_have_run = true;
+        out.emplace_back(cancel_attempt{running});
+    }
+    std::erase_if(m_running,
+                  [&](attempt_id running) { return running != except; });
+    return out;
+}
+
+actions attempt_machine::answer_begun(attempt_id attempt) {
+    if (m_done || m_answering || !internal::contains(m_running, attempt))
+        return {};
+    m_answering = attempt;
+    actions out = cancel_running(attempt);
+    out.emplace_back(begin_answer{attempt});
+    return out;
+}
+
+actions attempt_machine::ended(attempt_id attempt, const verdict& how,
+                               time_point now, bool retry_allowed) {
+    if (m_done || std::erase(m_running, attempt) == 0)
+        return {};
+    if (attempt == m_answering) {
+        m_done = true;
+        if (std::holds_alternative<answered>(how))
+            return {finish_answer{}};
+        return {break_answer{}};
+    }
+    bool repeat = true;
+    if (const auto* refused = std::get_if<not_run>(&how)) {
+        m_last_proof = refused->m_proof;
+    } else {
+        m_may_have_run = true;
+        repeat = m_terms.m_idempotent && retry_allowed;
+    }
+    if (!m_running.empty())
+        return {}; // the other attempt decides
+    if (repeat && may_start(now))
+        return {start_attempt{}};
+    return give_up(now >= m_terms.m_deadline);
+}
+
+actions attempt_machine::expired() {
+    if (m_done)
+        return {};
+    if (!m_answering)
+        return give_up(true);
+    actions out = cancel_running({});
+    m_done = true;
+    out.emplace_back(break_answer{});
+    return out;
+}
+
+actions attempt_machine::rejected() {
+    if (m_done || m_answering || !m_running.empty())
+        return {};
+    return give_up(false);
+}
+
+actions attempt_machine::abandoned() {
+    if (m_done)
+        return {};
+    actions out = cancel_running({});
+    m_done = true;
+    return out;
+}
+
+bool attempt_machine::may_hedge(time_point now) const {
+    return m_terms.m_idempotent && m_running.size() == 1 && may_start(now);
+}
+
+actions attempt_machine::give_up(bool expired) {
+    actions out = cancel_running({});
+    m_done = true;
+    out.emplace_back(refuse{overall(), expired});
+    return out;
+}
+
+verdict attempt_machine::overall() const {
+    if (m_may_have_run)
+        return may_have_run{attempt_step::request_sent};
+    return not_run{m_last_proof};
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/config/document.cpp
@@ -0,0 +1,123 @@
+// Look-ups in the document and the checks across its parts.
+#include <skylark/config/document.hpp>
+
+#include <algorithm>
+#include <set>
+
+#include <skylark/route/policy_name.hpp>
+
+namespace skylark {
+
+namespace internal {
+
+static input_error contradiction(std::string place, std::string_view value,
+                                 std::string expected) {
+    return {"document" + std::move(place), '"' + std::string{value} + '"',
+            std::move(expected)};
+}
+
+template <class Items>
+static const typename Items::value_type* find_named(const Items& items,
+                                                    std::string_view name) {
+    const auto found =
+        std::find_if(items.begin(), items.end(),
+                     [&](const auto& item) { return item.m_name == name; });
+    return found == items.end() ? nullptr : &*found;
+}
+
+template <class Items>
+static parsed<void> check_names(const Items& items, const std::string& place) {
+    std::set<std::string_view> seen;
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        const std::string& name = items[i].m_name;
+        const std::string at = place + "/" + std::to_string(i) + "/name";
+        if (name.empty())
+            return contradiction(at, name, "a name");
+        if (!seen.insert(name).second)
+            return contradiction(at, name, "a name used once");
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+static parsed<void> check_service(const service& subject,
+                                  const std::string& place) {
+    const auto number = [](std::uint32_t n) { return std::to_string(n); };
+    if (subject.m_slots == 0)
+        return contradiction(place + "/slots", "0", "at least 1");
+    if (subject.m_cold_slots == 0 || subject.m_cold_slots > subject.m_slots)
+        return contradiction(place + "/cold_slots",
+                             number(subject.m_cold_slots),
+                             "between 1 and slots");
+    if (subject.m_urgent_reserve >= subject.m_slots && subject.m_slots > 1)
+        return contradiction(place + "/urgent_reserve",
+                             number(subject.m_urgent_reserve),
+                             "less than slots");
+    if (!is_policy_name(subject.m_policy))
+        return contradiction(place + "/policy", subject.m_policy,
+                             "one of: " + policy_name_list());
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+static parsed<void> check_rule(const document& subject, const rule& checked,
+                               const std::string& place) {
+    if (!subject.find_service(checked.m_service))
+        return contradiction(place + "/service", checked.m_service,
+                             "the name of a declared service");
+    if (checked.m_path_prefix.empty() || checked.m_path_prefix[0] != '/')
+        return contradiction(place + "/path_prefix", checked.m_path_prefix,
+                             "a path that begins with /");
+    if (checked.m_deadline <= duration{0})
+        return contradiction(place + "/deadline_ms",
+                             std::to_string(to_ms(checked.m_deadline)),
+                             "at least 1");
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+} // namespace internal
+
+const zone* document::find_zone(std::string_view name) const {
+    return internal::find_named(m_zones, name);
+}
+
+const service* document::find_service(std::string_view name) const {
+    return internal::find_named(m_services, name);
+}
+
+const rule* document::find_rule(std::string_view name) const {
+    return internal::find_named(m_rules, name);
+}
+
+parsed<void> check(const document& subject) {
+    BOOST_OUTCOME_TRYV(internal::check_names(subject.m_zones, "/zones"));
+    BOOST_OUTCOME_TRYV(internal::check_names(subject.m_services, "/services"));
+    BOOST_OUTCOME_TRYV(internal::check_names(subject.m_rules, "/rules"));
+    for (std::size_t i = 0; i < subject.m_services.size(); ++i) {
+        const std::string place = "/services/" + std::to_string(i);
+        BOOST_OUTCOME_TRYV(
+            internal::check_service(subject.m_services[i], place));
+    }
+    for (std::size_t i = 0; i < subject.m_rules.size(); ++i) {
+        const std::string place = "/rules/" + std::to_string(i);
+        BOOST_OUTCOME_TRYV(
+            internal::check_rule(subject, subject.m_rules[i], place));
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+std::string_view name_of(request_class value) {
+    switch (value) {
+    case request_class::urgent:
+        return "urgent";
+    case request_class::normal:
+        return "normal";
+    case request_class::bulk:
+        break;
+    }
+    return "bulk";
+}
+
+std::string_view name_of(zone_state value) {
+    return value == zone_state::active ? "active" : "drained";
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/config/document_json.cpp
@@ -0,0 +1,159 @@
+// JSON form of the configuration document.
+#include <array>
+
+#include <skylark/config/document.hpp>
+
+#include "config/json_reader.hpp"
+
+namespace skylark {
+
+namespace internal {
+
+using nlohmann::json;
+
+static constexpr std::array classes{request_class::urgent,
+                                    request_class::normal, request_class::bulk};
+static constexpr std::array zone_states{zone_state::active,
+                                        zone_state::drained};
+
+template <class Item>
+static parsed<Item> finish(json_reader& reader, Item&& item) {
+    if (auto error = reader.finish())
+        return *std::move(error);
+    return std::forward<Item>(item);
+}
+
+static parsed<zone> read_zone(const json& from, const std::string& place) {
+    json_reader reader{from, place};
+    zone out;
+    reader.read("name", out.m_name);
+    reader.read("region", out.m_region);
+    reader.read_enum<zone_state>("state", out.m_state, zone_states);
+    return finish(reader, std::move(out));
+}
+
+static parsed<service> read_service(const json& from,
+                                    const std::string& place) {
+    json_reader reader{from, place};
+    service out;
+    reader.read("name", out.m_name);
+    reader.read("slots", out.m_slots);
+    reader.read("cold_slots", out.m_cold_slots);
+    reader.read("urgent_reserve", out.m_urgent_reserve);
+    reader.read("policy", out.m_policy);
+    return finish(reader, std::move(out));
+}
+
+static parsed<rule> read_rule(const json& from, const std::string& place) {
+    json_reader reader{from, place};
+    rule out;
+    reader.read("name", out.m_name);
+    reader.read("service", out.m_service);
+    reader.read("method", out.m_method);
+    reader.read("path_prefix", out.m_path_prefix);
+    reader.read("header", out.m_header);
+    reader.read("header_value", out.m_header_value);
+    reader.read_enum<request_class>("class", out.m_class, classes);
+    reader.read("idempotent", out.m_idempotent);
+    reader.read_ms("deadline_ms", out.m_deadline);
+    return finish(reader, std::move(out));
+}
+
+static parsed<limits> read_limits(const json& from, const std::string& place) {
+    json_reader reader{from, place};
+    limits out;
+    reader.read("probes_per_upstream", out.m_probes_per_upstream);
+    reader.read("probes_fleet", out.m_probes_fleet);
+    reader.read("retry_percent", out.m_retry_percent);
+    reader.read("hedge_percent", out.m_hedge_percent);
+    reader.read_ms("hedge_after_ms", out.m_hedge_after);
+    reader.read("connections_per_upstream", out.m_connections_per_upstream);
+    reader.read("queue_length", out.m_queue_length);
+    return finish(reader, std::move(out));
+}
+
+static parsed<document> read_document(const json& from) {
+    json_reader reader{from, "document"};
+    document out;
+    reader.read("change_id", out.m_change_id);
+    reader.read_list("zones", out.m_zones, read_zone);
+    reader.read_list("services", out.m_services, read_service);
+    reader.read_list("rules", out.m_rules, read_rule);
+    if (const auto* child = reader.child("limits")) {
+        BOOST_OUTCOME_TRY(bounds, read_limits(*child, "document/limits"));
+        out.m_limits = bounds;
+    }
+    return finish(reader, std::move(out));
+}
+
+static json write(const zone& from) {
+    return {{"name", from.m_name},
+            {"region", from.m_region},
+            {"state", name_of(from.m_state)}};
+}
+
+static json write(const service& from) {
+    return {{"name", from.m_name},
+            {"slots", from.m_slots},
+            {"cold_slots", from.m_cold_slots},
+            {"urgent_reserve", from.m_urgent_reserve},
+            {"policy", from.m_policy}};
+}
+
+static json write(const rule& from) {
+    return {{"name", from.m_name},
+            {"service", from.m_service},
+            {"method", from.m_method},
+            {"path_prefix", from.m_path_prefix},
+            {"header", from.m_header},
+            {"header_value", from.m_header_value},
+            {"class", name_of(from.m_class)},
+            {"idempotent", from.m_idempotent},
+            {"deadline_ms", to_ms(from.m_deadline)}};
+}
+
+static json write(const limits& from) {
+    return {{"probes_per_upstream", from.m_probes_per_upstream},
+            {"probes_fleet", from.m_probes_fleet},
+            {"retry_percent", from.m_retry_percent},
+            {"hedge_percent", from.m_hedge_percent},
+            {"hedge_after_ms", to_ms(from.m_hedge_after)},
+            {"connections_per_upstream", from.m_connections_per_upstream},
+            {"queue_length", from.m_queue_length}};
+}
+
+template <class Items>
+static json write_list(const Items& items) {
+    json out = json::array();
+    for (const auto& item : items)
+        out.push_back(write(item));
+    return out;
+}
+
+} // namespace internal
+
+parsed<document> parse_document(std::string_view text) {
+    nlohmann::json tree;
+    try {
+        tree = nlohmann::json::parse(text);
+    } catch (const nlohmann::json::parse_error& error) {
+        return input_error{"document, byte " + std::to_string(error.byte),
+                           "text that is no JSON", "a JSON object"};
+    }
+    BOOST_OUTCOME_TRY(out, internal::read_document(tree));
+    BOOST_OUTCOME_TRYV(check(out));
+    return out;
+}
+
+std::string format_document(const document& subject) {
+    const nlohmann::json tree{
+        {"change_id", subject.m_change_id},
+        {"zones", internal::write_list(subject.m_zones)},
+        {"services", internal::write_list(subject.m_services)},
+        {"rules", internal::write_list(subject.m_rules)},
+        {"limits", internal::write(subject.m_limits)}};
+    constexpr int indent = 2;
+    return tree.dump(indent);
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/entry/configurator.cpp
@@ -0,0 +1,219 @@
+// Brings configuration and instance list into this entry.
+#include "entry/configurator.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <skylark/core/hash.hpp>
+
+#include "core/overload.hpp"
+
+namespace skylark::entry {
+
+namespace {
+constexpr auto watch_wait = seconds{1};
+constexpr auto retry_wait = milliseconds{500};
+constexpr auto turn_check = milliseconds{500};
+constexpr std::size_t watchers_per_zone = 2;
+constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
+} // namespace
+
+configurator::configurator(context& shared, std::function<void()> changed)
+    : m_shared{shared}, m_changed{std::move(changed)},
+      m_store{shared.m_loop, shared.m_settings.m_platform,
+              platform::consul_protocol{}},
+      m_peers{shared.m_loop, answer_limit} {}
+
+void configurator::start() {
+    watch_document();
+    watch_instances();
+}
+
+// A waiting watch counts as a call, so few entries of a zone watch.
+bool configurator::is_watcher() const {
+    if (!m_shared.m_config.ready() || m_shared.m_instances.m_index == 0)
+        return true;
+    const auto score = [](entry_id of) {
+        return rendezvous(hash("store watcher"), of.value());
+    };
+    const std::uint64_t zone = hash(m_shared.m_settings.m_zone);
+    const std::uint64_t own = score(m_shared.m_fleet.self());
+    std::size_t before = 0;
+    for (const auto& [id, peer] : m_shared.m_fleet.members().peers())
+        if (peer.m_record.m_contact.m_zone == zone &&
+            peer.m_state != member_state::leaving && score(id) > own)
+            ++before;
+    return before < watchers_per_zone;
+}
+
+void configurator::watch_document() {
+    if (!is_watcher()) {
+        m_shared.m_loop.after(turn_check, [this] { watch_document(); });
+        return;
+    }
+    m_shared.m_metrics.count(counter::store_reads);
+    const time_point asked = io::event_loop::now();
+    m_store.read(m_shared.m_config.revision(), watch_wait,
+                 [this, asked](const platform::read_result& result) {
+                     take_document(result, asked);
+                 });
+}
+
+void configurator::take_document(const platform::read_result& result,
+                                 time_point asked) {
+    duration wait{0};
+    std::visit(overload{[&](const platform::stored_value& value) {
+                            const bool usable = value.m_revision >=
+                                                m_shared.m_config.revision();
+                            const bool absent = value.m_revision == 0;
+                            if (!absent)
+                                offer(value.m_revision, value.m_text, "store");
+                            // The answer is as old as the question, at the
+                            // most.
+                            m_shared.m_config.confirmed(value.m_revision,
+                                                        asked);
+                            if (!usable || absent ||
+                                value.m_revision ==
+                                    m_shared.m_config.refused_revision())
+                                wait = retry_wait;
+                        },
+                        [&](const platform::store_failure&) {
+                            m_shared.m_metrics.count(counter::store_failures);
+                            wait = retry_wait;
+                        }},
+               result);
+    m_shared.m_loop.after(wait, [this] { watch_document(); });
+}
+
+void configurator::offer(std::uint64_t revision, const std::string& text,
+                         std::string_view source) {
+    const document before = m_shared.m_config.current();
+    const auto note = [&](std::string detail) {
+        m_shared.m_journal.note(event_kind::configuration,
+                                "revision " + std::to_string(revision),
+                                detail + " from " + std::string{source});
+    };
+    std::visit(overload{[&](const adopted&) {
+                            note("adopted");
+                            note_zones(before);
+                            m_changed();
+                        },
+                        [](const unchanged&) {},
+                        [&](const reverted& old) {
+                            if (std::exchange(m_noted_revert, old.m_offered) !=
+                                old.m_offered)
+                                note("ignored, older than what is in force,");
+                        },
+                        [&](const refused& why) {
+                            if (std::exchange(m_noted_revert, revision) !=
+                                revision)
+                                note("refused: " + why.m_error.text());
+                        }},
+               m_shared.m_config.offer(revision, text));
+}
+
+void configurator::note_zones(const document& before) {
+    for (const zone& now : m_shared.m_config.current().m_zones) {
+        const zone* old = before.find_zone(now.m_name);
+        if (!old || old->m_state != now.m_state)
+            m_shared.m_journal.note(event_kind::zone, now.m_name,
+                                    std::string{name_of(now.m_state)});
+    }
+}
+
+void configurator::watch_instances() {
+    if (!is_watcher()) {
+        m_shared.m_loop.after(turn_check, [this] { watch_instances(); });
+        return;
+    }
+    m_shared.m_metrics.count(counter::store_reads);
+    m_store.instances(m_shared.m_instances.m_index, watch_wait,
+                      [this](const platform::list_result& result) {
+                          take_instances(result);
+                      });
+}
+
+void configurator::take_instances(const platform::list_result& result) {
+    duration wait{0};
+    if (const auto* list = std::get_if<instance_list>(&result)) {
+        if (list->m_index < m_shared.m_instances.m_index)
+            wait = retry_wait;
+        offer_instances(*list);
+    } else {
+        m_shared.m_metrics.count(counter::store_failures);
+        wait = retry_wait;
+    }
+    m_shared.m_loop.after(wait, [this] { watch_instances(); });
+}
+
+void configurator::offer_instances(const instance_list& list) {
+    if (list.m_index <= m_shared.m_instances.m_index)
+        return;
+    m_shared.m_instances = list;
+    m_changed();
+}
+
+config_mark configurator::mark() const {
+    constexpr duration unknown = std::chrono::hours{24};
+    const duration age = m_shared.m_config.age(io::event_loop::now());
+    return {m_shared.m_config.revision(), m_shared.m_instances.m_index,
+            std::min(age, unknown)};
+}
+
+void configurator::peer_mark(const member& peer) {
+    const config_mark& theirs = peer.m_config;
+    m_shared.m_config.confirmed(theirs.m_revision,
+                                io::event_loop::now() - theirs.m_confirmed_age);
+    const bool refused_before =
+        theirs.m_revision <= m_shared.m_config.refused_revision();
+    if (theirs.m_revision > m_shared.m_config.revision() && !refused_before)
+        fetch_document(peer);
+    if (theirs.m_instances > m_shared.m_instances.m_index)
+        fetch_instances(peer);
+}
+
+namespace {
+
+std::uint64_t revision_of(const io::fetch_answer& answer) {
+    const auto text = answer.header_value("Config-Revision");
+    std::uint64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
+} // namespace
+
+void configurator::fetch_document(const member& from) {
+    if (std::exchange(m_fetching_document, true))
+        return;
+    io::fetch_request request;
+    request.m_to = from.m_record.m_contact.m_control;
+    request.m_path = "/peer/config";
+    m_peers.run(request, [this](const io::fetch_result& result) {
+        m_fetching_document = false;
+        const auto* answer = std::get_if<io::fetch_answer>(&result);
+        if (answer && revision_of(*answer) > 0)
+            offer(revision_of(*answer), answer->m_body, "peer");
+    });
+}
+
+void configurator::fetch_instances(const member& from) {
+    if (std::exchange(m_fetching_instances, true))
+        return;
+    io::fetch_request request;
+    request.m_to = from.m_record.m_contact.m_control;
+    request.m_path = "/peer/instances";
+    m_peers.run(request, [this](const io::fetch_result& result) {
+        m_fetching_instances = false;
+        const auto* answer = std::get_if<io::fetch_answer>(&result);
+        if (!answer || revision_of(*answer) == 0)
+            return;
+        const auto list =
+            platform::parse_instances(answer->m_body, revision_of(*answer));
+        if (list)
+            offer_instances(list.value());
+    });
+}
+
+} // namespace skylark::entry
--- /dev/null
+++ b/src/entry/configurator.hpp
@@ -0,0 +1,57 @@
+// Brings configuration and instance list into this entry, from the store or
+// from peers.
+#ifndef SKYLARK_ENTRY_CONFIGURATOR_HPP
+#define SKYLARK_ENTRY_CONFIGURATOR_HPP
+
+#include <functional>
+#include <string>
+
+#include "entry/context.hpp"
+#include "io/fetcher.hpp"
+#include "platform/store.hpp"
+
+namespace skylark::entry {
+
+/*! @brief Watches the store when it is this entry's turn, and peers always. */
+class configurator {
+public:
+    /*! @param changed is called after each adoption */
+    configurator(context& shared, std::function<void()> changed);
+
+    void start();
+
+    /*! @brief A peer's mark was heard: fetch what it has and we lack. */
+    void peer_mark(const member& peer);
+
+    /*! @brief Own mark, for heartbeats. */
+    [[nodiscard]] config_mark mark() const;
+
+    /*! @brief Offers a document that was read or written elsewhere. */
+    void offer(std::uint64_t revision, const std::string& text,
+               std::string_view source);
+
+    platform::store& store() { return m_store; }
+
+private:
+    [[nodiscard]] bool is_watcher() const;
+    void watch_document();
+    void watch_instances();
+    void take_document(const platform::read_result& result, time_point asked);
+    void take_instances(const platform::list_result& result);
+    void offer_instances(const instance_list& list);
+    void fetch_document(const member& from);
+    void fetch_instances(const member& from);
+    void note_zones(const document& before);
+
+    context& m_shared;
+    std::function<void()> m_changed;
+    platform::store m_store;
+    io::fetcher m_peers;
+    bool m_fetching_document{};
+    bool m_fetching_instances{};
+    std::uint64_t m_noted_revert{}; // store revision that was told last
+};
+
+} // namespace skylark::entry
+
+#endif
--- /dev/null
+++ b/src/entry/entry_list.cpp
@@ -0,0 +1,102 @@
+// GET /entries: which addresses callers may use.
+#include "entry/entry_list.hpp"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include <nlohmann/json.hpp>
+
+#include <skylark/core/hash.hpp>
+
+namespace skylark::entry {
+
+namespace {
+
+struct listed_entry {
+    address m_address;
+    std::string m_zone;
+    std::uint32_t m_requests;
+    std::uint64_t m_order; //!< differs between entries, for even load
+};
+
+// Zone names travel as hashes; the document knows the names.
+std::string zone_name(const document& config, std::uint64_t zone_hash) {
+    for (const zone& item : config.m_zones)
+        if (hash(item.m_name) == zone_hash)
+            return item.m_name;
+    return {};
+}
+
+bool zone_drained(const document& config, std::uint64_t zone_hash) {
+    const zone* found = config.find_zone(zone_name(config, zone_hash));
+    return found && found->m_state == zone_state::drained;
+}
+
+void add(std::vector<listed_entry>& out, const context& shared,
+         const member_record& of, std::uint32_t requests) {
+    const document& config = shared.m_config.current();
+    const member_contact& reach = of.m_contact;
+    if (zone_drained(config, reach.m_zone))
+        return;
+    const std::uint64_t order =
+        rendezvous(shared.m_fleet.self().value(), of.m_name.m_id.value());
+    out.push_back(
+        {reach.m_callers, zone_name(config, reach.m_zone), requests, order});
+}
+
+std::vector<listed_entry> collect(const context& shared) {
+    std::vector<listed_entry> out;
+    const member_table& members = shared.m_fleet.members();
+    const bool self_usable =
+        !shared.m_draining && !shared.m_isolated && shared.m_config.ready();
+    if (self_usable && members.state() == member_state::active)
+        add(out, shared, members.self(), members.requests());
+    for (const auto& [id, peer] : members.peers())
+        if (peer.m_state == member_state::active &&
+            peer.m_config.m_revision > 0)
+            add(out, shared, peer.m_record, peer.m_requests);
+    return out;
+}
+
+// A list is never empty: a disagreement must not send callers away.
+void fill_if_empty(std::vector<listed_entry>& out, const context& shared) {
+    if (!out.empty())
+        return;
+    const member_table& members = shared.m_fleet.members();
+    out.push_back(
+        {members.self().m_contact.m_callers, shared.m_settings.m_zone, 0, 0});
+    for (const auto& [id, peer] : members.peers())
+        out.push_back({peer.m_record.m_contact.m_callers, {}, 0, id.value()});
+}
+
+} // namespace
+
+void answer_entries(context& shared, io::http_server& server, exchange_id key,
+                    std::string_view target) {
+    constexpr std::string_view zone_query = "zone=";
+    const auto at = target.find(zone_query);
+    const std::string_view near = at == std::string_view::npos
+                                      ? std::string_view{}
+                                      : target.substr(at + zone_query.size());
+    auto list = collect(shared);
+    fill_if_empty(list, shared);
+    const auto rank = [&](const listed_entry& of) {
+        constexpr std::uint32_t step = 16; // requests that are no difference
+        return std::tuple{of.m_zone != near, of.m_requests / step, of.m_order};
+    };
+    std::sort(list.begin(), list.end(),
+              [&](const auto& left, const auto& right) {
+                  return rank(left) < rank(right);
+              });
+    nlohmann::json out{{"ttl_ms", to_ms(shared.m_settings.m_entries_ttl)},
+                       {"entries", nlohmann::json::array()}};
+    for (const listed_entry& item : list)
+        out["entries"].push_back(
+            {{"address", item.m_address.text()}, {"zone", item.m_zone}});
+    constexpr int status_ok = 200;
+    const std::array headers{io::header{"Content-Type", "application/json"}};
+    server.answer(key, status_ok, headers, out.dump() + "\n");
+}
+
+} // namespace skylark::entry
--- /dev/null
+++ b/src/entry/forwarder.hpp
@@ -0,0 +1,108 @@
+// The data path: admission, attempts, answers.
+#ifndef SKYLARK_ENTRY_FORWARDER_HPP
+#define SKYLARK_ENTRY_FORWARDER_HPP
+
+#include <map>
+#include <string>
+
+#include <skylark/core/id_map.hpp>
+#include <skylark/limit/ratio_budget.hpp>
+
+#include "entry/admission_queue.hpp"
+#include "entry/connection_pool.hpp"
+#include "entry/context.hpp"
+#include "entry/request.hpp"
+#include "entry/router.hpp"
+#include "io/http_client.hpp"
+#include "io/http_server.hpp"
+
+namespace skylark::entry {
+
+/*! @brief Takes requests from callers to upstreams and answers back. */
+class forwarder {
+public:
+    forwarder(context& shared, io::http_server& callers, std::uint64_t seed);
+
+    /*! @brief A request has arrived.
+     *  @param key its exchange
+     *  @param from what the caller sent; views die with the call */
+    void accept(exchange_id key, const io::request_view& from);
+
+    /*! @brief The caller's connection can take the next piece. */
+    void ready(exchange_id key);
+
+    /*! @brief The exchange is over.
+     *  @param complete whether the caller has the whole answer */
+    void closed(exchange_id key, bool complete);
+
+    /*! @brief Gives waiting requests another chance. */
+    void pump();
+
+    /*! @brief The process was paused: drop what callers have given up on. */
+    void paused();
+
+    /*! @brief Closes what belonged to removed upstreams. */
+    void removed(const std::vector<upstream>& gone);
+
+    /*! @brief Whether no share is used beyond what is owned. */
+    bool settled();
+
+    [[nodiscard]] std::size_t active() const { return m_requests.size(); }
+    [[nodiscard]] std::size_t queued() const;
+    router& routing() { return m_router; }
+    connection_pool& connections() { return m_pool; }
+
+    /*! @brief Takes a report in and notes a change of state. */
+    void take_report(upstream& from, const load_report& report,
+                     time_point taken);
+
+private:
+    // Admission.
+    void refuse_at_once(exchange_id key, int status, std::string_view reason,
+                        request_class of);
+    void admit(exchange_id key, const io::request_view& from,
+               const rule& under);
+    void pump_service(const std::string& name);
+    bool start_next(const std::string& name, request_class of);
+
+    // Attempts.
+    void start(request_id key, request& of, const route_choice& choice,
+               bool is_hedge);
+    void write(request_id key, attempt_id which);
+    void handle(request_id key, attempt_id which, const io::client_event& what);
+    void take_head(request_id key, attempt_id which,
+                   const io::response_head& head);
+    void end_attempt(request_id key, attempt_id which, const verdict& how,
+                     bool reusable);
+    void release(const attempt& of, bool work_may_go_on);
+    void release_share(upstream_id key, share_kind kind);
+    void hedge(request_id key);
+    bool may_retry(const verdict& how);
+
+    // Answers.
+    void apply(request_id key, const actions& list);
+    void cancel(request& of, attempt_id which);
+    void refuse_caller(request& of, const refuse& why);
+    void take_body(request_id key, attempt_id which, std::string_view piece);
+    void complete(request_id key, attempt_id which, bool reusable);
+    void finish(request_id key, outcome how);
+    void sweep();
+    [[nodiscard]] double hedge_percent(double utilization) const;
+
+    context& m_shared;
+    io::http_server& m_callers;
+    io::http_client m_client;
+    connection_pool m_pool;
+    router m_router;
+    id_map<request_id, request> m_requests;
+    std::map<exchange_id, request_id> m_by_exchange;
+    std::map<std::string, admission_queue> m_queues; // by service
+    std::uint64_t m_last_attempt{};
+    ratio_budget m_retry_budget;
+    ratio_budget m_hedge_budget;
+    std::map<std::string, double> m_hedge_percent; // by service
+};
+
+} // namespace skylark::entry
+
+#endif
--- /dev/null
+++ b/src/entry/node.cpp
@@ -0,0 +1,156 @@
+// One entry instance: wires its parts together and runs its life.
+#include "entry/node.hpp"
+
+#include <skylark/core/hash.hpp>
+
+#include "entry/entry_list.hpp"
+
+namespace skylark::entry {
+
+namespace {
+constexpr auto isolation_check = milliseconds{100};
+constexpr auto gauge_period = milliseconds{500};
+constexpr auto drain_check = milliseconds{20};
+// No request for this long, once no answer names this entry any more.
+constexpr auto drain_quiet = milliseconds{300};
+
+std::uint64_t seed_of(const settings& from) {
+    return from.m_seed != 0 ? from.m_seed : hash(from.m_name);
+}
+
+} // namespace
+
+node::node(io::event_loop& loop, const settings& from)
+    : m_shared{loop, from}, m_callers{loop,
+                                      {defaults::body_bytes, seconds{60}}},
+      m_forwarder{m_shared, m_callers, seed_of(from)},
+      m_configurator{m_shared, [this] { adopt(); }},
+      m_prober{m_shared, m_forwarder}, m_control{m_shared, m_forwarder,
+                                                 m_configurator} {
+    m_callers.handle({[this](exchange_id key, const io::request_view& request) {
+                          serve_caller(key, request);
+                      },
+                      [this](exchange_id key) { m_forwarder.ready(key); },
+                      [this](exchange_id key, bool complete) {
+                          m_forwarder.closed(key, complete);
+                      }});
+    loop.on_pause(defaults::pause_limit, [this](duration gap) { paused(gap); });
+}
+
+parsed<void> node::start() {
+    BOOST_OUTCOME_TRYV(m_callers.listen(m_shared.m_settings.m_callers));
+    BOOST_OUTCOME_TRYV(m_control.listen());
+    fleet_hooks hooks;
+    hooks.m_mark = [this] { return m_configurator.mark(); };
+    hooks.m_digests = [this] { return m_prober.digests(); };
+    hooks.m_digest = [this](const load_digest& from) { m_prober.take(from); };
+    hooks.m_settled = [this] { return m_forwarder.settled(); };
+    hooks.m_changed = [this] { m_forwarder.pump(); };
+    hooks.m_peer_mark = [this](const member& peer) {
+        m_configurator.peer_mark(peer);
+    };
+    BOOST_OUTCOME_TRYV(m_shared.m_fleet.start(std::move(hooks)));
+    m_configurator.start();
+    m_prober.start();
+    m_shared.m_loop.every(isolation_check, [this] { watch_isolation(); });
+    m_shared.m_loop.every(gauge_period, [this] { update_gauges(); });
+    m_shared.m_journal.note(event_kind::started, m_shared.m_settings.m_name,
+                            "callers on " +
+                                m_shared.m_settings.m_callers.text());
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void node::serve_caller(exchange_id key, const io::request_view& request) {
+    if (request.m_path == "/entries" || request.m_path.starts_with("/entries?"))
+        answer_entries(m_shared, m_callers, key, request.m_path);
+    else
+        m_forwarder.accept(key, request);
+}
+
+void node::adopt() {
+    m_forwarder.removed(m_shared.m_upstreams.adopt(m_shared.m_config.current(),
+                                                   m_shared.m_instances));
+    m_forwarder.pump();
+}
+
+// Without store and majority nobody can say that a zone is still in force.
+void node::watch_isolation() {
+    const duration age = m_shared.m_config.age(io::event_loop::now());
+    const bool isolated = age > m_shared.m_settings.m_isolation_limit &&
+                          !m_shared.m_fleet.has_majority();
+    if (isolated == m_shared.m_isolated || !m_shared.m_config.ready())
+        return;
+    m_shared.m_isolated = isolated;
+    m_shared.m_journal.note(event_kind::isolation, m_shared.m_settings.m_name,
+                            isolated ? "refusing new work" : "serving again");
+    m_forwarder.pump();
+}
+
+void node::update_gauges() {
+    metrics& out = m_shared.m_metrics;
+    const time_point now = io::event_loop::now();
+    const auto signed_size = [](std::size_t size) {
+        return static_cast<std::int64_t>(size);
+    };
+    std::int64_t warm = 0;
+    std::int64_t connections = 0;
+    for (const auto& [key, item] : m_shared.m_upstreams.all()) {
+        warm += item.m_load.state(now) == upstream_state::warm ? 1 : 0;
+        connections += item.m_connections;
+    }
+    out.set(gauge::requests, signed_size(m_forwarder.active()));
+    out.set(gauge::queued, signed_size(m_forwarder.queued()));
+    out.set(gauge::members,
+            signed_size(m_shared.m_fleet.members().view().size()));
+    out.set(gauge::config_revision, signed_size(m_shared.m_config.revision()));
+    out.set(gauge::config_age_ms, to_ms(m_configurator.mark().m_confirmed_age));
+    out.set(gauge::has_majority, m_shared.m_fleet.has_majority() ? 1 : 0);
+    out.set(gauge::isolated, m_shared.m_isolated ? 1 : 0);
+    out.set(gauge::upstreams_warm, warm);
+    out.set(gauge::connections, connections);
+    m_shared.m_fleet.set_requests(
+        static_cast<std::uint32_t>(m_forwarder.active()));
+}
+
+void node::paused(duration gap) {
+    m_shared.m_metrics.count(counter::pauses);
+    m_shared.m_fleet.paused();
+    m_forwarder.paused();
+    m_shared.m_journal.note(event_kind::pause, m_shared.m_settings.m_name,
+                            std::to_string(to_ms(gap)) + " ms");
+}
+
+void node::drain() {
+    if (m_shared.m_draining)
+        return;
+    m_shared.m_draining = true;
+    m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
+                            "began");
+    m_shared.m_fleet.leave();
+    const time_point now = io::event_loop::now();
+    // Answers that name this entry may have been given until peers learnt of
+    // the leave, and callers keep them for their whole life time.
+    const duration told = 2 * m_shared.m_settings.m_timing.m_period;
+    const time_point expire = now + m_shared.m_settings.m_entries_ttl + told;
+    finish_drain_when_idle(expire, now + m_shared.m_settings.m_drain_limit);
+}
+
+void node::finish_drain_when_idle(time_point answers_expire, time_point limit) {
+    const time_point now = io::event_loop::now();
+    if (now >= answers_expire)
+        m_callers.close_after_answer();
+    const bool quiet = now >= answers_expire + drain_quiet &&
+                       m_callers.active() == 0 &&
+                       m_callers.quiet_for() >= drain_quiet;
+    if (quiet || now >= limit) {
+        m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
+                                quiet ? "done" : "time limit reached");
+        m_shared.m_loop.stop();
+        return;
+    }
+    m_shared.m_loop.after(drain_check, [=, this] {
+        finish_drain_when_idle(answers_expire, limit);
+    });
+}
+
+} // namespace skylark::entry
--- /dev/null
+++ b/src/entry/node.hpp
@@ -0,0 +1,44 @@
+// One entry instance: wires its parts together and runs its life.
+#ifndef SKYLARK_ENTRY_NODE_HPP
+#define SKYLARK_ENTRY_NODE_HPP
+
+#include "entry/configurator.hpp"
+#include "entry/context.hpp"
+#include "entry/control.hpp"
+#include "entry/forwarder.hpp"
+#include "entry/prober.hpp"
+#include "io/http_server.hpp"
+
+namespace skylark::entry {
+
+/*! @brief The process. */
+class node {
+public:
+    node(io::event_loop& loop, const settings& from);
+
+    /*! @brief Binds all sockets and starts.
+     *  @return nothing, or the address that could not be bound */
+    parsed<void> start();
+
+    /*! @brief Begins the graceful shutdown; the loop is stopped at its end. */
+    void drain();
+
+private:
+    void serve_caller(exchange_id key, const io::request_view& request);
+    void adopt();
+    void watch_isolation();
+    void update_gauges();
+    void paused(duration gap);
+    void finish_drain_when_idle(time_point answers_expire, time_point limit);
+
+    context m_shared;
+    io::http_server m_callers;
+    forwarder m_forwarder;
+    configurator m_configurator;
+    prober m_prober;
+    control m_control;
+};
+
+} // namespace skylark::entry
+
+#endif
--- /dev/null
+++ b/src/entry/prober.cpp
@@ -0,0 +1,115 @@
+// Asks load endpoints, within the budget, where this entry is the prober.
+#include "entry/prober.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace skylark::entry {
+
+namespace {
+constexpr auto check_period = milliseconds{50};
+// Reports younger than this make a probe needless.
+constexpr auto fresh_report = milliseconds{300};
+constexpr auto digest_age_limit = seconds{1};
+constexpr auto probe_timeout = milliseconds{300};
+constexpr std::size_t digests_per_heartbeat = 40; // keeps datagrams small
+constexpr std::size_t answer_limit = 4096;        // bytes
+} // namespace
+
+prober::prober(context& shared, forwarder& data_path)
+    : m_shared{shared}, m_data_path{data_path},
+      m_fetcher{shared.m_loop, answer_limit}, m_fleet_bucket{0.0, 1.0} {}
+
+void prober::start() {
+    m_shared.m_loop.every(check_period, [this] { probe_due(); });
+}
+
+bool prober::mine(upstream_id key) const {
+    return m_shared.m_fleet.usable(key, share_kind::probe, 1) > 0;
+}
+
+token_bucket& prober::bucket_of(upstream_id key) {
+    const auto rate = static_cast<double>(
+        m_shared.m_config.current().m_limits.m_probes_per_upstream);
+    token_bucket& bucket = m_buckets.try_emplace(key, rate, 1.0).first->second;
+    bucket.set_rate(rate);
+    return bucket;
+}
+
+void prober::probe_due() {
+    if (!m_shared.m_config.ready())
+        return;
+    const auto members =
+        std::max<std::size_t>(1, m_shared.m_fleet.members().view().size());
+    const limits& bounds = m_shared.m_config.current().m_limits;
+    m_fleet_bucket.set_rate(static_cast<double>(bounds.m_probes_fleet) /
+                            static_cast<double>(members));
+    const time_point now = io::event_loop::now();
+    std::vector<upstream*> due;
+    for (auto& [key, item] : m_shared.m_upstreams.all()) {
+        if (!item.m_listed || !item.m_zone_active || !mine(key)) {
+            m_buckets.erase(key); // a new owner's bucket begins empty
+            continue;
+        }
+        if (item.m_load.report_age(now) >= fresh_report)
+            due.push_back(&item);
+    }
+    // Oldest knowledge first, so that the fleet's budget starves nobody.
+    std::sort(due.begin(), due.end(), [&](upstream* left, upstream* right) {
+        return left->m_load.report_age(now) > right->m_load.report_age(now);
+    });
+    for (upstream* item : due) {
+        if (!m_fleet_bucket.has(now))
+            return;
+        if (bucket_of(item->m_id).take(now)) {
+            m_fleet_bucket.take(now);
+            probe(*item);
+        }
+    }
+}
+
+void prober::probe(upstream& of) {
+    m_shared.m_metrics.count(counter::probes);
+    io::fetch_request request;
+    request.m_to = of.m_address;
+    request.m_path = "/load";
+    request.m_timeout = probe_timeout;
+    const upstream_id key = of.m_id;
+    const time_point asked = io::event_loop::now();
+    m_fetcher.run(request, [this, key, asked](const io::fetch_result& got) {
+        upstream* found = m_shared.m_upstreams.find(key);
+        if (!found)
+            return;
+        const auto* answer = std::get_if<io::fetch_answer>(&got);
+        const auto report = parse_report(answer ? answer->m_body : "");
+        if (report)
+            m_data_path.take_report(*found, report.value(), asked);
+        else
+            found->m_load.failed();
+        m_data_path.pump();
+    });
+}
+
+std::vector<load_digest> prober::digests() {
+    std::vector<load_digest> out;
+    const time_point now = io::event_loop::now();
+    for (const auto& [key, item] : m_shared.m_upstreams.all()) {
+        const duration age = item.m_load.report_age(now);
+        if (age > digest_age_limit || !mine(key))
+            continue;
+        out.push_back({key, item.m_load.last_report(), age});
+        if (out.size() == digests_per_heartbeat)
+            break;
+    }
+    return out;
+}
+
+void prober::take(const load_digest& digest) {
+    upstream* found = m_shared.m_upstreams.find(digest.m_upstream);
+    if (!found)
+        return;
+    const time_point now = io::event_loop::now();
+    m_data_path.take_report(*found, digest.m_report, now - digest.m_age);
+}
+
+} // namespace skylark::entry
--- /dev/null
+++ b/src/entry/router.cpp
@@ -0,0 +1,144 @@
+// Chooses the upstream of a request, within all limits.
+#include "entry/router.hpp"
+
+#include <algorithm>
+
+namespace skylark::entry {
+
+namespace {
+// A cold upstream answers slowly: others with as few requests go first.
+constexpr std::uint32_t cold_penalty = 2;
+constexpr duration utilization_validity = seconds{1};
+} // namespace
+
+std::string_view name_of(exclusion why) {
+    switch (why) {
+    case exclusion::none:
+        return "candidate";
+    case exclusion::unlisted:
+        return "not in the instance list";
+    case exclusion::leaving:
+        return "leaving";
+    case exclusion::zone_out:
+        return "zone is out";
+    case exclusion::draining:
+        return "draining";
+    case exclusion::tried:
+        return "tried before";
+    case exclusion::no_connection:
+        return "connection limit reached";
+    case exclusion::no_share:
+        break;
+    }
+    return "no free share";
+}
+
+std::uint32_t router::limit_of(const service& of, share_kind kind) {
+    switch (kind) {
+    case share_kind::cold:
+        return of.m_cold_slots;
+    case share_kind::bulk:
+        return std::max<std::uint32_t>(
+            1, of.m_slots - std::min(of.m_slots, of.m_urgent_reserve));
+    case share_kind::probe:
+        break;
+    }
+    return 1;
+}
+
+std::uint32_t router::connection_limit() const {
+    const auto members = static_cast<std::uint32_t>(
+        std::max<std::size_t>(m_shared.m_fleet.members().view().size(),
+                              m_shared.m_settings.m_seeds.size() + 1));
+    const auto whole =
+        m_shared.m_config.current().m_limits.m_connections_per_upstream;
+    return std::max<std::uint32_t>(1, whole / members);
+}
+
+exclusion router::excluded(const upstream& candidate, const service& of,
+                           request_class wanted, time_point now,
+                           std::optional<share_kind>& share) const {
+    if (!candidate.m_listed)
+        return exclusion::unlisted;
+    if (candidate.m_leaving)
+        return exclusion::leaving;
+    if (!candidate.m_zone_active)
+        return exclusion::zone_out;
+    const upstream_state state = candidate.m_load.state(now);
+    if (state == upstream_state::draining)
+        return exclusion::draining;
+    if (candidate.m_idle.empty() &&
+        candidate.m_connections >= connection_limit())
+        return exclusion::no_connection;
+    if (state == upstream_state::cold)
+        share = share_kind::cold;
+    else if (wanted == request_class::bulk)
+        share = share_kind::bulk;
+    if (!share)
+        return exclusion::none;
+    const auto used = candidate.m_share_use[static_cast<std::size_t>(*share)];
+    const auto usable =
+        m_shared.m_fleet.usable(candidate.m_id, *share, limit_of(of, *share));
+    return used < usable ? exclusion::none : exclusion::no_share;
+}
+
+std::optional<route_choice> router::choose(const request& of, time_point now) {
+    const service* config =
+        m_shared.m_config.current().find_service(of.m_service);
+    if (!config)
+        return std::nullopt;
+    m_candidates.clear();
+    for (const upstream_id key :
+         m_shared.m_upstreams.of_service(of.m_service)) {
+        const auto tried = std::find(of.m_tried.begin(), of.m_tried.end(), key);
+        if (tried != of.m_tried.end())
+            continue;
+        const upstream& item = *m_shared.m_upstreams.find(key);
+        std::optional<share_kind> share;
+        if (excluded(item, *config, of.m_class, now, share) != exclusion::none)
+            continue;
+        const std::uint32_t cold = share == share_kind::cold ? cold_penalty : 0;
+        m_candidates.push_back({key, item.m_load.in_flight(),
+                                item.m_load.penalty(now) + cold,
+                                item.m_preference});
+    }
+    const auto chosen =
+        skylark::choose(policy_of(*config), m_candidates, m_random);
+    if (!chosen)
+        return std::nullopt;
+    std::optional<share_kind> share;
+    excluded(*m_shared.m_upstreams.find(*chosen), *config, of.m_class, now,
+             share);
+    return route_choice{*chosen, share};
+}
+
+policy& router::policy_of(const service& of) {
+    named_policy& kept = m_policies[of.m_name];
+    if (kept.m_name != of.m_policy)
+        kept = {of.m_policy, make_policy(of.m_policy)};
+    return kept.m_policy;
+}
+
+bool router::serves(std::string_view service) {
+    const auto& keys = m_shared.m_upstreams.of_service(service);
+    return std::any_of(keys.begin(), keys.end(), [&](upstream_id key) {
+        const upstream* item = m_shared.m_upstreams.find(key);
+        return item->m_listed && !item->m_leaving && item->m_zone_active;
+    });
+}
+
+double router::utilization(std::string_view service, time_point now) {
+    std::uint32_t used = 0;
+    std::uint32_t slots = 0;
+    for (const upstream_id key : m_shared.m_upstreams.of_service(service)) {
+        const upstream_load& load = m_shared.m_upstreams.find(key)->m_load;
+        if (load.report_age(now) > utilization_validity)
+            continue;
+        const load_report& report = load.last_report();
+        used += std::min(report.m_used + report.m_queue, report.m_slots);
+        slots += report.m_slots;
+    }
+    return slots == 0 ? 1.0 : static_cast<double>(used) / slots;
+}
+
+} // namespace skylark::entry
--- /dev/null
+++ b/src/entry/router.hpp
@@ -0,0 +1,84 @@
+// Chooses the upstream of a request, within all limits.
+#ifndef SKYLARK_ENTRY_ROUTER_HPP
+#define SKYLARK_ENTRY_ROUTER_HPP
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include <skylark/route/policy.hpp>
+
+#include "entry/context.hpp"
+#include "entry/request.hpp"
+
+namespace skylark::entry {
+
+/*! @brief A chosen upstream, with the share that the attempt will occupy. */
+struct route_choice {
+    upstream_id m_upstream;
+    std::optional<share_kind> m_share;
+};
+
+/*! @brief Why an upstream may not take a request now. */
+enum class exclusion : std::uint8_t {
+    none,
+    unlisted,
+    leaving,
+    zone_out,
+    draining,
+    tried,
+    no_connection,
+    no_share
+};
+
+/*! @brief Name of a reason, for explain. */
+std::string_view name_of(exclusion why);
+
+/*! @brief Applies the service's policy to the upstreams that may be used. */
+class router {
+public:
+    router(context& shared, std::uint64_t seed)
+        : m_shared{shared}, m_random{seed} {}
+
+    /*! @brief Chooses an upstream.
+     *  @param of the request
+     *  @param now the present
+     *  @return the choice, none when all are excluded for now */
+    std::optional<route_choice> choose(const request& of, time_point now);
+
+    /*! @brief Whether any upstream could take work of the service at some
+     *  time, going by list and zones. */
+    bool serves(std::string_view service);
+
+    /*! @brief Why an upstream is excluded now, and the share it would need.
+     *  @param share gets the kind, none when no share is needed */
+    exclusion excluded(const upstream& candidate, const service& of,
+                       request_class wanted, time_point now,
+                       std::optional<share_kind>& share) const;
+
+    /*! @brief Slots of a limit as the document gives them. */
+    static std::uint32_t limit_of(const service& of, share_kind kind);
+
+    /*! @brief Connections that this entry may hold to one upstream. */
+    [[nodiscard]] std::uint32_t connection_limit() const;
+
+    /*! @brief Part of the slots in use, going by recent reports; 0 to 1. */
+    double utilization(std::string_view service, time_point now);
+
+private:
+    policy& policy_of(const service& of);
+
+    struct named_policy {
+        std::string m_name;
+        policy m_policy;
+    };
+
+    context& m_shared;
+    random_source m_random;
+    std::map<std::string, named_policy> m_policies; // by service
+    std::vector<candidate> m_candidates;            // scratch
+};
+
+} // namespace skylark::entry
+
+#endif
--- /dev/null
+++ b/src/entry/settings.cpp
@@ -0,0 +1,202 @@
+// Settings of one entry instance, read from a TOML file and checked.
+#include "entry/settings.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include <toml++/toml.h>
+
+#include <skylark/core/suggest.hpp>
+
+namespace skylark::entry {
+
+namespace {
+
+// Reads one table; keeps the first error and the keys that were asked for.
+class toml_reader {
+public:
+    toml_reader(const toml::table& table, std::string_view file)
+        : m_table{table}, m_file{file} {}
+
+    void text(std::string_view key, std::string& out, bool required) {
+        const toml::node* node = take(key, required);
+        if (!node)
+            return;
+        if (const auto value = node->value_exact<std::string>())
+            out = *value;
+        else
+            fail(*node, key, "a string");
+    }
+
+    void where(std::string_view key, address& out, bool required) {
+        std::string written;
+        text(key, written, required);
+        if (written.empty())
+            return;
+        const auto value = parse_address(written, place(*m_table.get(key)));
+        if (value)
+            out = value.value();
+        else
+            m_error = m_error ? m_error : value.error();
+    }
+
+    void ms(std::string_view key, duration& out) {
+        std::int64_t value = to_ms(out);
+        whole(key, value);
+        out = milliseconds{value};
+    }
+
+    void whole(std::string_view key, std::int64_t& out) {
+        const toml::node* node = take(key, false);
+        if (!node)
+            return;
+        const auto value = node->value_exact<std::int64_t>();
+        if (value && *value >= 0)
+            out = *value;
+        else
+            fail(*node, key, "a whole number from 0 up");
+    }
+
+    void addresses(std::string_view key, std::vector<address>& out) {
+        const toml::node* node = take(key, false);
+        if (!node)
+            return;
+        const toml::array* list = node->as_array();
+        if (!list) {
+            fail(*node, key, "an array of addresses");
+            return;
+        }
+        for (const toml::node& item : *list) {
+            const auto text = item.value_exact<std::string>();
+            const auto value = parse_address(text.value_or(""), place(item));
+            if (value)
+                out.push_back(value.value());
+            else
+                m_error = m_error ? m_error : value.error();
+        }
+    }
+
+    void one_of(std::string_view key, std::string& out,
+                std::span<const std::string_view> known) {
+        text(key, out, false);
+        if (std::find(known.begin(), known.end(), out) == known.end())
+            fail(*m_table.get(key), key, expect_one_of(out, known));
+    }
+
+    std::optional<input_error> finish() {
+        if (m_error)
+            return m_error;
+        for (const auto& [key, node] : m_table) {
+            const std::string_view name = key.str();
+            if (std::find(m_known.begin(), m_known.end(), name) ==
+                m_known.end())
+                return input_error{place(node), "key " + std::string{name},
+                                   expect_one_of(name, m_known)};
+        }
+        return std::nullopt;
+    }
+
+private:
+    std::string place(const toml::node& node) const {
+        return m_file + ":" + std::to_string(node.source().begin.line);
+    }
+
+    const toml::node* take(std::string_view key, bool required) {
+        m_known.push_back(key);
+        const toml::node* node = m_table.get(key);
+        if (!node && required && !m_error)
+            m_error = input_error{m_file, "no key " + std::string{key},
+                                  "a value for " + std::string{key}};
+        return node;
+    }
+
+    void fail(const toml::node& node, std::string_view key,
+              std::string expected) {
+        std::ostringstream written;
+        node.visit([&](const auto& value) {
+            if constexpr (toml::is_value<decltype(value)>)
+                written << value;
+            else
+                written << "a table or array";
+        });
+        if (!m_error)
+            m_error = input_error{place(node),
+                                  std::string{key} + " = " + written.str(),
+                                  std::move(expected)};
+    }
+
+    const toml::table& m_table;
+    std::string m_file;
+    std::vector<std::string_view> m_known;
+    std::optional<input_error> m_error;
+};
+
+constexpr std::array<std::string_view, 5> log_levels{"debug", "info", "warn",
+                                                     "error", "off"};
+
+std::optional<input_error> check_timing(const settings& subject,
+                                        std::string_view file) {
+    const member_timing& timing = subject.m_timing;
+    if (timing.m_hold_down >= timing.m_self_stop + timing.m_report_age)
+        return std::nullopt;
+    return input_error{std::string{file},
+                       "share_hold_down_ms = " +
+                           std::to_string(to_ms(timing.m_hold_down)),
+                       "at least share_self_stop_ms + 600"};
+}
+
+parsed<settings> read_table(const toml::table& table, std::string_view file) {
+    toml_reader reader{table, file};
+    settings out;
+    reader.text("name", out.m_name, true);
+    reader.text("zone", out.m_zone, true);
+    reader.text("region", out.m_region, false);
+    reader.where("callers", out.m_callers, true);
+    reader.where("control", out.m_control, true);
+    reader.where("peer", out.m_peer, true);
+    reader.where("platform", out.m_platform, true);
+    reader.addresses("seeds", out.m_seeds);
+    reader.one_of("log_level", out.m_log_level, log_levels);
+    std::int64_t seed = 0;
+    reader.whole("seed", seed);
+    out.m_seed = static_cast<std::uint64_t>(seed);
+    reader.ms("heartbeat_ms", out.m_timing.m_period);
+    reader.ms("share_self_stop_ms", out.m_timing.m_self_stop);
+    reader.ms("share_hold_down_ms", out.m_timing.m_hold_down);
+    reader.ms("isolation_limit_ms", out.m_isolation_limit);
+    reader.ms("entries_ttl_ms", out.m_entries_ttl);
+    reader.ms("drain_limit_ms", out.m_drain_limit);
+    if (auto error = reader.finish())
+        return *std::move(error);
+    if (auto error = check_timing(out, file))
+        return *std::move(error);
+    return out;
+}
+
+} // namespace
+
+parsed<settings> parse_settings(std::string_view text, std::string_view file) {
+    try {
+        const toml::table table = toml::parse(text, std::string{file});
+        return read_table(table, file);
+    } catch (const toml::parse_error& error) {
+        const auto line = std::to_string(error.source().begin.line);
+        return input_error{std::string{file} + ":" + line,
+                           std::string{error.description()}, "valid TOML"};
+    }
+}
+
+parsed<settings> load_settings(const std::string& path) {
+    const std::ifstream in{path};
+    if (!in)
+        return input_error{path, "a file that cannot be read",
+                           "a settings file"};
+    std::stringstream text;
+    text << in.rdbuf();
+    return parse_settings(text.str(), path);
+}
+
+} // namespace skylark::entry
--- /dev/null
+++ b/src/entry/settings.hpp
@@ -0,0 +1,47 @@
+// Settings of one entry instance, read from a TOML file and checked.
+#ifndef SKYLARK_ENTRY_SETTINGS_HPP
+#define SKYLARK_ENTRY_SETTINGS_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <skylark/config/config.hpp>
+#include <skylark/core/address.hpp>
+#include <skylark/member/timing.hpp>
+
+namespace skylark::entry {
+
+/*! @brief What an entry learns from its settings. */
+struct settings {
+    std::string m_name;           //!< unique in the deployment
+    std::string m_zone;           //!< availability zone of this instance
+    std::string m_region;         //!< for operators; not used in decisions
+    address m_callers;            //!< HTTP for callers
+    address m_control;            //!< HTTP for operators and peers
+    address m_peer;               //!< UDP for heartbeats
+    address m_platform;           //!< the platform's store
+    std::vector<address> m_seeds; //!< other entries' heartbeat addresses
+    std::string m_log_level{"info"};
+    std::uint64_t m_seed{0}; //!< of random numbers; 0 takes one from the name
+    member_timing m_timing;
+    duration m_isolation_limit{defaults::isolation_limit};
+    duration m_entries_ttl{defaults::entries_ttl};
+    duration m_drain_limit{seconds{30}}; //!< longest graceful shutdown
+};
+
+/*! @brief Reads settings.
+ *  @param text TOML
+ *  @param file name for messages
+ *  @return the settings, or the first error with file and line */
+parsed<settings> parse_settings(std::string_view text, std::string_view file);
+
+/*! @brief Reads a settings file.
+ *  @param path where it is
+ *  @return the settings, or the first error */
+parsed<settings> load_settings(const std::string& path);
+
+} // namespace skylark::entry
+
+#endif
--- /dev/null
+++ b/src/entry/upstream.hpp
@@ -0,0 +1,48 @@
+// One upstream as the entry keeps it.
+#ifndef SKYLARK_ENTRY_UPSTREAM_HPP
+#define SKYLARK_ENTRY_UPSTREAM_HPP
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include <skylark/core/address.hpp>
+#include <skylark/core/id.hpp>
+#include <skylark/core/time.hpp>
+#include <skylark/load/upstream_load.hpp>
+#include <skylark/share/kind.hpp>
+
+namespace skylark::entry {
+
+/*! @brief A connection that waits for its next request. */
+struct idle_connection {
+    connection_id m_connection;
+    time_point m_answered; //!< when its last answer ended
+};
+
+/*! @brief One upstream. */
+struct upstream {
+    upstream_id m_id; //!< the address's key, the same in every entry
+    address m_address;
+    std::string m_service;
+    std::string m_zone;
+    bool m_leaving{}; //!< the platform's list or its own report says so
+    bool m_listed{true};
+    bool m_zone_active{true};
+    std::uint32_t m_preference{}; //!< position in this entry's own order
+    upstream_load m_load;
+    std::vector<idle_connection> m_idle; // oldest first
+    // Invariant: idle connections and those with an attempt.
+    std::uint32_t m_connections{};
+    //! Requests that use a share of this upstream, by kind.
+    std::array<std::uint32_t, share_kind_count> m_share_use{};
+    upstream_state m_last_state{upstream_state::cold}; // for events
+
+    std::uint32_t& share_use(share_kind kind) {
+        return m_share_use[static_cast<std::size_t>(kind)];
+    }
+};
+
+} // namespace skylark::entry
+
+#endif
--- /dev/null
+++ b/src/entry/upstream_table.cpp
@@ -0,0 +1,83 @@
+// All upstreams, from the document and the platform's instance list.
+#include "entry/upstream_table.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include <skylark/core/hash.hpp>
+
+namespace skylark::entry {
+
+std::vector<upstream> upstream_table::adopt(const document& config,
+                                            const instance_list& list) {
+    for (auto& [key, item] : m_upstreams)
+        item.m_listed = false;
+    for (const instance& from : list.m_instances)
+        if (from.m_role == instance_role::upstream)
+            take(from, config);
+    std::vector<upstream> removed;
+    for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
+        const bool unused = it->second.m_load.in_flight() == 0;
+        if (it->second.m_listed || !unused) {
+            ++it;
+            continue;
+        }
+        removed.push_back(std::move(it->second));
+        it = m_upstreams.erase(it);
+    }
+    order_services();
+    return removed;
+}
+
+void upstream_table::take(const instance& from, const document& config) {
+    const upstream_id key{from.m_address.key()};
+    upstream& item = m_upstreams[key];
+    item.m_id = key;
+    item.m_address = from.m_address;
+    item.m_service = from.m_service;
+    item.m_zone = from.m_zone;
+    item.m_leaving = from.m_leaving;
+    item.m_listed = true;
+    const zone* declared = config.find_zone(from.m_zone);
+    const bool active =
+        declared != nullptr && declared->m_state == zone_state::active;
+    // A zone that returns begins cold: its upstreams ramp up by shares.
+    if (active && !item.m_zone_active)
+        item.m_load.forget_warm();
+    item.m_zone_active = active;
+}
+
+// Own zone first, then by rendezvous score: entries rarely agree.
+void upstream_table::order_services() {
+    m_services.clear();
+    for (const auto& [key, item] : m_upstreams)
+        m_services[item.m_service].push_back(key);
+    for (auto& [name, keys] : m_services) {
+        const auto rank = [&](upstream_id key) {
+            const upstream& item = m_upstreams.at(key);
+            const std::uint64_t score = rendezvous(key.value(), m_self.value());
+            return std::tuple{item.m_zone != m_zone, ~score};
+        };
+        std::sort(keys.begin(), keys.end(),
+                  [&](upstream_id left, upstream_id right) {
+                      return rank(left) < rank(right);
+                  });
+        for (std::size_t i = 0; i < keys.size(); ++i)
+            m_upstreams.at(keys[i]).m_preference =
+                static_cast<std::uint32_t>(i);
+    }
+}
+
+upstream* upstream_table::find(upstream_id key) {
+    const auto found = m_upstreams.find(key);
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+const std::vector<upstream_id>&
+upstream_table::of_service(std::string_view name) const {
+    static const std::vector<upstream_id> none;
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? none : found->second;
+}
+
+} // namespace skylark::entry
--- /dev/null
+++ b/src/io/event_loop.cpp
@@ -0,0 +1,99 @@
+// Event loop over h2o's evloop.
+#include "io/event_loop.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "io/native.hpp"
+
+namespace skylark::io {
+
+namespace {
+constexpr duration longest_turn_wait = milliseconds{100};
+} // namespace
+
+event_loop::event_loop() : m_native{h2o_evloop_create()}, m_last_turn{now()} {}
+
+event_loop::~event_loop() = default; // h2o 2.2 cannot destroy an evloop
+
+time_point event_loop::now() {
+    const auto reading = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point{std::chrono::duration_cast<duration>(reading)};
+}
+
+timer_id event_loop::after(duration delay, task what) {
+    const timer_id key{++m_last_timer};
+    const time_point due = now() + delay;
+    m_timers.emplace(due_order{due, key}, std::move(what));
+    m_due.emplace(key, due);
+    return key;
+}
+
+void event_loop::every(duration period, task what) {
+    after(period, [this, period, what = std::move(what)] {
+        what();
+        repeat(period, what);
+    });
+}
+
+void event_loop::repeat(duration period, const task& what) {
+    after(period, [this, period, what] {
+        what();
+        repeat(period, what);
+    });
+}
+
+void event_loop::cancel(timer_id key) {
+    const auto found = m_due.find(key);
+    if (found == m_due.end())
+        return;
+    m_timers.erase(due_order{found->second, key});
+    m_due.erase(found);
+}
+
+void event_loop::on_pause(duration limit, pause_handler handler) {
+    m_pause_limit = limit;
+    m_pause_handler = std::move(handler);
+}
+
+void event_loop::run() {
+    while (!m_stopped)
+        run_once(longest_turn_wait);
+}
+
+void event_loop::run_once(duration longest_wait) {
+    constexpr auto round_up = microseconds{999};
+    const duration wait = next_wait(longest_wait);
+    // h2o waits in whole milliseconds; a timer due within the next one is
+    // reached by turns that do not wait.
+    const auto wait_ms = wait < milliseconds{1} ? 0 : to_ms(wait + round_up);
+    h2o_evloop_run(m_native, static_cast<std::int32_t>(wait_ms));
+    check_pause();
+    run_due_timers();
+}
+
+duration event_loop::next_wait(duration longest_wait) const {
+    if (m_timers.empty())
+        return longest_wait;
+    const duration until = m_timers.begin()->first.m_due - now();
+    return std::clamp(until, duration{0}, longest_wait);
+}
+
+void event_loop::run_due_timers() {
+    const time_point present = now();
+    while (!m_timers.empty() && m_timers.begin()->first.m_due <= present) {
+        auto node = m_timers.extract(m_timers.begin());
+        m_due.erase(node.key().m_key);
+        node.mapped()();
+    }
+}
+
+void event_loop::check_pause() {
+    const time_point present = now();
+    const duration gap = present - m_last_turn;
+    m_last_turn = present;
+    if (m_pause_handler && gap > m_pause_limit)
+        m_pause_handler(gap);
+}
+
+} // namespace skylark::io
--- /dev/null
+++ b/src/io/udp_socket.cpp
@@ -0,0 +1,74 @@
+// Datagrams on the loop.
+#include "io/udp_socket.hpp"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <unistd.h>
+#include <utility>
+
+#include "io/event_loop.hpp"
+#include "io/native.hpp"
+
+namespace skylark::io {
+
+struct udp_socket::native {
+    event_loop* m_loop;
+    int m_fd{-1};
+    handler m_handler;
+
+    static void on_readable(h2o_socket_t* socket, const char* error);
+};
+
+void udp_socket::native::on_readable(h2o_socket_t* socket, const char*) {
+    auto& self = *static_cast<native*>(socket->data);
+    constexpr std::size_t largest_datagram = 65536;
+    static std::array<std::uint8_t, largest_datagram> buffer;
+    constexpr int turn_limit = 64;
+    for (int i = 0; i < turn_limit; ++i) {
+        sockaddr_in from{};
+        socklen_t length = sizeof from;
+        const auto size =
+            recvfrom(self.m_fd, buffer.data(), buffer.size(), MSG_DONTWAIT,
+                     reinterpret_cast<sockaddr*>(&from), &length);
+        if (size < 0)
+            return;
+        const bytes payload{buffer.data(), static_cast<std::size_t>(size)};
+        self.m_handler(internal::from_native(from), payload);
+    }
+}
+
+udp_socket::udp_socket(event_loop& loop)
+    : m_native{std::make_unique<native>(native{&loop, -1, {}})} {}
+
+udp_socket::~udp_socket() = default;
+
+parsed<address> udp_socket::bind(address where, handler who) {
+    const int fd =
+        socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const sockaddr_in name = internal::to_native(where);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&name);
+    if (::bind(fd, generic, sizeof name) != 0) {
+        const int code = errno;
+        close(fd);
+        return input_error{"bind", where.text(),
+                           std::string{"a free local address ("} +
+                               std::strerror(code) + ")"};
+    }
+    m_native->m_fd = fd;
+    m_native->m_handler = std::move(who);
+    auto* socket = h2o_evloop_socket_create(m_native->m_loop->native(), fd,
+                                            H2O_SOCKET_FLAG_DONT_READ);
+    socket->data = m_native.get();
+    h2o_socket_read_start(socket, &native::on_readable);
+    return internal::local_address(fd);
+}
+
+bool udp_socket::send(address to, bytes payload) {
+    const sockaddr_in name = internal::to_native(to);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&name);
+    return sendto(m_native->m_fd, payload.data(), payload.size(), MSG_DONTWAIT,
+                  generic, sizeof name) >= 0;
+}
+
+} // namespace skylark::io
--- /dev/null
+++ b/src/member/table.cpp
@@ -0,0 +1,298 @@
+// Membership protocol: lapse, removal by majority, heartbeats.
+#include <skylark/member/table.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace skylark {
+
+namespace {
+// Departed members are remembered, and reported silent, this many hold-downs.
+constexpr int departed_memory = 5;
+constexpr std::size_t sent_memory = 64; // own heartbeats that may be answered
+} // namespace
+
+member_table::member_table(const member_record& self,
+                           std::vector<address> seeds,
+                           const member_timing& timing, time_point now)
+    : m_self{self}, m_timing{timing}, m_seeds{seeds.begin(), seeds.end()} {
+    m_seeds.erase(self.m_contact.m_peer);
+    m_seed_count = m_seeds.size();
+    m_bootstrapped = m_seeds.empty();
+    rebuild_view(now);
+}
+
+void member_table::add_seeds(std::span<const address> seeds) {
+    m_seeds.insert(seeds.begin(), seeds.end());
+    m_seeds.erase(m_self.m_contact.m_peer);
+    if (!m_bootstrapped)
+        m_seed_count = std::max(m_seed_count, m_seeds.size());
+}
+
+std::size_t member_table::quorum() const {
+    std::size_t size = m_bootstrapped ? m_view.size() : m_seed_count + 1;
+    for (const sized_view& recent : m_recent_sizes)
+        size = std::max(size, recent.m_size);
+    return size / 2 + 1;
+}
+
+// Sending time of the newest own heartbeat that a majority has acknowledged.
+std::optional<time_point> member_table::majority_time() const {
+    std::vector<time_point> times{time_point::max()}; // this entry itself
+    for (const auto& [id, peer] : m_peers)
+        if (peer.m_acknowledged)
+            times.push_back(*peer.m_acknowledged);
+    const std::size_t needed = quorum();
+    if (times.size() < needed)
+        return std::nullopt;
+    std::sort(times.begin(), times.end(), std::greater<>{});
+    return times[needed - 1];
+}
+
+bool member_table::has_majority(time_point now) const {
+    const auto newest = majority_time();
+    return newest && (*newest == time_point::max() ||
+                      now - *newest <= m_timing.m_self_stop);
+}
+
+void member_table::lapse() {
+    ++m_self.m_name.m_incarnation;
+    m_had_majority = false;
+    if (m_state == member_state::active)
+        m_state = member_state::joining;
+    m_sent.clear();
+    for (auto& [id, peer] : m_peers)
+        peer.m_acknowledged.reset();
+    m_changes.push_back({member_change::kind::lapsed, m_self.m_name});
+}
+
+void member_table::paused(time_point now) {
+    lapse();
+    // Silence while this process did not run proves nothing.
+    for (auto& [id, peer] : m_peers) {
+        peer.m_heard = now;
+        peer.m_silent.clear();
+    }
+    rebuild_view(now);
+}
+
+void member_table::leave() {
+    m_state = member_state::leaving;
+}
+
+// A leaving member stays in the view until its last share is unused.
+bool member_table::has_released(const member& peer) {
+    return peer.m_state == member_state::leaving && peer.m_settled_hash != 0;
+}
+
+void member_table::rebuild_view(time_point now) {
+    std::vector<member_name> names;
+    if (!m_released)
+        names.push_back(m_self.m_name);
+    for (const auto& [id, peer] : m_peers)
+        if (!has_released(peer))
+            names.push_back(peer.m_record.m_name);
+    member_view next{std::move(names)};
+    if (next.hash() == m_view.hash())
+        return;
+    m_recent_sizes.push_back({now + m_timing.m_hold_down, m_view.size()});
+    m_view = std::move(next);
+    ++m_epoch;
+}
+
+void member_table::learn(const member_record& record, time_point now) {
+    const entry_id id = record.m_name.m_id;
+    if (id == m_self.m_name.m_id)
+        return;
+    const auto left = m_departed.find(id);
+    if (left != m_departed.end() &&
+        record.m_name.m_incarnation <= left->second.m_incarnation)
+        return;
+    const auto known = m_peers.find(id);
+    if (known == m_peers.end()) {
+        member fresh;
+        fresh.m_record = record;
+        fresh.m_heard = now;
+        m_peers.emplace(id, std::move(fresh));
+        m_changes.push_back({member_change::kind::joined, record.m_name});
+        return;
+    }
+    member& peer = known->second;
+    if (record.m_name.m_incarnation <= peer.m_record.m_name.m_incarnation)
+        return;
+    // A new life under the same id: the old one has lapsed or ended.
+    peer = member{};
+    peer.m_record = record;
+    peer.m_heard = now;
+    m_changes.push_back({member_change::kind::replaced, record.m_name});
+}
+
+void member_table::acknowledge(member& from, const heartbeat& message) {
+    if (message.m_acknowledged_incarnation != m_self.m_name.m_incarnation)
+        return;
+    for (const sent_heartbeat& sent : m_sent)
+        if (sent.m_sequence == message.m_acknowledged)
+            from.m_acknowledged =
+                std::max(from.m_acknowledged.value_or(sent.m_at), sent.m_at);
+}
+
+void member_table::received(const heartbeat& message, time_point now) {
+    const member_name& name = message.m_sender.m_name;
+    if (name.m_id == m_self.m_name.m_id)
+        return;
+    // Lapses are noticed before an acknowledgement could hide them.
+    if (m_had_majority && !has_majority(now))
+        lapse();
+    learn(message.m_sender, now);
+    const auto found = m_peers.find(name.m_id);
+    if (found == m_peers.end() || found->second.m_record.m_name != name) {
+        rebuild_view(now);
+        return;
+    }
+    member& peer = found->second;
+    if (message.m_sequence < peer.m_last_sequence)
+        return;
+    peer.m_last_sequence = message.m_sequence;
+    peer.m_record.m_contact = message.m_sender.m_contact;
+    peer.m_state = message.m_state;
+    peer.m_heard = now;
+    peer.m_heard_directly = true;
+    peer.m_view_hash = message.m_view_hash;
+    peer.m_settled_hash = message.m_settled_hash;
+    peer.m_config = message.m_config;
+    peer.m_requests = message.m_requests;
+    peer.m_silent = message.m_silent;
+    acknowledge(peer, message);
+    if (message.m_state == member_state::active && peer.m_acknowledged)
+        m_bootstrapped = true;
+    for (const member_record& record : message.m_members)
+        learn(record, now);
+    rebuild_view(now);
+    become_active(now);
+}
+
+void member_table::become_active(time_point now) {
+    if (!has_majority(now))
+        return;
+    m_had_majority = true;
+    m_bootstrapped = true;
+    if (m_state == member_state::joining)
+        m_state = member_state::active;
+}
+
+void member_table::remove(entry_id gone, member_change::kind why) {
+    const auto found = m_peers.find(gone);
+    const member& peer = found->second;
+    m_departed[gone] = {peer.m_record.m_name.m_incarnation, peer.m_heard};
+    m_changes.push_back({why, peer.m_record.m_name});
+    m_peers.erase(found);
+}
+
+bool member_table::majority_misses(const member& whom, time_point now) const {
+    if (now - whom.m_heard < m_timing.m_hold_down)
+        return false;
+    std::size_t count = 1; // this entry itself
+    for (const auto& [id, witness] : m_peers) {
+        if (now - witness.m_heard > m_timing.m_report_age)
+            continue;
+        for (const silence& said : witness.m_silent)
+            if (said.m_name == whom.m_record.m_name &&
+                said.m_age >= m_timing.m_hold_down)
+                ++count;
+    }
+    return count >= quorum();
+}
+
+void member_table::remove_silent(time_point now) {
+    std::vector<entry_id> left;
+    std::vector<entry_id> gone;
+    for (const auto& [id, peer] : m_peers) {
+        const bool quiet = now - peer.m_heard >= m_timing.m_hold_down;
+        if (peer.m_state == member_state::leaving && quiet)
+            left.push_back(id);
+        else if (majority_misses(peer, now))
+            gone.push_back(id);
+    }
+    for (const entry_id id : left)
+        remove(id, member_change::kind::left);
+    for (const entry_id id : gone)
+        remove(id, member_change::kind::gone);
+}
+
+void member_table::forget_old(time_point now) {
+    const duration memory = m_timing.m_hold_down * departed_memory;
+    std::erase_if(m_departed, [&](const auto& item) {
+        return now - item.second.m_heard > memory;
+    });
+    while (!m_recent_sizes.empty() && m_recent_sizes.front().m_until <= now)
+        m_recent_sizes.pop_front();
+    while (m_sent.size() > sent_memory)
+        m_sent.pop_front();
+}
+
+std::vector<silence> member_table::own_silences(time_point now) const {
+    std::vector<silence> out;
+    const duration worth_saying = m_timing.m_hold_down / 2;
+    for (const auto& [id, peer] : m_peers)
+        if (now - peer.m_heard >= worth_saying)
+            out.push_back({peer.m_record.m_name, now - peer.m_heard});
+    for (const auto& [id, gone] : m_departed)
+        out.push_back({{id, gone.m_incarnation}, now - gone.m_heard});
+    return out;
+}
+
+heartbeat member_table::message_for(const member* to, bool settled,
+                                    const config_mark& mark,
+                                    time_point now) const {
+    heartbeat out;
+    out.m_sender = m_self;
+    out.m_state = m_state;
+    out.m_sequence = m_sequence;
+    out.m_view_hash = m_view.hash();
+    out.m_settled_hash = settled ? m_view.hash() : 0;
+    out.m_config = mark;
+    out.m_requests = m_requests;
+    out.m_silent = own_silences(now);
+    if (!to)
+        return out;
+    out.m_acknowledged = to->m_last_sequence;
+    out.m_acknowledged_incarnation = to->m_record.m_name.m_incarnation;
+    if (to->m_view_hash != m_view.hash())
+        for (const auto& [id, peer] : m_peers)
+            out.m_members.push_back(peer.m_record);
+    return out;
+}
+
+std::vector<outgoing_heartbeat> member_table::tick(time_point now, bool settled,
+                                                   const config_mark& mark) {
+    if (m_had_majority && !has_majority(now))
+        lapse();
+    m_released = m_state == member_state::leaving && settled;
+    remove_silent(now);
+    forget_old(now);
+    rebuild_view(now);
+    become_active(now);
+    ++m_sequence;
+    m_sent.push_back({m_sequence, now});
+    std::vector<outgoing_heartbeat> out;
+    std::set<address> unknown = m_seeds;
+    for (const auto& [id, peer] : m_peers) {
+        out.push_back({peer.m_record.m_contact.m_peer,
+                       message_for(&peer, settled, mark, now)});
+        unknown.erase(peer.m_record.m_contact.m_peer);
+    }
+    for (const address& seed : unknown)
+        out.push_back({seed, message_for(nullptr, settled, mark, now)});
+    return out;
+}
+
+bool member_table::agreed(time_point now) const {
+    if (m_state != member_state::active || !has_majority(now))
+        return false;
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
+        const member& peer = item.second;
+        return has_released(peer) || peer.m_settled_hash == m_view.hash();
+    });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/peer/codec.cpp
@@ -0,0 +1,188 @@
+// Heartbeats to bytes and back, in Thrift's compact protocol.
+#include "peer/codec.hpp"
+
+#include <memory>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "peer/gen/peer_types.h"
+
+namespace skylark::peer {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+std::int64_t to_wire(std::uint64_t value) {
+    return static_cast<std::int64_t>(value);
+}
+
+std::uint64_t from_wire(std::int64_t value) {
+    return static_cast<std::uint64_t>(value);
+}
+
+wire::member_record to_wire(const member_record& from) {
+    wire::member_record out;
+    out.id = to_wire(from.m_name.m_id.value());
+    out.incarnation = to_wire(from.m_name.m_incarnation);
+    const member_contact& reach = from.m_contact;
+    out.reach.peer_ip = static_cast<std::int32_t>(reach.m_peer.m_ip);
+    out.reach.peer_port = reach.m_peer.m_port;
+    out.reach.callers_ip = static_cast<std::int32_t>(reach.m_callers.m_ip);
+    out.reach.callers_port = reach.m_callers.m_port;
+    out.reach.control_ip = static_cast<std::int32_t>(reach.m_control.m_ip);
+    out.reach.control_port = reach.m_control.m_port;
+    out.reach.zone = to_wire(reach.m_zone);
+    return out;
+}
+
+address address_of(std::int32_t ip, std::int32_t port) {
+    return {static_cast<std::uint32_t>(ip), static_cast<std::uint16_t>(port)};
+}
+
+member_record from_wire(const wire::member_record& from) {
+    member_record out;
+    out.m_name.m_id = entry_id{from_wire(from.id)};
+    out.m_name.m_incarnation = from_wire(from.incarnation);
+    const wire::contact& reach = from.reach;
+    out.m_contact.m_peer = address_of(reach.peer_ip, reach.peer_port);
+    out.m_contact.m_callers = address_of(reach.callers_ip, reach.callers_port);
+    out.m_contact.m_control = address_of(reach.control_ip, reach.control_port);
+    out.m_contact.m_zone = from_wire(reach.zone);
+    return out;
+}
+
+wire::silence to_wire(const silence& from) {
+    wire::silence out;
+    out.id = to_wire(from.m_name.m_id.value());
+    out.incarnation = to_wire(from.m_name.m_incarnation);
+    out.age_us = from.m_age.count();
+    return out;
+}
+
+silence from_wire(const wire::silence& from) {
+    return {{entry_id{from_wire(from.id)}, from_wire(from.incarnation)},
+            duration{from.age_us}};
+}
+
+wire::load_digest to_wire(const load_digest& from) {
+    wire::load_digest out;
+    out.upstream = to_wire(from.m_upstream.value());
+    out.incarnation = to_wire(from.m_report.m_incarnation);
+    out.state = static_cast<std::int32_t>(from.m_report.m_state);
+    out.used = static_cast<std::int32_t>(from.m_report.m_used);
+    out.slots = static_cast<std::int32_t>(from.m_report.m_slots);
+    out.queue = static_cast<std::int32_t>(from.m_report.m_queue);
+    out.age_us = from.m_age.count();
+    return out;
+}
+
+// An unknown state is read as cold: less work, never more.
+upstream_state state_from_wire(std::int32_t value) {
+    if (value == static_cast<std::int32_t>(upstream_state::warm))
+        return upstream_state::warm;
+    if (value == static_cast<std::int32_t>(upstream_state::draining))
+        return upstream_state::draining;
+    return upstream_state::cold;
+}
+
+load_digest from_wire(const wire::load_digest& from) {
+    load_digest out;
+    out.m_upstream = upstream_id{from_wire(from.upstream)};
+    out.m_report.m_incarnation = from_wire(from.incarnation);
+    out.m_report.m_state = state_from_wire(from.state);
+    out.m_report.m_used = static_cast<std::uint32_t>(from.used);
+    out.m_report.m_slots = static_cast<std::uint32_t>(from.slots);
+    out.m_report.m_queue = static_cast<std::uint32_t>(from.queue);
+    out.m_age = duration{std::max<std::int64_t>(0, from.age_us)};
+    return out;
+}
+
+// An unknown state is read as joining: it claims nothing.
+member_state member_state_from_wire(std::int32_t value) {
+    if (value == static_cast<std::int32_t>(member_state::active))
+        return member_state::active;
+    if (value == static_cast<std::int32_t>(member_state::leaving))
+        return member_state::leaving;
+    return member_state::joining;
+}
+
+wire::heartbeat to_wire(const heartbeat& from) {
+    wire::heartbeat out;
+    out.sender = to_wire(from.m_sender);
+    out.state = static_cast<std::int32_t>(from.m_state);
+    out.sequence = to_wire(from.m_sequence);
+    out.acknowledged = to_wire(from.m_acknowledged);
+    out.acknowledged_incarnation = to_wire(from.m_acknowledged_incarnation);
+    out.view_hash = to_wire(from.m_view_hash);
+    out.settled_hash = to_wire(from.m_settled_hash);
+    out.config_revision = to_wire(from.m_config.m_revision);
+    out.instances_index = to_wire(from.m_config.m_instances);
+    out.confirmed_age_us = from.m_config.m_confirmed_age.count();
+    out.requests = static_cast<std::int32_t>(from.m_requests);
+    out.clock = to_wire(from.m_clock);
+    for (const silence& item : from.m_silent)
+        out.silent.push_back(to_wire(item));
+    for (const member_record& item : from.m_members)
+        out.members.push_back(to_wire(item));
+    for (const load_digest& item : from.m_loads)
+        out.loads.push_back(to_wire(item));
+    return out;
+}
+
+heartbeat from_wire(const wire::heartbeat& from) {
+    heartbeat out;
+    out.m_sender = from_wire(from.sender);
+    out.m_state = member_state_from_wire(from.state);
+    out.m_sequence = from_wire(from.sequence);
+    out.m_acknowledged = from_wire(from.acknowledged);
+    out.m_acknowledged_incarnation = from_wire(from.acknowledged_incarnation);
+    out.m_view_hash = from_wire(from.view_hash);
+    out.m_settled_hash = from_wire(from.settled_hash);
+    out.m_config.m_revision = from_wire(from.config_revision);
+    out.m_config.m_instances = from_wire(from.instances_index);
+    out.m_config.m_confirmed_age = duration{from.confirmed_age_us};
+    out.m_requests = static_cast<std::uint32_t>(from.requests);
+    out.m_clock = from_wire(from.clock);
+    for (const wire::silence& item : from.silent)
+        out.m_silent.push_back(from_wire(item));
+    for (const wire::member_record& item : from.members)
+        out.m_members.push_back(from_wire(item));
+    for (const wire::load_digest& item : from.loads)
+        out.m_loads.push_back(from_wire(item));
+    return out;
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const heartbeat& message) {
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol{buffer};
+    to_wire(message).write(&protocol);
+    std::uint8_t* bytes = nullptr;
+    std::uint32_t size = 0;
+    buffer->getBuffer(&bytes, &size);
+    return {bytes, bytes + size};
+}
+
+parsed<heartbeat> decode(std::span<const std::uint8_t> bytes) {
+    const auto size = static_cast<std::uint32_t>(bytes.size());
+    // The buffer only observes the bytes; Thrift's signature lacks the const.
+    const auto buffer = std::make_shared<TMemoryBuffer>(
+        const_cast<std::uint8_t*>(bytes.data()), size);
+    TCompactProtocol protocol{buffer};
+    wire::heartbeat out;
+    try {
+        out.read(&protocol);
+    } catch (const apache::thrift::TException& error) {
+        return input_error{"heartbeat", std::to_string(size) + " bytes",
+                           std::string{"a Thrift message: "} + error.what()};
+    }
+    if (out.sender.id == 0)
+        return input_error{"heartbeat", "sender 0", "a member's id"};
+    return from_wire(out);
+}
+
+} // namespace skylark::peer
--- /dev/null
+++ b/src/peer/peer.thrift
@@ -0,0 +1,52 @@
+// Messages between entries. Regenerate with scripts/generate.
+namespace cpp skylark.peer.wire
+
+struct contact {
+    1: i32 peer_ip
+    2: i32 peer_port
+    3: i32 callers_port
+    4: i32 control_port
+    5: i64 zone
+    6: i32 callers_ip
+    7: i32 control_ip
+}
+
+struct member_record {
+    1: i64 id
+    2: i64 incarnation
+    3: contact reach
+}
+
+struct silence {
+    1: i64 id
+    2: i64 incarnation
+    3: i64 age_us
+}
+
+struct load_digest {
+    1: i64 upstream
+    2: i64 incarnation
+    3: i32 state
+    4: i32 used
+    5: i32 slots
+    6: i32 queue
+    7: i64 age_us
+}
+
+struct heartbeat {
+    1: member_record sender
+    2: i32 state
+    3: i64 sequence
+    4: i64 acknowledged
+    5: i64 acknowledged_incarnation
+    6: i64 view_hash
+    7: i64 settled_hash
+    8: i64 config_revision
+    9: i64 instances_index
+    10: i64 confirmed_age_us
+    11: i32 requests
+    12: list<silence> silent
+    13: list<member_record> members
+    14: list<load_digest> loads
+    15: i64 clock
+}
--- /dev/null
+++ b/src/platform/consul_protocol.cpp
@@ -0,0 +1,147 @@
+// The published key-value and catalogue interface of Consul, over HTTP.
+#include "platform/consul_protocol.hpp"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace skylark::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_absent = 404;
+constexpr auto answer_margin = seconds{1}; // beyond a blocking read's wait
+
+std::string blocking_query(std::uint64_t index, duration wait) {
+    if (index == 0)
+        return {};
+    return "index=" + std::to_string(index) +
+           "&wait=" + std::to_string(to_ms(wait)) + "ms";
+}
+
+parsed<std::uint64_t> read_index(const io::fetch_answer& answer) {
+    const auto text = answer.header_value("X-Consul-Index");
+    std::uint64_t index = 0;
+    const auto [end, code] =
+        std::from_chars(text.data(), text.data() + text.size(), index);
+    if (code != std::errc{} || index == 0)
+        return input_error{"platform, header X-Consul-Index",
+                           '"' + std::string{text} + '"', "a number from 1 up"};
+    return index;
+}
+
+input_error wrong_status(const io::fetch_answer& answer) {
+    return {"platform, status", std::to_string(answer.m_status), "200"};
+}
+
+instance read_instance(const json& from) {
+    const json& meta = from.at("ServiceMeta");
+    const std::string where = from.at("ServiceAddress").get<std::string>() +
+                              ":" +
+                              std::to_string(from.at("ServicePort").get<int>());
+    instance out;
+    out.m_id = from.at("ServiceID").get<std::string>();
+    out.m_address = parse_address(where, "instance").value();
+    out.m_role = meta.at("role").get<std::string>() == "entry"
+                     ? instance_role::entry
+                     : instance_role::upstream;
+    out.m_service = meta.value("service", "");
+    out.m_zone = meta.value("zone", "");
+    out.m_leaving = meta.value("state", "live") == "leaving";
+    return out;
+}
+
+json write_instance(const instance& from) {
+    const std::string where = from.m_address.text();
+    return {
+        {"ServiceID", from.m_id},
+        {"ServiceAddress", where.substr(0, where.find(':'))},
+        {"ServicePort", from.m_address.m_port},
+        {"ServiceMeta",
+         {{"role", from.m_role == instance_role::entry ? "entry" : "upstream"},
+          {"service", from.m_service},
+          {"zone", from.m_zone},
+          {"state", from.m_leaving ? "leaving" : "live"}}}};
+}
+
+} // namespace
+
+io::fetch_request consul_protocol::get(std::string_view key,
+                                       std::uint64_t index,
+                                       duration wait) const {
+    io::fetch_request out;
+    out.m_path =
+        "/v1/kv/" + std::string{key} + "?raw&" + blocking_query(index, wait);
+    out.m_timeout = wait + answer_margin;
+    return out;
+}
+
+io::fetch_request consul_protocol::swap(std::string_view key,
+                                        std::uint64_t revision,
+                                        std::string text) const {
+    io::fetch_request out;
+    out.m_method = "PUT";
+    out.m_path =
+        "/v1/kv/" + std::string{key} + "?cas=" + std::to_string(revision);
+    out.m_body = std::move(text);
+    return out;
+}
+
+io::fetch_request consul_protocol::instances(std::uint64_t index,
+                                             duration wait) const {
+    io::fetch_request out;
+    out.m_path = "/v1/catalog/service/skylark?" + blocking_query(index, wait);
+    out.m_timeout = wait + answer_margin;
+    return out;
+}
+
+parsed<stored_value>
+consul_protocol::read_value(const io::fetch_answer& answer) const {
+    if (answer.m_status == status_absent)
+        return stored_value{};
+    if (answer.m_status != status_ok)
+        return wrong_status(answer);
+    BOOST_OUTCOME_TRY(index, read_index(answer));
+    return stored_value{index, answer.m_body};
+}
+
+parsed<bool> consul_protocol::read_swap(const io::fetch_answer& answer) const {
+    if (answer.m_status != status_ok)
+        return wrong_status(answer);
+    return answer.m_body.starts_with("true");
+}
+
+parsed<instance_list>
+consul_protocol::read_instances(const io::fetch_answer& answer) const {
+    if (answer.m_status != status_ok)
+        return wrong_status(answer);
+    BOOST_OUTCOME_TRY(index, read_index(answer));
+    return parse_instances(answer.m_body, index);
+}
+
+parsed<instance_list> parse_instances(std::string_view text,
+                                      std::uint64_t index) {
+    instance_list out;
+    out.m_index = index;
+    try {
+        const json tree = json::parse(text);
+        for (const json& item : tree)
+            out.m_instances.push_back(read_instance(item));
+    } catch (const std::exception& error) {
+        return input_error{"platform, instance list", error.what(),
+                           "the catalogue's JSON"};
+    }
+    return out;
+}
+
+std::string format_instances(const instance_list& list) {
+    json out = json::array();
+    for (const instance& item : list.m_instances)
+        out.push_back(write_instance(item));
+    return out.dump();
+}
+
+} // namespace skylark::platform
--- /dev/null
+++ b/src/platform/stored_value.hpp
@@ -0,0 +1,18 @@
+// A value in the platform's store with its revision.
+#ifndef SKYLARK_PLATFORM_STORED_VALUE_HPP
+#define SKYLARK_PLATFORM_STORED_VALUE_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace skylark::platform {
+
+/*! @brief One value. */
+struct stored_value {
+    std::uint64_t m_revision{}; //!< 0: the key does not exist
+    std::string m_text;
+};
+
+} // namespace skylark::platform
+
+#endif
