Wake the loop for timers by a timer descriptor

Cause: h2o waits in whole milliseconds, so turns without waiting bridged the last millisecond before each timer. Ruled out: the choice itself (all policies alike) and the entries' requests per core (the stand-ins' service timers alone came to 600 a second each). Now a timerfd on the loop is armed for the next due time.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -71,6 +71,8 @@
     app.add_option("--entry", options.m_entries,
                    "control address of an entry, may be repeated")
         ->envname("SKYLARK_ENTRY")
+        ->allow_extra_args(false)
+        ->delimiter(',')
         ->required();
     app.add_option("statement", options.m_statement,
                    "such as: show zones; drain zone Z; "
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -2,6 +2,8 @@
 #include "io/event_loop.hpp"
 
 #include <algorithm>
+#include <sys/timerfd.h>
+#include <unistd.h>
 #include <utility>
 
 #include "io/native.hpp"
@@ -12,7 +14,20 @@
 constexpr duration longest_turn_wait = milliseconds{100};
 } // namespace
 
-event_loop::event_loop() : m_native{h2o_evloop_create()}, m_last_turn{now()} {}
+event_loop::event_loop()
+    : m_native{h2o_evloop_create()}, m_wake_up{timerfd_create(CLOCK_MONOTONIC,
+                                                              TFD_NONBLOCK |
+                                                                  TFD_CLOEXEC)},
+      m_last_turn{now()} {
+    auto* socket = h2o_evloop_socket_create(m_native, m_wake_up,
+                                            H2O_SOCKET_FLAG_DONT_READ);
+    h2o_socket_read_start(socket, [](h2o_socket_t* ready, const char*) {
+        std::uint64_t expirations = 0;
+        const auto size =
+            read(h2o_socket_get_fd(ready), &expirations, sizeof expirations);
+        static_cast<void>(size); // the timers themselves are looked at next
+    });
+}
 
 event_loop::~event_loop() = default; // h2o 2.2 cannot destroy an evloop
 
@@ -62,21 +77,31 @@
 }
 
 void event_loop::run_once(duration longest_wait) {
-    constexpr auto round_up = microseconds{999};
-    const duration wait = next_wait(longest_wait);
-    // h2o waits in whole milliseconds; a timer due within the next one is
-    // reached by turns that do not wait.
-    const auto wait_ms = wait < milliseconds{1} ? 0 : to_ms(wait + round_up);
+    arm_wake_up();
+    const bool overdue =
+        !m_timers.empty() && m_timers.begin()->first.m_due <= now();
+    const auto wait_ms = overdue ? 0 : to_ms(longest_wait);
     h2o_evloop_run(m_native, static_cast<std::int32_t>(wait_ms));
     check_pause();
     run_due_timers();
 }
 
-duration event_loop::next_wait(duration longest_wait) const {
+// h2o waits in whole milliseconds; a timer descriptor wakes it on time.
+void event_loop::arm_wake_up() {
     if (m_timers.empty())
-        return longest_wait;
-    const duration until = m_timers.begin()->first.m_due - now();
-    return std::clamp(until, duration{0}, longest_wait);
+        return;
+    const time_point due = m_timers.begin()->first.m_due;
+    if (due == m_armed)
+        return;
+    m_armed = due;
+    constexpr std::int64_t us_in_s = 1'000'000;
+    constexpr std::int64_t ns_in_us = 1000;
+    const std::int64_t us =
+        std::max<std::int64_t>(1, due.time_since_epoch().count());
+    itimerspec when{};
+    when.it_value.tv_sec = us / us_in_s;
+    when.it_value.tv_nsec = us % us_in_s * ns_in_us;
+    timerfd_settime(m_wake_up, TFD_TIMER_ABSTIME, &when, nullptr);
 }
 
 void event_loop::run_due_timers() {
--- a/src/io/event_loop.hpp
+++ b/src/io/event_loop.hpp
@@ -71,9 +71,11 @@
     void repeat(duration period, const task& what);
     void run_due_timers();
     void check_pause();
-    [[nodiscard]] duration next_wait(duration longest_wait) const;
+    void arm_wake_up();
 
     st_h2o_evloop_t* m_native;
+    int m_wake_up;        // timer descriptor
+    time_point m_armed{}; // when the descriptor is due
     // Invariant: m_timers and m_due name the same timers.
     std::map<due_order, task> m_timers;
     std::map<timer_id, time_point> m_due;
