--- a/src/entry/entry_list.cpp
+++ b/src/entry/entry_list.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+// An entry that was silent for longer is left out of callers' answers, long
+// before a majority can remove it from the view.
+constexpr int missed_heartbeats = 3;
+
 struct listed_entry {
     address m_address;
     std::string m_zone;
@@ -52,9 +56,12 @@
         !shared.m_draining && !shared.m_isolated && shared.m_config.ready();
     if (self_usable && members.state() == member_state::active)
         add(out, shared, members.self(), members.requests());
+    const time_point now = io::event_loop::now();
+    const duration silence_limit =
+        missed_heartbeats * shared.m_settings.m_timing.m_period;
     for (const auto& [id, peer] : members.peers())
         if (peer.m_state == member_state::active &&
-            peer.m_config.m_revision > 0)
+            peer.m_config.m_revision > 0 && now - peer.m_heard <= silence_limit)
             add(out, shared, peer.m_record, peer.m_requests);
     return out;
 }
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -59,7 +59,8 @@
 private:
     // Admission.
     void refuse_at_once(exchange_id key, int status, std::string_view reason,
-                        request_class of);
+                        request_class of,
+                        std::optional<address> elsewhere = std::nullopt);
     void admit(exchange_id key, const io::request_view& from,
                const rule& under);
     void pump_service(const std::string& name);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -1,6 +1,4 @@
 // Admission: from the caller's request to a place in a queue.
-#include <array>
-
 #include <skylark/rule/classify.hpp>
 
 #include "entry/forwarder.hpp"
@@ -60,16 +58,27 @@
 }
 
 void forwarder::refuse_at_once(exchange_id key, int status,
-                               std::string_view reason, request_class of) {
-    const std::array headers{io::header{std::string{verdict_header}, "not-run"},
-                             io::header{"Retry-After", "1"},
-                             io::header{"Content-Type", "text/plain"}};
+                               std::string_view reason, request_class of,
+                               std::optional<address> elsewhere) {
+    std::vector<io::header> headers{{std::string{verdict_header}, "not-run"},
+                                    {"Retry-After", "1"},
+                                    {"Content-Type", "text/plain"}};
+    if (elsewhere)
+        headers.push_back(
+            {std::string{other_entry_header}, elsewhere->text()});
     m_shared.m_metrics.finished(of, outcome::not_run, duration{0});
     m_callers.answer(key, status, headers, std::string{reason} + "\n");
 }
 
 void forwarder::admit(exchange_id key, const io::request_view& from,
                       const rule& under) {
+    if (!m_router.may_serve(under.m_service, under.m_class)) {
+        refuse_at_once(key, status_unavailable,
+                       "this entry owns no slot of service " + under.m_service,
+                       under.m_class,
+                       m_router.other_owner(under.m_service, under.m_class));
+        return;
+    }
     const limits& bounds = m_shared.m_config.current().m_limits;
     auto& line = m_queues[under.m_service];
     if (line.queue(under.m_class).size() >= bounds.m_queue_length) {
@@ -77,8 +86,11 @@
         return;
     }
     const time_point now = io::event_loop::now();
-    const duration wait = std::min(
-        under.m_deadline, wanted_deadline(from).value_or(under.m_deadline));
+    // After a pause the request may have waited in the kernel all along.
+    const duration wait =
+        std::min(under.m_deadline,
+                 wanted_deadline(from).value_or(under.m_deadline)) -
+        m_shared.m_loop.notice_pause();
     const request_id made = m_requests.emplace(request{
         key, under.m_service, under.m_name, under.m_class,
         attempt_machine{{under.m_idempotent, now + wait}}, now,
--- a/src/entry/request_head.hpp
+++ b/src/entry/request_head.hpp
@@ -16,6 +16,8 @@
 
 inline constexpr std::string_view deadline_header = "Request-Timeout-Ms";
 inline constexpr std::string_view verdict_header = "Request-Verdict";
+//! With "not-run": address of an entry that owns a slot for the request.
+inline constexpr std::string_view other_entry_header = "Try-Entry";
 inline constexpr std::string_view load_header = "Upstream-Load";
 inline constexpr std::string_view refusal_header = "Upstream-Refused";
 
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -33,6 +33,15 @@
     return "no free share";
 }
 
+std::optional<share_kind> router::share_for(upstream_state state,
+                                            request_class wanted) {
+    if (state == upstream_state::cold)
+        return share_kind::cold;
+    if (wanted == request_class::bulk)
+        return share_kind::bulk;
+    return std::nullopt;
+}
+
 std::uint32_t router::limit_of(const service& of, share_kind kind) {
     switch (kind) {
     case share_kind::cold:
@@ -70,10 +79,7 @@
     if (candidate.m_idle.empty() &&
         candidate.m_connections >= connection_limit())
         return exclusion::no_connection;
-    if (state == upstream_state::cold)
-        share = share_kind::cold;
-    else if (wanted == request_class::bulk)
-        share = share_kind::bulk;
+    share = share_for(state, wanted);
     if (!share)
         return exclusion::none;
     const auto used = candidate.m_share_use[static_cast<std::size_t>(*share)];
@@ -127,6 +133,44 @@
     });
 }
 
+bool router::may_serve(std::string_view service, request_class wanted) {
+    const auto* of = m_shared.m_config.current().find_service(service);
+    const auto& keys = m_shared.m_upstreams.of_service(service);
+    const time_point now = io::event_loop::now();
+    return std::any_of(keys.begin(), keys.end(), [&](upstream_id key) {
+        const upstream* item = m_shared.m_upstreams.find(key);
+        if (!item->m_listed || item->m_leaving || !item->m_zone_active)
+            return false;
+        const auto share = share_for(item->m_load.state(now), wanted);
+        return !share ||
+               m_shared.m_fleet.usable(key, *share, limit_of(*of, *share)) > 0;
+    });
+}
+
+std::optional<address> router::other_owner(std::string_view service,
+                                           request_class wanted) {
+    const auto* of = m_shared.m_config.current().find_service(service);
+    const auto& keys = m_shared.m_upstreams.of_service(service);
+    const auto& peers = m_shared.m_fleet.members().peers();
+    const time_point now = io::event_loop::now();
+    constexpr int tries = 8;
+    for (int i = 0; i < tries; ++i) {
+        const auto index = m_random(static_cast<std::uint32_t>(keys.size()));
+        const upstream* item = m_shared.m_upstreams.find(keys[index]);
+        const auto share = share_for(item->m_load.state(now), wanted);
+        if (!share || !item->m_listed || item->m_leaving ||
+            !item->m_zone_active)
+            continue;
+        const std::uint32_t slot = m_random(limit_of(*of, *share));
+        const auto owner = peers.find(
+            m_shared.m_fleet.shares().owner(item->m_id, *share, slot));
+        if (owner != peers.end() &&
+            owner->second.m_state == member_state::active)
+            return owner->second.m_record.m_contact.m_callers;
+    }
+    return std::nullopt;
+}
+
 double router::utilization(std::string_view service, time_point now) {
     std::uint32_t used = 0;
     std::uint32_t slots = 0;
--- a/src/entry/router.hpp
+++ b/src/entry/router.hpp
@@ -50,12 +50,27 @@
      *  time, going by list and zones. */
     bool serves(std::string_view service);
 
+    /*! @brief Whether this entry could serve a class of work once others of
+     *  its requests have ended. If every upstream needs a share and this entry
+     *  owns none, the work is better off at another entry at once. */
+    bool may_serve(std::string_view service, request_class wanted);
+
     /*! @brief Why an upstream is excluded now, and the share it would need.
      *  @param share gets the kind, none when no share is needed */
     exclusion excluded(const upstream& candidate, const service& of,
                        request_class wanted, time_point now,
                        std::optional<share_kind>& share) const;
 
+    /*! @brief Callers' address of another entry that owns a slot for a class
+     *  of work, chosen by chance over all slots; none when none is found. */
+    std::optional<address> other_owner(std::string_view service,
+                                       request_class wanted);
+
+    /*! @brief The limit that work of a class falls under on an upstream in
+     *  that state; none when it needs no share. */
+    static std::optional<share_kind> share_for(upstream_state state,
+                                               request_class wanted);
+
     /*! @brief Slots of a limit as the document gives them. */
     static std::uint32_t limit_of(const service& of, share_kind kind);
 
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -82,8 +82,9 @@
         !m_timers.empty() && m_timers.begin()->first.m_due <= now();
     const auto wait_ms = overdue ? 0 : to_ms(longest_wait);
     h2o_evloop_run(m_native, static_cast<std::int32_t>(wait_ms));
-    check_pause();
+    notice_pause();
     run_due_timers();
+    m_turn_pause = duration{0};
 }
 
 // h2o waits in whole milliseconds; a timer descriptor wakes it on time.
@@ -113,12 +114,15 @@
     }
 }
 
-void event_loop::check_pause() {
+duration event_loop::notice_pause() {
     const time_point present = now();
     const duration gap = present - m_last_turn;
     m_last_turn = present;
-    if (m_pause_handler && gap > m_pause_limit)
+    if (m_pause_handler && gap > m_pause_limit) {
+        m_turn_pause = gap;
         m_pause_handler(gap);
+    }
+    return m_turn_pause;
 }
 
 } // namespace skylark::io
--- a/src/io/event_loop.hpp
+++ b/src/io/event_loop.hpp
@@ -48,6 +48,12 @@
      *  @param handler gets the length of the gap */
     void on_pause(duration limit, pause_handler handler);
 
+    /*! @brief Looks for a pause now. Whoever is called for a socket calls this
+     *  first, so that what waited in the kernel meanwhile is seen for what it
+     *  is: up to the pause's length old.
+     *  @return length of the pause that ended in this turn, or zero */
+    duration notice_pause();
+
     /*! @brief Runs turns until stop() was called. */
     void run();
 
@@ -70,7 +76,6 @@
 
     void repeat(duration period, const task& what);
     void run_due_timers();
-    void check_pause();
     void arm_wake_up();
 
     st_h2o_evloop_t* m_native;
@@ -83,6 +88,7 @@
     time_point m_last_turn;
     duration m_pause_limit{};
     pause_handler m_pause_handler;
+    duration m_turn_pause{}; // pause that ended in the present turn
     bool m_stopped{};
 };
 
--- a/src/io/udp_socket.cpp
+++ b/src/io/udp_socket.cpp
@@ -22,6 +22,7 @@
 
 void udp_socket::native::on_readable(h2o_socket_t* socket, const char*) {
     auto& self = *static_cast<native*>(socket->data);
+    self.m_loop->notice_pause();
     constexpr std::size_t largest_datagram = 65536;
     static std::array<std::uint8_t, largest_datagram> buffer;
     constexpr int turn_limit = 64;
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -131,6 +131,11 @@
 
 // Near entries first, each call at the next one.
 bool load::choose_entry(call& of) {
+    if (const auto hint = parse_address(of.m_hint, "Try-Entry")) {
+        of.m_entry = hint.value();
+        of.m_hint.clear();
+        return true;
+    }
     caller& from = m_callers[of.m_caller];
     const auto& list =
         of.m_tries > 1 && !from.m_far.empty() ? from.m_far : from.m_near;
@@ -210,6 +215,7 @@
     of.m_status = head.m_status;
     of.m_verdict = io::find_header(head.m_headers, "request-verdict");
     of.m_answer_key = io::find_header(head.m_headers, "request-key");
+    of.m_hint = io::find_header(head.m_headers, "try-entry");
     // A long answer is judged by its completeness, not by the deadline.
     m_loop.cancel(of.m_timer);
 }
--- a/standin/load.hpp
+++ b/standin/load.hpp
@@ -52,6 +52,7 @@
         int m_status{};
         std::string m_verdict;
         std::string m_answer_key;
+        std::string m_hint; //!< entry to try after "not-run"
         bool m_sent{};
         skylark::timer_id m_timer;
     };
--- a/standin/upstream.cpp
+++ b/standin/upstream.cpp
@@ -132,6 +132,10 @@
         m_cold_over = 0;
         turn_cold();
     }
+    if (target.has("reset")) {
+        m_cold_max = 0;
+        m_cold_over = 0;
+    }
     m_shape.m_service_us = target.number("service_us", m_shape.m_service_us);
     m_server.answer(key, status_ok, {}, "");
 }
--- a/standin/upstream_main.cpp
+++ b/standin/upstream_main.cpp
@@ -46,7 +46,10 @@
     std::string listen = "127.0.0.1:0";
     standin::upstream_shape shape;
     listing as;
+    std::string advertise;
     app.add_option("--listen", listen, "address to serve on");
+    app.add_option("--advertise", advertise,
+                   "address in the instance list, if not the own one");
     app.add_option("--platform", as.m_platform, "platform to enlist with");
     app.add_option("--id", as.m_id, "name in the instance list");
     app.add_option("--service", as.m_service, "service it belongs to");
@@ -76,8 +79,11 @@
     }
     constexpr std::size_t answer_limit = 4096;
     skylark::io::fetcher fetcher{loop, answer_limit};
+    skylark::address reached = bound.value();
+    if (const auto other = skylark::parse_address(advertise, "--advertise"))
+        reached = other.value();
     if (!as.m_platform.empty())
-        enlist(fetcher, as, bound.value());
+        enlist(fetcher, as, reached);
     std::cout << bound.value().text() << std::endl;
     loop.run();
 }
