--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -135,9 +135,9 @@
     print(f"{os.cpu_count()} cores, seed {args.seed}")
     with Deployment("one", 1, net=60,
                     upstream_args={"service-us": 1}) as d:
-        latency(d, args)
-        idle_memory(d, 500)
+        idle_memory(d, 2000)
         download_memory(d, 16)
+        latency(d, args)
 
 
 if __name__ == "__main__":
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -16,12 +16,13 @@
 constexpr std::uint32_t most_tries = 3; // entries that one call may try
 constexpr auto ask_again = milliseconds{200};
 constexpr auto caller_patience = milliseconds{500}; // beyond the deadline
+constexpr int receive_buffer = 256 << 10; // bytes
 constexpr std::size_t answer_limit = std::size_t{1} << 20U;
 
 } // namespace
 
 load::load(io::event_loop& loop, const experiment& what)
-    : m_loop{loop}, m_experiment{what}, m_client{loop, {seconds{5}, 0}},
+    : m_loop{loop}, m_experiment{what}, m_client{loop, {seconds{5}, receive_buffer}},
       m_fetcher{loop, answer_limit}, m_random{what.m_seed} {
     for (const std::string& zone : what.m_zones)
         for (std::uint32_t i = 0; i < what.m_callers_per_zone; ++i) {
@@ -235,7 +236,11 @@
 
 void load::complete(call_id key, bool reusable) {
     call& of = *m_calls.find(key);
-    if (reusable)
+    const bool slow = m_experiment.m_flows[of.m_flow].m_read_bytes != 0;
+    // A slow reader's connection may be paused: others must not wait for it.
+    if (reusable && slow)
+        m_client.close(of.m_connection);
+    else if (reusable)
         m_idle[of.m_entry].push_back(of.m_connection);
     constexpr int first_failure = 500;
     const bool told = !of.m_verdict.empty();
