Break off answers that are moving; no process dies of a departed peer

Seen: plans stand-ins gone after bench/urgent.py with a flood that fills all slots. Ruled out: assertions in h2o (no message). Cause: SIGPIPE, ignored in the entry's main but not in the stand-in's; now the event loop ignores it for every process. While reading that path: breaking an answer while a piece was moving called h2o_send out of turn; the connection is ended instead.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -130,7 +130,7 @@
         for service, spec in self.shape["services"].items():
             for index in range(spec["upstreams"]):
                 self.start_upstream(service, index)
-        wait_for(lambda: self.instances() == len(self.upstreams), 10,
+        wait_for(lambda: self.instances() == self.expected_upstreams(), 10,
                  "instance list")
         for index in range(self.entry_count):
             self.start_entry(index)
@@ -224,7 +224,11 @@
 
     def all_warm(self):
         return all(self.metric(i, "skylark_upstreams_warm") ==
-                   len(self.upstreams) for i in range(self.entry_count))
+                   self.expected_upstreams()
+                   for i in range(self.entry_count))
+
+    def expected_upstreams(self):
+        return len(self.upstreams) * self.upstream_args.get("count", 1)
 
     def stats(self, upstream):
         return json.loads(http("GET", self.upstreams[upstream], "/stats"))
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,5 +1,4 @@
 // skylark-ctl: the operators' client.
-#include <csignal>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -97,7 +96,6 @@
         const bool good = app.exit(error) == 0;
         return good ? 0 : static_cast<int>(exit_code::usage);
     }
-    std::signal(SIGPIPE, SIG_IGN);
     const exit_code end = run(options, timeline->parsed());
     std::cout.flush();
     std::_Exit(static_cast<int>(end));
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -62,6 +62,5 @@
     }
     std::signal(SIGTERM, request_drain);
     std::signal(SIGINT, request_drain);
-    std::signal(SIGPIPE, SIG_IGN);
     return run(settings.value());
 }
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -2,6 +2,7 @@
 #include "io/event_loop.hpp"
 
 #include <algorithm>
+#include <csignal>
 #include <sys/timerfd.h>
 #include <unistd.h>
 #include <utility>
@@ -19,6 +20,8 @@
                                                               TFD_NONBLOCK |
                                                                   TFD_CLOEXEC)},
       m_last_turn{now()} {
+    // A peer that has gone is an error of its write, not of the process.
+    std::signal(SIGPIPE, SIG_IGN);
     auto* socket = h2o_evloop_socket_create(m_native, m_wake_up,
                                             H2O_SOCKET_FLAG_DONT_READ);
     h2o_socket_read_start(socket, [](h2o_socket_t* ready, const char*) {
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -27,6 +27,7 @@
     std::string m_piece;
     bool m_started{};
     bool m_complete{};
+    bool m_moving{}; // h2o has not yet handed the last piece on
 };
 
 // Lives in the request's pool; h2o calls its members.
@@ -157,6 +158,8 @@
 void http_server::native::on_proceed(h2o_generator_t* self, h2o_req_t*) {
     const auto* own = reinterpret_cast<generator*>(self);
     auto& server = *static_cast<native*>(own->m_server);
+    if (exchange* found = server.m_exchanges.find(own->m_key))
+        found->m_moving = false;
     if (server.m_handlers.m_ready)
         server.m_handlers.m_ready(own->m_key);
 }
@@ -256,10 +259,11 @@
 
 void http_server::send(exchange_id key, std::string_view piece, bool last) {
     exchange* found = m_native->m_exchanges.find(key);
-    if (!found || !found->m_started || found->m_complete)
+    if (!found || !found->m_started || found->m_complete || found->m_moving)
         return;
     found->m_piece.assign(piece);
     found->m_complete = last;
+    found->m_moving = true;
     auto buffer = h2o_iovec_init(found->m_piece.data(), found->m_piece.size());
     h2o_send(found->m_request, &buffer, buffer.len == 0 ? 0 : 1,
              last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
@@ -267,14 +271,21 @@
 
 void http_server::abort(exchange_id key) {
     exchange* found = m_native->m_exchanges.find(key);
-    if (!found || !found->m_started || found->m_complete)
+    if (!found || !found->m_started)
         return;
-    h2o_send(found->m_request, nullptr, 0, H2O_SEND_STATE_ERROR);
+    // h2o takes nothing while a piece is moving: end the connection instead.
+    if (found->m_moving)
+        shutdown(found->m_socket, SHUT_RDWR);
+    else if (!found->m_complete)
+        h2o_send(found->m_request, nullptr, 0, H2O_SEND_STATE_ERROR);
 }
 
 void http_server::answer(exchange_id key, int status,
                          std::span<const header> headers,
                          std::string_view body) {
+    const exchange* found = m_native->m_exchanges.find(key);
+    if (!found || found->m_started)
+        return;
     start(key, status, headers, body.size());
     send(key, body, true);
 }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -77,7 +77,7 @@
     /*! @brief Breaks a begun answer so that the caller sees it broken. */
     void abort(exchange_id key);
 
-    /*! @brief Whole answer in one call. */
+    /*! @brief Whole answer in one call; nothing when one has begun. */
     void answer(exchange_id key, int status, std::span<const header> headers,
                 std::string_view body);
 
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -16,13 +16,14 @@
 constexpr std::uint32_t most_tries = 3; // entries that one call may try
 constexpr auto ask_again = milliseconds{200};
 constexpr auto caller_patience = milliseconds{500}; // beyond the deadline
-constexpr int receive_buffer = 256 << 10; // bytes
+constexpr int receive_buffer = 256 << 10;           // bytes
 constexpr std::size_t answer_limit = std::size_t{1} << 20U;
 
 } // namespace
 
 load::load(io::event_loop& loop, const experiment& what)
-    : m_loop{loop}, m_experiment{what}, m_client{loop, {seconds{5}, receive_buffer}},
+    : m_loop{loop}, m_experiment{what}, m_client{loop,
+                                                 {seconds{5}, receive_buffer}},
       m_fetcher{loop, answer_limit}, m_random{what.m_seed} {
     for (const std::string& zone : what.m_zones)
         for (std::uint32_t i = 0; i < what.m_callers_per_zone; ++i) {
--- a/standin/load_main.cpp
+++ b/standin/load_main.cpp
@@ -1,5 +1,4 @@
 // Command line of the load stand-in.
-#include <csignal>
 #include <fstream>
 #include <iostream>
 
@@ -21,7 +20,6 @@
         std::cerr << what.error().text() << '\n';
         return 2;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     skylark::io::event_loop loop;
     standin::load load{loop, what.value()};
     load.run();
--- a/standin/upstream_main.cpp
+++ b/standin/upstream_main.cpp
@@ -1,5 +1,7 @@
 // Command line of the upstream's stand-in.
 #include <iostream>
+#include <memory>
+#include <vector>
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
@@ -47,6 +49,9 @@
     standin::upstream_shape shape;
     listing as;
     std::string advertise;
+    std::uint16_t count = 1;
+    app.add_option("--count", count,
+                   "upstreams of this process, on consecutive ports");
     app.add_option("--listen", listen, "address to serve on");
     app.add_option("--advertise", advertise,
                    "address in the instance list, if not the own one");
@@ -71,19 +76,27 @@
         return 2;
     }
     skylark::io::event_loop loop;
-    standin::upstream upstream{loop, shape};
-    const auto bound = upstream.listen(where.value());
-    if (!bound) {
-        std::cerr << bound.error().text() << '\n';
-        return 2;
-    }
     constexpr std::size_t answer_limit = 4096;
     skylark::io::fetcher fetcher{loop, answer_limit};
-    skylark::address reached = bound.value();
-    if (const auto other = skylark::parse_address(advertise, "--advertise"))
-        reached = other.value();
-    if (!as.m_platform.empty())
-        enlist(fetcher, as, reached);
-    std::cout << bound.value().text() << std::endl;
+    std::vector<std::unique_ptr<standin::upstream>> upstreams;
+    for (std::uint16_t i = 0; i < count; ++i) {
+        upstreams.push_back(std::make_unique<standin::upstream>(loop, shape));
+        skylark::address own = where.value();
+        own.m_port = static_cast<std::uint16_t>(own.m_port + i);
+        const auto bound = upstreams.back()->listen(own);
+        if (!bound) {
+            std::cerr << bound.error().text() << '\n';
+            return 2;
+        }
+        skylark::address reached = bound.value();
+        if (const auto other = skylark::parse_address(advertise, "--advertise"))
+            reached = other.value();
+        listing one = as;
+        one.m_id += i == 0 ? "" : "-" + std::to_string(i);
+        if (!as.m_platform.empty())
+            enlist(fetcher, one, reached);
+        std::cout << bound.value().text() << std::endl;
+        ++shape.m_seed;
+    }
     loop.run();
 }
