Pass on load digests and probe at the scale of hundreds of upstreams

Found by bench/slopes.py: with 8 members and 480 upstreams entries never knew them all. Two causes, one after the other. Digests stopped at 40 for each heartbeat, always the first ones in order; now a change goes at once, the rest every 0.6 s, oldest first. Then still: the fleet's probe bucket held one token, looked at every 50 ms, so an entry made at most 20 probes a second; its burst now covers two looks. The rate itself is unchanged.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -72,9 +72,11 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=6)
+    parser.add_argument("--members", type=int, nargs="*",
+                        default=[4, 8, 16, 32])
     parser.add_argument("--net", type=int, default=70)
     args = parser.parse_args()
-    for entries in (4, 8, 16, 32):
+    for entries in args.members:
         measure(entries, 3, 10, 1, args.seconds, args.net)
     for copies in (4, 16):
         measure(8, 3, 10, copies, args.seconds, args.net)
--- a/include/skylark/limit/token_bucket.hpp
+++ b/include/skylark/limit/token_bucket.hpp
@@ -34,8 +34,13 @@
         return true;
     }
 
-    /*! @brief Changes the rate; gathered tokens stay. */
-    void set_rate(double rate) { m_rate = rate; }
+    /*! @brief Changes the rate; gathered tokens stay up to the burst.
+     *  @param rate tokens a second
+     *  @param burst tokens that may gather */
+    void set_rate(double rate, double burst) {
+        m_rate = rate;
+        m_burst = burst;
+    }
 
 private:
     void refill(time_point now) {
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -12,6 +12,7 @@
 constexpr auto fresh_report = milliseconds{300};
 constexpr auto digest_age_limit = seconds{1};
 constexpr auto probe_timeout = milliseconds{300};
+constexpr auto digest_period = milliseconds{600};
 constexpr std::size_t digests_per_heartbeat = 40; // keeps datagrams small
 constexpr std::size_t answer_limit = 4096;        // bytes
 } // namespace
@@ -32,7 +33,7 @@
     const auto rate = static_cast<double>(
         m_shared.m_config.current().m_limits.m_probes_per_upstream);
     token_bucket& bucket = m_buckets.try_emplace(key, rate, 1.0).first->second;
-    bucket.set_rate(rate);
+    bucket.set_rate(rate, 1.0);
     return bucket;
 }
 
@@ -42,8 +43,10 @@
     const auto members =
         std::max<std::size_t>(1, m_shared.m_fleet.members().view().size());
     const limits& bounds = m_shared.m_config.current().m_limits;
-    m_fleet_bucket.set_rate(static_cast<double>(bounds.m_probes_fleet) /
-                            static_cast<double>(members));
+    const double rate = static_cast<double>(bounds.m_probes_fleet) /
+                        static_cast<double>(members);
+    const std::chrono::duration<double> period = check_period;
+    m_fleet_bucket.set_rate(rate, std::max(1.0, 2 * rate * period.count()));
     const time_point now = io::event_loop::now();
     std::vector<upstream*> due;
     for (auto& [key, item] : m_shared.m_upstreams.all()) {
@@ -90,16 +93,32 @@
     });
 }
 
+// A change at once, everything else now and then; oldest first, so that a
+// full heartbeat keeps nothing back for good.
 std::vector<load_digest> prober::digests() {
-    std::vector<load_digest> out;
     const time_point now = io::event_loop::now();
-    for (const auto& [key, item] : m_shared.m_upstreams.all()) {
+    std::vector<upstream*> due;
+    for (auto& [key, item] : m_shared.m_upstreams.all()) {
         const duration age = item.m_load.report_age(now);
         if (age > digest_age_limit || !mine(key))
             continue;
-        out.push_back({key, item.m_load.last_report(), age});
-        if (out.size() == digests_per_heartbeat)
-            break;
+        const load_report& report = item.m_load.last_report();
+        const sent_digest& sent = m_sent[key];
+        const bool changed = sent.m_state != report.m_state ||
+                             sent.m_incarnation != report.m_incarnation;
+        if (changed || now - sent.m_at >= digest_period)
+            due.push_back(&item);
+    }
+    std::sort(due.begin(), due.end(), [&](upstream* left, upstream* right) {
+        return m_sent[left->m_id].m_at < m_sent[right->m_id].m_at;
+    });
+    if (due.size() > digests_per_heartbeat)
+        due.resize(digests_per_heartbeat);
+    std::vector<load_digest> out;
+    for (const upstream* item : due) {
+        const load_report& report = item->m_load.last_report();
+        out.push_back({item->m_id, report, item->m_load.report_age(now)});
+        m_sent[item->m_id] = {now, report.m_state, report.m_incarnation};
     }
     return out;
 }
--- a/src/entry/prober.hpp
+++ b/src/entry/prober.hpp
@@ -33,11 +33,18 @@
     [[nodiscard]] bool mine(upstream_id key) const;
     token_bucket& bucket_of(upstream_id key);
 
+    struct sent_digest {
+        time_point m_at;
+        upstream_state m_state{};
+        std::uint64_t m_incarnation{};
+    };
+
     context& m_shared;
     forwarder& m_data_path;
     io::fetcher m_fetcher;
     std::map<upstream_id, token_bucket> m_buckets;
     token_bucket m_fleet_bucket;
+    std::map<upstream_id, sent_digest> m_sent;
 };
 
 } // namespace skylark::entry
--- a/test/limit/token_bucket.cpp
+++ b/test/limit/token_bucket.cpp
@@ -18,6 +18,20 @@
     EXPECT_GE(taken, 19);
 }
 
+TEST(token_bucket, a_burst_bridges_the_time_between_looks) {
+    token_bucket subject{0.0, 1.0};
+    subject.set_rate(100.0, 10.0);
+    time_point now{seconds{5}};
+    int taken = 0;
+    for (int i = 0; i < 100; ++i) { // looks every 50 ms, for 5 s
+        while (subject.take(now))
+            ++taken;
+        now += milliseconds{50};
+    }
+    EXPECT_LE(taken, 500);
+    EXPECT_GE(taken, 490);
+}
+
 TEST(token_bucket, looking_takes_nothing) {
     token_bucket subject{1.0, 1.0};
     subject.has(time_point{seconds{1}});
