Hold back an instance list that drops most upstreams at once

The list lags and is no proof, yet an empty one took every upstream out. A list with under half of the upstreams must persist for 30 s; an event tells.

Also: plot of latency by second with the time line's events.

--- a/bench/zone.py
+++ b/bench/zone.py
@@ -12,8 +12,8 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent
-                       / "scripts"))
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "scripts"))
 from deployment import Deployment  # noqa: E402
 
 STOCK = {"name": "stock", "path": "/stock?size=1024", "rate": 2000.0}
@@ -51,6 +51,7 @@
         process = d.start_load("zone", [STOCK, BOOKING], 22, args.seed,
                                warmup_s=0)
         start = time.monotonic()
+        start_wall = time.time()
         time.sleep(7)
         drained = ctl(d, f"drain zone {zone}")
         accepted = time.monotonic() - drained
@@ -60,6 +61,17 @@
         time.sleep(max(0, start + 14 - time.monotonic()))
         restored = ctl(d, f"restore zone {zone}")
         process.communicate()
+        events = subprocess.run(
+            [str(d.bin / "skylark-ctl"), "--entry", d.control(0), "timeline",
+             "--json"], check=True, capture_output=True, text=True).stdout
+        (d.out / "events.json").write_text(events)
+        with open(d.out / "zone.svg", "w", encoding="utf-8") as plot:
+            subprocess.run(
+                [sys.executable, str(ROOT / "scripts" / "plot.py"),
+                 str(d.out / "zone.json"), "--timeline",
+                 str(d.out / "events.json"), "--start-ms",
+                 str(int(start_wall * 1000))], check=True, stdout=plot)
+        print(f"plot: {(d.out / 'zone.svg').relative_to(ROOT)}")
         result = d.result("zone")
         probes = max(d.stats(n)["probe_max"] for n in d.upstreams)
     print(f"{args.shape}, {args.entries} entries, seed {args.seed}")
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -7,7 +7,7 @@
     test/route/policy.cpp test/limit/token_bucket.cpp
     test/limit/ratio_budget.cpp test/member/table.cpp test/share/table.cpp
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
-    test/event/ring.cpp test/io/http_client.cpp test/io/http_server.cpp test/entry/settings.cpp
+    test/discovery/list_guard.cpp test/event/ring.cpp test/io/http_client.cpp test/io/http_server.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/peer/codec.cpp
     test/platform/consul_protocol.cpp)
 target_include_directories(skylark_test PRIVATE ${CMAKE_SOURCE_DIR})
--- a/scripts/matrix.py
+++ b/scripts/matrix.py
@@ -321,6 +321,15 @@
     run.d.fault("")
 
 
+@cell("instance list empty", "any")
+def list_empty(run):
+    run.at(2)
+    run.d.fault("forget_instances")
+    run.at(6)
+    events = run.ctl("timeline", "--kind", "configuration").stdout
+    run.expect("held back" in events, "no event tells of it")
+
+
 @cell("write takes effect, answer lost", "configuration being written")
 def write_answer_lost(run):
     run.at(1.5)
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -15,6 +15,7 @@
 constexpr auto watch_wait = seconds{1};
 constexpr auto retry_wait = milliseconds{500};
 constexpr auto turn_check = milliseconds{500};
+constexpr auto list_patience = seconds{30};
 constexpr std::size_t watchers_per_zone = 2;
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 } // namespace
@@ -23,7 +24,7 @@
     : m_shared{shared}, m_changed{std::move(changed)},
       m_store{shared.m_loop, shared.m_settings.m_platform,
               platform::consul_protocol{}},
-      m_peers{shared.m_loop, answer_limit} {}
+      m_peers{shared.m_loop, answer_limit}, m_guard{list_patience} {}
 
 void configurator::start() {
     watch_document();
@@ -137,9 +138,9 @@
 void configurator::take_instances(const platform::list_result& result) {
     duration wait{0};
     if (const auto* list = std::get_if<instance_list>(&result)) {
-        if (list->m_index < m_shared.m_instances.m_index)
-            wait = retry_wait;
         offer_instances(*list);
+        if (list->m_index != m_shared.m_instances.m_index)
+            wait = retry_wait; // an old list, or one that is held back
     } else {
         m_shared.m_metrics.count(counter::store_failures);
         wait = retry_wait;
@@ -150,6 +151,15 @@
 void configurator::offer_instances(const instance_list& list) {
     if (list.m_index <= m_shared.m_instances.m_index)
         return;
+    const bool doubted = m_guard.doubts();
+    if (!m_guard.accepts(m_shared.m_instances, list, io::event_loop::now())) {
+        if (!doubted)
+            m_shared.m_journal.note(
+                event_kind::configuration,
+                "instance list " + std::to_string(list.m_index),
+                "held back: it drops most upstreams at once");
+        return;
+    }
     m_shared.m_instances = list;
     m_changed();
 }
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -6,6 +6,8 @@
 #include <functional>
 #include <string>
 
+#include <skylark/discovery/list_guard.hpp>
+
 #include "entry/context.hpp"
 #include "io/fetcher.hpp"
 #include "platform/store.hpp"
@@ -47,6 +49,7 @@
     std::function<void()> m_changed;
     platform::store m_store;
     io::fetcher m_peers;
+    list_guard m_guard;
     bool m_fetching_document{};
     bool m_fetching_instances{};
     std::uint64_t m_noted_revert{}; // store revision that was told last
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -64,8 +64,7 @@
                                     {"Retry-After", "1"},
                                     {"Content-Type", "text/plain"}};
     if (elsewhere)
-        headers.push_back(
-            {std::string{other_entry_header}, elsewhere->text()});
+        headers.push_back({std::string{other_entry_header}, elsewhere->text()});
     m_shared.m_metrics.finished(of, outcome::not_run, duration{0});
     m_callers.answer(key, status, headers, std::string{reason} + "\n");
 }
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -158,10 +158,10 @@
     pump_service(service);
 }
 
-// Full below 70 % of the slots in use, none from 95 % up.
+// Full below 80 % of the slots in use, none from 95 % up.
 double forwarder::hedge_percent(double utilization) const {
     constexpr double none_from = 0.95;
-    constexpr double full_below = 0.70;
+    constexpr double full_below = 0.80;
     const double part = std::clamp(
         (none_from - utilization) / (none_from - full_below), 0.0, 1.0);
     return part * m_shared.m_config.current().m_limits.m_hedge_percent;
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -161,6 +161,10 @@
     m_faults.m_down = target.has("down");
     m_faults.m_lose_writes = target.number("lose_writes", 0);
     m_faults.m_old = target.has("old");
+    if (target.has("forget_instances")) {
+        m_instances.clear();
+        store_catalogue();
+    }
     if (m_faults.m_old) {
         const auto waiting_now = std::exchange(m_waiting, {});
         for (const waiting& item : waiting_now) {
--- a/test/io/http_server.cpp
+++ b/test/io/http_server.cpp
@@ -162,6 +162,23 @@
     EXPECT_FALSE(m_exchange);
 }
 
+TEST_F(server_test, refuses_headers_beyond_the_limit) {
+    const std::string line(200'000, 'x');
+    io::fetch_request what;
+    what.m_headers = {{"X-Long", line}};
+    what.m_to = m_where;
+    m_client.open(m_where, [&](connection_id key, const io::client_event& e) {
+        if (std::holds_alternative<io::connected>(e))
+            m_client.send(key, io::format_request(what), false);
+        if (std::holds_alternative<io::connection_failed>(e))
+            m_failed = true;
+        if (const auto* head = std::get_if<io::head_received>(&e))
+            m_status = head->m_head.m_status;
+    });
+    turn_until([this] { return m_failed || m_status != 0; });
+    EXPECT_FALSE(m_exchange);
+}
+
 TEST_F(server_test, refuses_malformed_requests) {
     request({{}, "BAD METHOD", "/", {}, "", {}});
     EXPECT_EQ(m_status, 400);
