Bound the head of a request

Seen in a new test: h2o 2.2 takes a head of 200 kB, and looks for one exact size of a head that never ends, which a large read steps over; memory then grows until the idle time. Heads above 64 kB are answered 431 with size and limit; connections whose input exceeds head and body are ended. Without each half its test fails.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr auto oversize_check = milliseconds{100};
+
 struct generator;
 
 struct exchange {
@@ -77,10 +79,12 @@
     std::vector<h2o_socket_t*> m_listeners;
     handlers m_handlers;
     id_map<exchange_id, exchange> m_exchanges;
-    std::unordered_map<std::uint64_t, int> m_sockets; // by peer address
-    std::vector<header_view> m_headers;               // scratch
+    std::unordered_map<std::uint64_t, h2o_socket_t*> m_sockets; // by peer
+    std::size_t m_input_limit{};        // bytes of one request, head and body
+    std::vector<header_view> m_headers; // scratch
     time_point m_last_request;
 
+    void end_oversized();
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
     static void on_accept(h2o_socket_t* listener, const char* error);
     static void on_socket_close(void* data);
@@ -90,7 +94,8 @@
 
     int socket_of(h2o_req_t* request);
     exchange_id open(h2o_req_t* request);
-    void collect_headers(h2o_req_t* request);
+    std::size_t collect_headers(h2o_req_t* request);
+    void refuse_head(h2o_req_t* request, std::size_t size) const;
 };
 
 int http_server::native::socket_of(h2o_req_t* request) {
@@ -98,7 +103,15 @@
     request->conn->callbacks->get_peername(request->conn,
                                            reinterpret_cast<sockaddr*>(&peer));
     const auto found = m_sockets.find(internal::from_native(peer).key());
-    return found == m_sockets.end() ? -1 : found->second;
+    return found == m_sockets.end() ? -1 : h2o_socket_get_fd(found->second);
+}
+
+// h2o looks for one exact size of a head that never ends and may step over
+// it; such a connection is ended here, so that it holds bounded memory.
+void http_server::native::end_oversized() {
+    for (const auto& [peer, socket] : m_sockets)
+        if (socket->input->size > m_input_limit)
+            shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
 }
 
 exchange_id http_server::native::open(h2o_req_t* request) {
@@ -111,20 +124,41 @@
     return self->m_key;
 }
 
-void http_server::native::collect_headers(h2o_req_t* request) {
+// Gathers the fields; returns their size in bytes.
+std::size_t http_server::native::collect_headers(h2o_req_t* request) {
+    std::size_t size = 0;
     m_headers.clear();
     for (std::size_t i = 0; i < request->headers.size; ++i) {
         const h2o_header_t& field = request->headers.entries[i];
         m_headers.push_back({view(*field.name), view(field.value)});
+        size += field.name->len + field.value.len;
     }
+    return size;
+}
+
+void http_server::native::refuse_head(h2o_req_t* request,
+                                      std::size_t size) const {
+    constexpr int status_head_too_large = 431;
+    const std::string text = "header fields: got " + std::to_string(size) +
+                             " bytes, expected at most " +
+                             std::to_string(m_head_limit) + "\n";
+    const auto body = h2o_strdup(&request->pool, text.data(), text.size());
+    request->http1_is_persistent = 0;
+    h2o_send_error_generic(request, status_head_too_large,
+                           "Request Header Fields Too Large", body.base,
+                           H2O_SEND_ERROR_KEEP_HEADERS);
 }
 
 int http_server::native::on_request(h2o_handler_t* self, h2o_req_t* request) {
     auto& server =
         *static_cast<native*>(reinterpret_cast<handler*>(self)->m_server);
     server.m_last_request = event_loop::now();
+    const std::size_t size = server.collect_headers(request);
+    if (size > server.m_head_limit) {
+        server.refuse_head(request, size);
+        return 0;
+    }
     const exchange_id key = server.open(request);
-    server.collect_headers(request);
     const request_view seen{view(request->method), view(request->path),
                             view(request->entity), server.m_headers};
     server.m_handlers.m_request(key, seen);
@@ -144,7 +178,7 @@
     sockaddr_in peer{};
     h2o_socket_getpeername(socket, reinterpret_cast<sockaddr*>(&peer));
     const auto peer_key = internal::from_native(peer).key();
-    server.m_sockets[peer_key] = fd;
+    server.m_sockets[peer_key] = socket;
     socket->on_close.cb = &native::on_socket_close;
     socket->on_close.data = new accepted{&server, peer_key};
     h2o_accept(&server.m_accept, socket);
@@ -197,6 +231,10 @@
     own->m_super.on_req = &native::on_request;
     own->m_server = m_native.get();
     h2o_context_init(&m_native->m_context, loop.native(), &config);
+    m_native->m_head_limit = limits.m_head_bytes;
+    m_native->m_input_limit = limits.m_body_bytes + limits.m_head_bytes;
+    auto* native = m_native.get();
+    loop.every(oversize_check, [native] { native->end_oversized(); });
     m_native->m_accept.ctx = &m_native->m_context;
     m_native->m_accept.hosts = config.hosts;
 }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -22,8 +22,9 @@
 
 /*! @brief Bounds of what a server accepts. */
 struct server_limits {
-    std::size_t m_body_bytes{1U << 20U};
+    std::size_t m_body_bytes{std::size_t{1} << 20U};
     duration m_idle{seconds{60}};
+    std::size_t m_head_bytes{std::size_t{64} << 10U};
 };
 
 /*! @brief Serves HTTP/1 on one or more addresses.
--- a/test/io/http_server.cpp
+++ b/test/io/http_server.cpp
@@ -176,6 +176,20 @@
             m_status = head->m_head.m_status;
     });
     turn_until([this] { return m_failed || m_status != 0; });
+    EXPECT_TRUE(m_failed || m_status == 431);
+    EXPECT_FALSE(m_exchange);
+}
+
+TEST_F(server_test, ends_a_head_that_never_ends) {
+    m_client.open(m_where, [&](connection_id key, const io::client_event& e) {
+        if (std::holds_alternative<io::connected>(e))
+            m_client.send(
+                key, "GET / HTTP/1.1\r\nX-Long: " + std::string(200'000, 'x'),
+                false);
+        if (std::holds_alternative<io::connection_failed>(e))
+            m_failed = true;
+    });
+    turn_until([this] { return m_failed; });
     EXPECT_FALSE(m_exchange);
 }
 
