--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -80,6 +80,7 @@
     handlers m_handlers;
     id_map<exchange_id, exchange> m_exchanges;
     std::unordered_map<std::uint64_t, h2o_socket_t*> m_sockets; // by peer
+    std::size_t m_head_limit{};         // bytes of all header fields
     std::size_t m_input_limit{};        // bytes of one request, head and body
     std::vector<header_view> m_headers; // scratch
     time_point m_last_request;
