--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -1,5 +1,6 @@
 // Asks entries over HTTP.
 #include "ctl/client.hpp"
+#include "io/http_status.hpp"
 
 #include <algorithm>
 
@@ -10,7 +11,6 @@
 namespace {
 constexpr std::size_t answer_limit = std::size_t{64} << 20U; // bytes
 constexpr auto turn = milliseconds{50};
-constexpr int status_ok = 200;
 } // namespace
 
 client::client(std::vector<address> known, duration timeout)
@@ -64,7 +64,7 @@
     request.m_path = "/query";
     request.m_body = "show entries";
     const auto got = ask_any(request);
-    if (!got || got->answer()->m_status != status_ok)
+    if (!got || got->answer()->m_status != io::status::ok)
         return false;
     const auto tree = nlohmann::json::parse(got->answer()->m_body);
     const auto& columns = tree.at("columns");
--- a/src/ctl/query_command.cpp
+++ b/src/ctl/query_command.cpp
@@ -1,5 +1,6 @@
 // Runs one statement of the operators' language and prints the answer.
 #include "ctl/query_command.hpp"
+#include "io/http_status.hpp"
 
 #include <chrono>
 #include <iostream>
@@ -14,10 +15,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_conflict = 409;
-constexpr int status_gateway_timeout = 504;
 constexpr auto poll_period = milliseconds{100};
 
 io::fetch_request query(const std::string& line) {
@@ -80,10 +77,10 @@
                   << tree.at("in_force") << '\n';
     }
     switch (answer.m_status) {
-    case status_bad_request:
-    case status_conflict:
+    case io::status::bad_request:
+    case io::status::conflict:
         return exit_code::refused;
-    case status_gateway_timeout:
+    case io::status::gateway_timeout:
         return exit_code::unknown;
     default:
         return exit_code::unreachable;
@@ -104,7 +101,7 @@
         const io::fetch_answer* answer = item.answer();
         if (!answer)
             continue;
-        if (answer->m_status != status_ok)
+        if (answer->m_status != io::status::ok)
             return print_refusal(*answer);
         const auto tree = nlohmann::json::parse(answer->m_body);
         all.push_back(tree);
@@ -146,7 +143,7 @@
                      "was made\n";
         return exit_code::unknown;
     }
-    if (got->answer()->m_status != status_ok)
+    if (got->answer()->m_status != io::status::ok)
         return print_refusal(*got->answer());
     const auto tree = nlohmann::json::parse(got->answer()->m_body);
     return accepted(tree.at("accepted").get<std::uint64_t>());
@@ -160,7 +157,7 @@
     bool everywhere = false;
     while (true) {
         if (const auto got = m_client.ask_any(request);
-            got && got->answer()->m_status == status_ok) {
+            got && got->answer()->m_status == io::status::ok) {
             state = nlohmann::json::parse(got->answer()->m_body);
             everywhere = state.at("in_force") == state.at("members");
         }
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -9,18 +9,10 @@
 #include <skylark/command/parse.hpp>
 
 #include "core/overload.hpp"
+#include "io/http_status.hpp"
 
 namespace skylark::entry {
 
-namespace {
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_gateway_timeout = 504;
-constexpr int status_unavailable = 503;
-} // namespace
-
 control::control(context& shared, forwarder& data_path, configurator& config)
     : m_shared{shared}, m_inspector{shared, data_path.routing()},
       m_changer{shared, config}, m_server{
@@ -41,11 +33,11 @@
 void control::serve(exchange_id key, const io::request_view& request) {
     const std::string_view path = request.m_path;
     if (path == "/healthz")
-        text(key, status_ok, "ok\n");
+        text(key, io::status::ok, "ok\n");
     else if (path == "/readyz")
         answer_ready(key);
     else if (path == "/metrics")
-        text(key, status_ok, m_shared.m_metrics.page());
+        text(key, io::status::ok, m_shared.m_metrics.page());
     else if (path == "/events")
         answer_events(key);
     else if (path == "/query")
@@ -57,7 +49,7 @@
     else if (path == "/peer/instances")
         answer_instances(key);
     else
-        text(key, status_not_found,
+        text(key, io::status::not_found,
              "no such path; /healthz /readyz /metrics /events /query\n");
 }
 
@@ -71,20 +63,20 @@
     const std::array headers{
         io::header{"Content-Type", "application/json"},
         io::header{"Config-Revision", std::to_string(revision)}};
-    m_server.answer(key, status_ok, headers, body);
+    m_server.answer(key, io::status::ok, headers, body);
 }
 
 void control::answer_ready(exchange_id key) {
     if (!m_shared.m_config.ready())
-        text(key, status_unavailable, "no configuration yet\n");
+        text(key, io::status::unavailable, "no configuration yet\n");
     else if (m_shared.m_draining)
-        text(key, status_unavailable, "draining\n");
+        text(key, io::status::unavailable, "draining\n");
     else if (m_shared.m_isolated)
-        text(key, status_unavailable, "neither store nor majority\n");
+        text(key, io::status::unavailable, "neither store nor majority\n");
     else if (m_shared.m_fleet.members().state() != member_state::active)
-        text(key, status_unavailable, "joining\n");
+        text(key, io::status::unavailable, "joining\n");
     else
-        text(key, status_ok, "ready\n");
+        text(key, io::status::ok, "ready\n");
 }
 
 void control::answer_config(exchange_id key) {
@@ -99,7 +91,7 @@
 void control::answer_query(exchange_id key, const io::request_view& request) {
     const auto read = parse_statement(request.m_body);
     if (!read) {
-        answer_error(key, status_bad_request, read.error());
+        answer_error(key, io::status::bad_request, read.error());
         return;
     }
     const auto number = io::find_header(request.m_headers, "if-revision");
@@ -107,24 +99,25 @@
     std::from_chars(number.data(), number.data() + number.size(), if_revision);
     const std::string change_id{
         io::find_header(request.m_headers, "change-id")};
-    std::visit(
-        overload{[&](const show_query& query) {
-                     const auto shown = m_inspector.show(query);
-                     if (shown)
-                         answer_table(key, shown.value());
-                     else
-                         answer_error(key, status_bad_request, shown.error());
-                 },
-                 [&](const explain_query& query) {
-                     answer_table(key, m_inspector.explain(query));
-                 },
-                 [&](const change_statement& change) {
-                     m_changer.run(change, if_revision, change_id,
-                                   [this, key](const change_result& result) {
-                                       answer_change(key, result);
-                                   });
-                 }},
-        read.value());
+    std::visit(overload{[&](const show_query& query) {
+                            const auto shown = m_inspector.show(query);
+                            if (shown)
+                                answer_table(key, shown.value());
+                            else
+                                answer_error(key, io::status::bad_request,
+                                             shown.error());
+                        },
+                        [&](const explain_query& query) {
+                            answer_table(key, m_inspector.explain(query));
+                        },
+                        [&](const change_statement& change) {
+                            m_changer.run(
+                                change, if_revision, change_id,
+                                [this, key](const change_result& result) {
+                                    answer_change(key, result);
+                                });
+                        }},
+               read.value());
 }
 
 void control::answer_table(exchange_id key, const table& subject) {
@@ -164,13 +157,14 @@
                 json(key, accepted.m_revision, out.dump());
             },
             [&](const change_rejected& rejected) {
-                answer_error(key, status_conflict, rejected.m_error);
+                answer_error(key, io::status::conflict, rejected.m_error);
             },
             [&](const change_unknown& unknown) {
-                failure(status_gateway_timeout, "unknown", unknown.m_cause);
+                failure(io::status::gateway_timeout, "unknown",
+                        unknown.m_cause);
             },
             [&](const change_not_made& none) {
-                failure(status_unavailable, "not made", none.m_cause);
+                failure(io::status::unavailable, "not made", none.m_cause);
             }},
         result);
 }
--- a/src/entry/entry_list.cpp
+++ b/src/entry/entry_list.cpp
@@ -1,5 +1,6 @@
 // GET /entries: which addresses callers may use.
 #include "entry/entry_list.hpp"
+#include "io/http_status.hpp"
 
 #include <algorithm>
 #include <array>
@@ -101,9 +102,8 @@
     for (const listed_entry& item : list)
         out["entries"].push_back(
             {{"address", item.m_address.text()}, {"zone", item.m_zone}});
-    constexpr int status_ok = 200;
     const std::array headers{io::header{"Content-Type", "application/json"}};
-    server.answer(key, status_ok, headers, out.dump() + "\n");
+    server.answer(key, io::status::ok, headers, out.dump() + "\n");
 }
 
 } // namespace skylark::entry
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -3,12 +3,11 @@
 
 #include "entry/forwarder.hpp"
 #include "entry/request_head.hpp"
+#include "io/http_status.hpp"
 
 namespace skylark::entry {
 
 namespace {
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
 constexpr auto sweep_period = milliseconds{50};
 constexpr auto old_connections_period = seconds{1};
 constexpr double retry_cap = 20.0; // attempts saved up
@@ -31,7 +30,7 @@
 
 void forwarder::accept(exchange_id key, const io::request_view& from) {
     if (!m_shared.m_config.ready()) {
-        refuse_at_once(key, status_unavailable, "no configuration yet",
+        refuse_at_once(key, io::status::unavailable, "no configuration yet",
                        request_class::normal);
         return;
     }
@@ -41,16 +40,16 @@
             return io::find_header(from.m_headers, name);
         });
     if (!under)
-        refuse_at_once(key, status_not_found,
+        refuse_at_once(key, io::status::not_found,
                        "no rule matches " + std::string{from.m_method} + ' ' +
                            std::string{from.m_path},
                        request_class::normal);
     else if (m_shared.m_isolated)
-        refuse_at_once(key, status_unavailable,
+        refuse_at_once(key, io::status::unavailable,
                        "this entry reaches neither store nor majority",
                        under->m_class);
     else if (!m_router.serves(under->m_service))
-        refuse_at_once(key, status_unavailable,
+        refuse_at_once(key, io::status::unavailable,
                        "service " + under->m_service + " has no upstream",
                        under->m_class);
     else
@@ -72,7 +71,7 @@
 void forwarder::admit(exchange_id key, const io::request_view& from,
                       const rule& under) {
     if (!m_router.may_serve(under.m_service, under.m_class)) {
-        refuse_at_once(key, status_unavailable,
+        refuse_at_once(key, io::status::unavailable,
                        "this entry owns no slot of service " + under.m_service,
                        under.m_class,
                        m_router.other_owner(under.m_service, under.m_class));
@@ -81,7 +80,8 @@
     const limits& bounds = m_shared.m_config.current().m_limits;
     auto& line = m_queues[under.m_service];
     if (line.queue(under.m_class).size() >= bounds.m_queue_length) {
-        refuse_at_once(key, status_unavailable, "queue is full", under.m_class);
+        refuse_at_once(key, io::status::unavailable, "queue is full",
+                       under.m_class);
         return;
     }
     const time_point now = io::event_loop::now();
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -5,13 +5,11 @@
 #include "core/overload.hpp"
 #include "entry/forwarder.hpp"
 #include "entry/request_head.hpp"
+#include "io/http_status.hpp"
 
 namespace skylark::entry {
 
 namespace {
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
 // A begun answer without a moved byte for longer is broken off.
 constexpr auto stalled_answer_limit = seconds{10};
 constexpr auto caller_check_age = milliseconds{50};
@@ -52,9 +50,10 @@
 
 void forwarder::refuse_caller(request& of, const refuse& why) {
     const bool ran = !std::holds_alternative<not_run>(why.m_verdict);
-    int status = status_unavailable;
+    int status = io::status::unavailable;
     if (ran)
-        status = why.m_expired ? status_gateway_timeout : status_bad_gateway;
+        status = why.m_expired ? io::status::gateway_timeout
+                               : io::status::bad_gateway;
     of.m_outcome = ran ? outcome::unknown : outcome::not_run;
     std::string reason = why.m_expired ? "deadline passed" : "no upstream";
     if (const auto* proof = std::get_if<not_run>(&why.m_verdict))
@@ -196,7 +195,7 @@
         of->m_outcome = outcome::abandoned;
         apply(key, of->m_machine.abandoned());
         if (of = m_requests.find(key); of)
-            m_callers.answer(of->m_exchange, status_unavailable, {}, "");
+            m_callers.answer(of->m_exchange, io::status::unavailable, {}, "");
     }
     pump();
 }
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -4,6 +4,7 @@
 #include "core/overload.hpp"
 #include "entry/forwarder.hpp"
 #include "entry/request_head.hpp"
+#include "io/http_status.hpp"
 
 namespace skylark::entry {
 
@@ -12,8 +13,6 @@
 constexpr auto upstream_cancel_time = milliseconds{200};
 // A reused connection that was silent for longer makes its siblings suspect.
 constexpr auto silent_connection_limit = milliseconds{300};
-constexpr int status_unavailable = 503;
-constexpr int first_failure_status = 500;
 } // namespace
 
 void forwarder::start(request_id key, request& of, const route_choice& choice,
@@ -122,14 +121,14 @@
         take_report(target, report.value(), now);
     }
     const bool refused =
-        head.m_status == status_unavailable &&
+        head.m_status == io::status::unavailable &&
         !io::find_header(head.m_headers, refusal_header).empty();
     if (refused) {
         end_attempt(key, which, not_run{not_run_proof::upstream_refused},
                     false);
         return;
     }
-    const bool failure = head.m_status >= first_failure_status;
+    const bool failure = head.m_status >= io::status::first_failure;
     target.m_load.measured(now - made.m_sent_at, !failure);
     const bool only_attempt = of.m_attempts.size() == 1;
     const bool repeat = failure && only_attempt &&
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -12,6 +12,8 @@
 #include <skylark/core/id_map.hpp>
 
 #include "io/event_loop.hpp"
+#include "io/http_status.hpp"
+#include "io/listener.hpp"
 #include "io/native.hpp"
 
 namespace skylark::io {
@@ -53,22 +55,6 @@
     return {from.base, from.len};
 }
 
-int open_listener(address where) {
-    const int fd =
-        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    constexpr int on = 1;
-    constexpr int backlog = 1024;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    const sockaddr_in name = internal::to_native(where);
-    const auto* generic = reinterpret_cast<const sockaddr*>(&name);
-    if (bind(fd, generic, sizeof name) == 0 && ::listen(fd, backlog) == 0)
-        return fd;
-    const int code = errno;
-    close(fd);
-    errno = code;
-    return -1;
-}
-
 } // namespace
 
 struct http_server::native {
@@ -139,13 +125,12 @@
 
 void http_server::native::refuse_head(h2o_req_t* request,
                                       std::size_t size) const {
-    constexpr int status_head_too_large = 431;
     const std::string text = "header fields: got " + std::to_string(size) +
                              " bytes, expected at most " +
                              std::to_string(m_head_limit) + "\n";
     const auto body = h2o_strdup(&request->pool, text.data(), text.size());
     request->http1_is_persistent = 0;
-    h2o_send_error_generic(request, status_head_too_large,
+    h2o_send_error_generic(request, io::status::head_too_large,
                            "Request Header Fields Too Large", body.base,
                            H2O_SEND_ERROR_KEEP_HEADERS);
 }
@@ -251,11 +236,7 @@
 }
 
 parsed<address> http_server::listen(address where) {
-    const int fd = open_listener(where);
-    if (fd < 0)
-        return input_error{"listen", where.text(),
-                           std::string{"a free local address ("} +
-                               std::strerror(errno) + ")"};
+    BOOST_OUTCOME_TRY(fd, internal::open_listener(where));
     auto* socket = h2o_evloop_socket_create(m_native->m_loop->native(), fd,
                                             H2O_SOCKET_FLAG_DONT_READ);
     socket->data = m_native.get();
--- a/src/io/response_parser.cpp
+++ b/src/io/response_parser.cpp
@@ -1,5 +1,6 @@
 // Response parsing with picohttpparser, which libh2o exports without a header.
 #include "io/response_parser.hpp"
+#include "io/http_status.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -30,10 +31,8 @@
 
 constexpr ssize_t incomplete = -2;
 
-bool body_is_absent(int status) {
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
-    return status == no_content || status == not_modified;
+bool body_is_absent(int code) {
+    return code == status::no_content || code == status::not_modified;
 }
 
 } // namespace
--- a/src/platform/consul_protocol.cpp
+++ b/src/platform/consul_protocol.cpp
@@ -1,5 +1,6 @@
 // The published key-value and catalogue interface of Consul, over HTTP.
 #include "platform/consul_protocol.hpp"
+#include "io/http_status.hpp"
 
 #include <charconv>
 
@@ -11,8 +12,6 @@
 
 using nlohmann::json;
 
-constexpr int status_ok = 200;
-constexpr int status_absent = 404;
 constexpr auto answer_margin = seconds{1}; // beyond a blocking read's wait
 
 std::string blocking_query(std::uint64_t index, duration wait) {
@@ -100,23 +99,23 @@
 
 parsed<stored_value>
 consul_protocol::read_value(const io::fetch_answer& answer) const {
-    if (answer.m_status == status_absent)
+    if (answer.m_status == io::status::not_found)
         return stored_value{};
-    if (answer.m_status != status_ok)
+    if (answer.m_status != io::status::ok)
         return wrong_status(answer);
     BOOST_OUTCOME_TRY(index, read_index(answer));
     return stored_value{index, answer.m_body};
 }
 
 parsed<bool> consul_protocol::read_swap(const io::fetch_answer& answer) const {
-    if (answer.m_status != status_ok)
+    if (answer.m_status != io::status::ok)
         return wrong_status(answer);
     return answer.m_body.starts_with("true");
 }
 
 parsed<instance_list>
 consul_protocol::read_instances(const io::fetch_answer& answer) const {
-    if (answer.m_status != status_ok)
+    if (answer.m_status != io::status::ok)
         return wrong_status(answer);
     BOOST_OUTCOME_TRY(index, read_index(answer));
     return parse_instances(answer.m_body, index);
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/overload.hpp"
+#include "io/http_status.hpp"
 
 namespace standin {
 
@@ -68,8 +69,7 @@
     m_fetcher.run(request, [this, which](const io::fetch_result& got) {
         m_callers[which].m_asking = false;
         const auto* answer = std::get_if<io::fetch_answer>(&got);
-        constexpr int status_ok = 200;
-        if (answer && answer->m_status == status_ok)
+        if (answer && answer->m_status == io::status::ok)
             take_entries(which, answer->m_body);
         else
             m_loop.after(ask_again, [this, which] { ask(which); });
@@ -243,7 +243,6 @@
         m_client.close(of.m_connection);
     else if (reusable)
         m_idle[of.m_entry].push_back(of.m_connection);
-    constexpr int first_failure = 500;
     const bool told = !of.m_verdict.empty();
     if (of.m_verdict == "not-run") {
         if (!repeat(key, true))
@@ -251,7 +250,7 @@
     } else if (of.m_verdict == "unknown") {
         if (!repeat(key, false))
             end(key, call_end::unknown);
-    } else if (of.m_status >= first_failure) {
+    } else if (of.m_status >= io::status::first_failure) {
         end(key, told ? call_end::failed : call_end::unknown);
     } else {
         if (!of.m_answer_key.empty() && of.m_answer_key != of.m_key)
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -1,5 +1,6 @@
 // Stand-in for the platform.
 #include "standin/platform.hpp"
+#include "io/http_status.hpp"
 
 #include <algorithm>
 #include <array>
@@ -13,7 +14,6 @@
 constexpr std::string_view kv_prefix = "/v1/kv/";
 constexpr std::string_view deregister_prefix = "/v1/agent/service/deregister/";
 constexpr std::size_t largest_value = std::size_t{1} << 20U;
-constexpr int status_ok = 200;
 } // namespace
 
 platform::platform(io::event_loop& loop)
@@ -41,7 +41,7 @@
     const std::string body{request.m_body};
     if (target.path() == "/fault") {
         set_faults(target);
-        reply(key, status_ok, "", m_index);
+        reply(key, io::status::ok, "", m_index);
         return;
     }
     if (m_faults.m_down)
@@ -56,25 +56,24 @@
 
 void platform::route(exchange_id key, const std::string& method,
                      const query& target, const std::string& body) {
-    constexpr int not_found = 404;
     const std::string& path = target.path();
     if (path == "/stats") {
         const nlohmann::json out{
             {"calls", m_calls}, {"writes", m_writes}, {"index", m_index}};
-        reply(key, status_ok, out.dump(), m_index);
+        reply(key, io::status::ok, out.dump(), m_index);
     } else if (path == "/v1/agent/service/register") {
         register_instance(body);
-        reply(key, status_ok, "", m_index);
+        reply(key, io::status::ok, "", m_index);
     } else if (path.starts_with(deregister_prefix)) {
         deregister_instance(path.substr(deregister_prefix.size()));
-        reply(key, status_ok, "", m_index);
+        reply(key, io::status::ok, "", m_index);
     } else if (path == catalogue ||
                (method == "GET" && path.starts_with(kv_prefix))) {
         read(key, path, target);
     } else if (method == "PUT" && path.starts_with(kv_prefix)) {
         swap(key, path, target, body);
     } else {
-        reply(key, not_found, "no such path", m_index);
+        reply(key, io::status::not_found, "no such path", m_index);
     }
 }
 
@@ -100,22 +99,22 @@
 }
 
 void platform::answer_read(exchange_id key, const std::string& topic) {
-    constexpr int not_found = 404;
     if (m_faults.m_down)
         return;
     const auto& source = m_faults.m_old ? m_first : m_values;
     const auto found = source.find(topic);
     if (found == source.end())
-        reply(key, not_found, "", std::max<std::uint64_t>(1, m_index));
+        reply(key, io::status::not_found, "",
+              std::max<std::uint64_t>(1, m_index));
     else
-        reply(key, status_ok, found->second.m_text, found->second.m_revision);
+        reply(key, io::status::ok, found->second.m_text,
+              found->second.m_revision);
 }
 
 void platform::swap(exchange_id key, const std::string& topic,
                     const query& target, const std::string& body) {
-    constexpr int too_large = 413;
     if (body.size() > largest_value) {
-        reply(key, too_large, "value above 1 MB", m_index);
+        reply(key, io::status::too_large, "value above 1 MB", m_index);
         return;
     }
     const auto compared = static_cast<std::uint64_t>(target.number("cas", 0));
@@ -123,7 +122,7 @@
     const std::uint64_t present =
         found == m_values.end() ? 0 : found->second.m_revision;
     if (present != compared) {
-        reply(key, status_ok, "false", m_index);
+        reply(key, io::status::ok, "false", m_index);
         return;
     }
     ++m_writes;
@@ -132,7 +131,7 @@
         --m_faults.m_lose_writes;
         return; // took effect, answer lost
     }
-    reply(key, status_ok, "true", m_index);
+    reply(key, io::status::ok, "true", m_index);
 }
 
 void platform::register_instance(const std::string& body) {
--- a/standin/upstream.cpp
+++ b/standin/upstream.cpp
@@ -1,5 +1,6 @@
 // Stand-in for an upstream.
 #include "standin/upstream.hpp"
+#include "io/http_status.hpp"
 
 #include <algorithm>
 #include <array>
@@ -16,9 +17,6 @@
 constexpr std::size_t piece_size = std::size_t{64} << 10U; // bytes
 constexpr auto cancel_check = milliseconds{10};
 constexpr auto late_by = seconds{2};
-constexpr int status_ok = 200;
-constexpr int status_failed = 500;
-constexpr int status_refused = 503;
 
 constexpr std::array<std::pair<std::string_view, upstream_mode>, 8> modes{{
     {"normal", upstream_mode::normal},
@@ -116,7 +114,7 @@
         m_probe_count = second == m_probe_second ? m_probe_count + 1 : 1;
         m_probe_second = second;
         m_probe_max = std::max(m_probe_max, m_probe_count);
-        m_server.answer(key, status_ok, {}, format_report(report()));
+        m_server.answer(key, io::status::ok, {}, format_report(report()));
     } else if (!refused(key)) {
         enqueue(key, request);
     }
@@ -137,7 +135,7 @@
         m_cold_over = 0;
     }
     m_shape.m_service_us = target.number("service_us", m_shape.m_service_us);
-    m_server.answer(key, status_ok, {}, "");
+    m_server.answer(key, io::status::ok, {}, "");
 }
 
 void upstream::stats(exchange_id key) {
@@ -148,14 +146,14 @@
         {"cold_max", m_cold_max}, {"cold_over", m_cold_over},
         {"bulk_max", m_bulk_max}, {"idle_ms", to_ms(idle)},
         {"cold", m_cold},         {"hand", m_jobs.size()}};
-    m_server.answer(key, status_ok, {}, out.dump());
+    m_server.answer(key, io::status::ok, {}, out.dump());
 }
 
 void upstream::refuse(exchange_id key, const std::string& why) {
     const std::array headers{
         io::header{"Upstream-Refused", why},
         io::header{"Upstream-Load", format_report(report())}};
-    m_server.answer(key, status_refused, headers, why);
+    m_server.answer(key, io::status::unavailable, headers, why);
 }
 
 bool upstream::refused(exchange_id key) {
@@ -167,7 +165,7 @@
                m_queue.size() >= m_shape.m_queue_limit) {
         refuse(key, "shed");
     } else if (m_mode == upstream_mode::fail_fast) {
-        m_server.answer(key, status_failed, {}, "failed");
+        m_server.answer(key, io::status::failed, {}, "failed");
     } else {
         return false;
     }
@@ -249,7 +247,7 @@
     std::optional<std::uint64_t> length;
     if (!item.m_chunked)
         length = item.m_size;
-    m_server.start(key, status_ok, headers, length);
+    m_server.start(key, io::status::ok, headers, length);
     send_piece(key);
 }
 
@@ -292,7 +290,7 @@
             gone.push_back(key);
     for (const exchange_id key : gone) {
         leave(key);
-        m_server.answer(key, status_refused, {}, "");
+        m_server.answer(key, io::status::unavailable, {}, "");
     }
 }
 
