--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -14,3 +14,10 @@
 target_link_libraries(skylark_test PRIVATE skylark_entry GTest::gtest_main)
 include(GoogleTest)
 gtest_discover_tests(skylark_test)
+
+# The whole path in separate processes; checks the ledger, no times.
+find_package(Python3 REQUIRED COMPONENTS Interpreter)
+add_test(NAME whole_path
+         COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/scripts/demo.py
+                 --entries 3 --seconds 3 --net 90
+                 --build ${CMAKE_BINARY_DIR})
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -23,8 +23,11 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--entries", type=int, default=16)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--net", type=int, default=20)
+    parser.add_argument("--build", default=None)
     args = parser.parse_args()
-    with Deployment(args.shape, args.entries) as deployment:
+    with Deployment(args.shape, args.entries, build=args.build,
+                    net=args.net) as deployment:
         print(f"{len(deployment.processes)} processes, shape {args.shape}, "
               f"{args.seconds:g} s, seed {args.seed}", flush=True)
         result, table = deployment.load("demo", FLOWS, args.seconds,
@@ -32,7 +35,11 @@
         print(table)
     ledger = result["ledger"]
     wrong = ledger["doubled"] + ledger["false_refusals"] + ledger["lost"]
-    return 1 if wrong or result["wrong_answers"] else 0
+    silent = [name for name, flow in result["flows"].items()
+              if not flow["ends"]["answered"]]
+    if silent:
+        print("no answers at all:", ", ".join(silent))
+    return 1 if wrong or result["wrong_answers"] or silent else 0
 
 
 if __name__ == "__main__":
--- a/src/command/apply.cpp
+++ b/src/command/apply.cpp
@@ -125,6 +125,7 @@
             });
         if (found == known.end()) {
             std::vector<std::string_view> names;
+            names.reserve(known.size());
             for (const auto& candidate : known)
                 names.push_back(candidate.m_key);
             return at(one.m_key, expect_one_of(one.m_key.m_text, names));
@@ -138,6 +139,7 @@
 static input_error unknown_name(const std::vector<Item>& items,
                                 const located_text& name) {
     std::vector<std::string_view> names;
+    names.reserve(items.size());
     for (const Item& item : items)
         names.push_back(item.m_name);
     return at(name, expect_one_of(name.m_text, names));
--- a/src/entry/inspector.cpp
+++ b/src/entry/inspector.cpp
@@ -218,7 +218,9 @@
     const rule* under =
         classify(config.m_rules, query.m_method, query.m_path,
                  [&](std::string_view name) -> std::string_view {
-                     return name == query.m_header ? query.m_header_value : "";
+                     if (name != query.m_header)
+                         return {};
+                     return query.m_header_value;
                  });
     if (!under) {
         out.m_rows.push_back(
--- a/standin/load_result.cpp
+++ b/standin/load_result.cpp
@@ -72,21 +72,23 @@
         " unknown  broken repeated\n";
     constexpr std::size_t line_size = 256;
     std::array<char, line_size> line{};
-    for (const auto& [name, of] : m_flows) {
+    for (const auto& item : m_flows) {
+        const flow_result& of = item.second;
         const auto end = [&](call_end how) {
             return static_cast<unsigned long>(
                 of.m_ends[static_cast<std::size_t>(how)]);
         };
-        std::snprintf(
-            line.data(), line.size(),
-            "%-12s %6lu %9.2f %8.2f %8.2f %7lu %7lu %7lu %7lu "
-            "%8lu\n",
-            name.c_str(), static_cast<unsigned long>(of.m_latency.count()),
-            in_ms(of.m_latency.quantile(0.5)),
-            in_ms(of.m_latency.quantile(0.99)),
-            in_ms(of.m_latency.quantile(0.999)), end(call_end::failed),
-            end(call_end::not_run), end(call_end::unknown),
-            end(call_end::broken), static_cast<unsigned long>(of.m_repeated));
+        std::snprintf(line.data(), line.size(),
+                      "%-12s %6lu %9.2f %8.2f %8.2f %7lu %7lu %7lu %7lu "
+                      "%8lu\n",
+                      item.first.c_str(),
+                      static_cast<unsigned long>(of.m_latency.count()),
+                      in_ms(of.m_latency.quantile(0.5)),
+                      in_ms(of.m_latency.quantile(0.99)),
+                      in_ms(of.m_latency.quantile(0.999)),
+                      end(call_end::failed), end(call_end::not_run),
+                      end(call_end::unknown), end(call_end::broken),
+                      static_cast<unsigned long>(of.m_repeated));
         out += line.data();
     }
     std::snprintf(line.data(), line.size(),
