Take out dead state and repeated work found in a second reading

No behaviour changes. event_loop::every called a twin of itself; the router ran all its exclusion checks a second time for the chosen upstream, only to learn the share; the queue's length was checked twice for each request; requests sent since a report were counted and never read; flush(), the exclusion 'tried' and two defaults had no user. Two matrix cells were copies.

--- a/include/skylark/config/config.hpp
+++ b/include/skylark/config/config.hpp
@@ -27,12 +27,10 @@
 inline constexpr duration isolation_limit = milliseconds{2500};
 //! How long callers keep the answer of GET /entries.
 inline constexpr duration entries_ttl = milliseconds{2000};
-inline constexpr duration default_deadline = milliseconds{2000};
 //! A connection unused for longer is not given non-idempotent work.
 inline constexpr duration fresh_connection_age = milliseconds{500};
 inline constexpr duration idle_connection_limit = seconds{20};
 inline constexpr std::size_t document_bytes = std::size_t{1} << 20U;
-inline constexpr std::size_t header_bytes = std::size_t{16} << 10U;
 inline constexpr std::size_t body_bytes = std::size_t{1} << 20U;
 inline constexpr std::size_t event_ring = 4096; //!< events kept in memory
 
--- a/include/skylark/load/upstream_load.hpp
+++ b/include/skylark/load/upstream_load.hpp
@@ -15,10 +15,7 @@
 class upstream_load {
 public:
     /*! @brief A request was given to the upstream. */
-    void sent() {
-        ++m_in_flight;
-        ++m_sent_since_report;
-    }
+    void sent() { ++m_in_flight; }
 
     /*! @brief A request has left the upstream, however it ended. */
     void finished() { --m_in_flight; }
@@ -73,7 +70,6 @@
 private:
     static constexpr std::uint32_t distrust_limit = 16;
     std::uint32_t m_in_flight{};
-    std::uint32_t m_sent_since_report{};
     std::uint32_t m_failures{};
     std::uint32_t m_disagreement{};
     // Invariant: m_report and m_taken mean something only when m_known.
--- a/scripts/matrix_cells.py
+++ b/scripts/matrix_cells.py
@@ -56,6 +56,13 @@
              "--entry", self.d.control(1), *args], capture_output=True,
             text=True, check=False)
 
+    def misbehave(self, mode):
+        """Two upstreams are in a mode from second 2 to 4."""
+        for second, now in ((2, mode), (4, "normal")):
+            self.at(second)
+            self.d.admin("stock-0", f"mode={now}")
+            self.d.admin("booking-0", f"mode={now}")
+
     def expect(self, good, text):
         if not good:
             self.findings.append(text)
@@ -121,22 +128,12 @@
 
 @cell("answer truncated", "answer half read", lossy=True)
 def answer_truncated(run):
-    run.at(2)
-    run.d.admin("stock-0", "mode=truncate")
-    run.d.admin("booking-0", "mode=truncate")
-    run.at(4)
-    run.d.admin("stock-0", "mode=normal")
-    run.d.admin("booking-0", "mode=normal")
+    run.misbehave("truncate")
 
 
 @cell("answer late", "waiting", lossy=True)
 def answer_late(run):
-    run.at(2)
-    run.d.admin("stock-0", "mode=late")
-    run.d.admin("booking-0", "mode=late")
-    run.at(4)
-    run.d.admin("stock-0", "mode=normal")
-    run.d.admin("booking-0", "mode=normal")
+    run.misbehave("late")
 
 
 @cell("load report lies", "any")
--- a/src/entry/admission_queue.hpp
+++ b/src/entry/admission_queue.hpp
@@ -12,18 +12,12 @@
 
 namespace skylark::entry {
 
-/*! @brief One bounded queue for each class. */
+/*! @brief One queue for each class. */
 class admission_queue {
 public:
-    /*! @brief Adds a request at the end of its class.
-     *  @return false when the class is full */
-    bool push(request_class of, request_id key, std::size_t limit) {
-        auto& line = queue(of);
-        if (line.size() >= limit)
-            return false;
-        line.push_back(key);
-        return true;
-    }
+    /*! @brief Adds a request at the end of its class; the caller has looked
+     *  at the length. */
+    void push(request_class of, request_id key) { queue(of).push_back(key); }
 
     /*! @brief Adds a request before the others of its class, for a further
      *  attempt; such a request was admitted once and is never refused. */
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -54,9 +54,6 @@
     /*! @brief Stops using shares and tells the peers. */
     void leave();
 
-    /*! @brief Sends a round of heartbeats now, for urgent digests. */
-    void flush() { beat(); }
-
     [[nodiscard]] const member_table& members() const { return m_members; }
     [[nodiscard]] const share_table& shares() const { return m_shares; }
     [[nodiscard]] entry_id self() const { return m_members.self().m_name.m_id; }
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -108,7 +108,7 @@
                 bounds.m_hedge_after, [this, made] { hedge(made); });
     }
     of.m_queued = true;
-    line.push(under.m_class, made, bounds.m_queue_length);
+    line.push(under.m_class, made);
     pump_service(under.m_service);
 }
 
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -23,8 +23,6 @@
         return "zone is out";
     case exclusion::draining:
         return "draining";
-    case exclusion::tried:
-        return "tried before";
     case exclusion::no_connection:
         return "connection limit reached";
     case exclusion::no_share:
@@ -112,10 +110,9 @@
         skylark::choose(policy_of(*config), m_candidates, m_random);
     if (!chosen)
         return std::nullopt;
-    std::optional<share_kind> share;
-    excluded(*m_shared.m_upstreams.find(*chosen), *config, of.m_class, now,
-             share);
-    return route_choice{*chosen, share};
+    const upstream& taken = *m_shared.m_upstreams.find(*chosen);
+    return route_choice{*chosen,
+                        share_for(taken.m_load.state(now), of.m_class)};
 }
 
 policy& router::policy_of(const service& of) {
--- a/src/entry/router.hpp
+++ b/src/entry/router.hpp
@@ -26,7 +26,6 @@
     leaving,
     zone_out,
     draining,
-    tried,
     no_connection,
     no_share
 };
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -50,14 +50,7 @@
 void event_loop::every(duration period, task what) {
     after(period, [this, period, what = std::move(what)] {
         what();
-        repeat(period, what);
-    });
-}
-
-void event_loop::repeat(duration period, const task& what) {
-    after(period, [this, period, what] {
-        what();
-        repeat(period, what);
+        every(period, what);
     });
 }
 
--- a/src/io/event_loop.hpp
+++ b/src/io/event_loop.hpp
@@ -74,7 +74,6 @@
         auto operator<=>(const due_order&) const = default;
     };
 
-    void repeat(duration period, const task& what);
     void run_due_timers();
     void arm_wake_up();
 
--- a/src/load/upstream_load.cpp
+++ b/src/load/upstream_load.cpp
@@ -23,7 +23,6 @@
     m_known = true;
     m_report = report;
     m_taken = taken;
-    m_sent_since_report = 0;
     return changed;
 }
 
