--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -5,9 +5,12 @@
 target_link_libraries(skylark_wire PUBLIC thrift)
 
 # Adapters to the platform and to peers.
-add_library(skylark_platform STATIC
-    src/platform/consul_protocol.cpp src/platform/store.cpp)
-target_link_libraries(skylark_platform PUBLIC skylark_io)
+add_library(skylark_store STATIC
+    src/store/consul_protocol.cpp src/store/polling_client.cpp
+    src/store/mirror.cpp src/store/mirror_client.cpp
+    platform/base64.cpp platform/kv_protocol.cpp platform/records.cpp)
+target_include_directories(skylark_store PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(skylark_store PUBLIC skylark_io)
 add_library(skylark_peer STATIC src/peer/codec.cpp)
 target_link_libraries(skylark_peer PUBLIC skylark_decide skylark_wire)
 
@@ -16,12 +19,14 @@
     src/entry/settings.cpp src/entry/journal.cpp src/entry/metrics.cpp
     src/entry/fleet.cpp src/entry/upstream_table.cpp src/entry/router.cpp
     src/entry/request_head.cpp src/entry/connection_pool.cpp
+    src/entry/native_dialect.cpp platform/dialect.cpp src/entry/asker.cpp
+    src/entry/lookup.cpp src/entry/forwarder_asking.cpp
     src/entry/forwarder_admission.cpp src/entry/forwarder_attempt.cpp
     src/entry/forwarder_answer.cpp src/entry/configurator.cpp
     src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
     src/entry/changer.cpp src/entry/inspector.cpp src/entry/node.cpp)
 target_link_libraries(skylark_entry PUBLIC
-    skylark_platform skylark_peer log4cplus prometheus-cpp-core
+    skylark_store skylark_peer log4cplus prometheus-cpp-core
     Threads::Threads)
 
 add_executable(skylark-entry src/entry/main.cpp)
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -9,7 +9,7 @@
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
     test/discovery/list_guard.cpp test/event/ring.cpp test/io/http_client.cpp test/io/http_server.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/peer/codec.cpp
-    test/platform/consul_protocol.cpp)
+    test/store/consul_protocol.cpp)
 target_include_directories(skylark_test PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(skylark_test PRIVATE skylark_entry GTest::gtest_main)
 include(GoogleTest)
--- a/include/skylark/attempt/machine.hpp
+++ b/include/skylark/attempt/machine.hpp
@@ -67,6 +67,9 @@
     /*! @brief The caller has gone; nobody waits for an answer. */
     actions abandoned();
 
+    /*! @brief No further attempt may begin; those under way go on. */
+    void stop_attempts() { m_terms.m_max_attempts = m_count; }
+
     /*! @brief Whether a hedge could begin.
      *  @param now the present
      *  @return true when exactly one idempotent attempt is unanswered */
--- a/include/skylark/config/limits.hpp
+++ b/include/skylark/config/limits.hpp
@@ -3,6 +3,7 @@
 #ifndef SKYLARK_CONFIG_LIMITS_HPP
 #define SKYLARK_CONFIG_LIMITS_HPP
 
+#include <cstddef>
 #include <cstdint>
 
 #include <skylark/core/time.hpp>
@@ -16,11 +17,16 @@
     //! Probes a second over all upstreams, by all entries together.
     std::uint32_t m_probes_fleet{100};
     std::uint32_t m_retry_percent{10}; //!< retries in 100 requests
-    std::uint32_t m_hedge_percent{5};  //!< hedges in 100 requests, when idle
+    //! Repeats that a service may save up, by all entries together.
+    std::uint32_t m_retry_burst{40};
+    std::uint32_t m_hedge_percent{5}; //!< hedges in 100 requests, when idle
     duration m_hedge_after{milliseconds{30}}; //!< shortest wait for a hedge
     //! Connections to one upstream, by all entries together.
     std::uint32_t m_connections_per_upstream{220};
-    std::uint32_t m_queue_length{512}; //!< waiting requests for each class
+    std::uint32_t m_queue_length{512};      //!< waiting requests for each class
+    std::uint32_t m_head_bytes{64U << 10U}; //!< header fields of one request
+    std::uint32_t m_body_bytes{1U << 20U};  //!< body of one request
+    duration m_idle{seconds{60}}; //!< a caller's connection without request
 
     bool operator==(const limits&) const = default;
 };
--- a/include/skylark/config/rule.hpp
+++ b/include/skylark/config/rule.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <skylark/core/time.hpp>
 
@@ -15,6 +16,14 @@
 
 inline constexpr std::size_t request_class_count = 3;
 
+/*! @brief One service among several that share a rule's requests. */
+struct weighted_service {
+    std::string m_service;
+    std::uint32_t m_weight{1}; //!< part of the sum of all weights
+
+    bool operator==(const weighted_service&) const = default;
+};
+
 /*! @brief Treatment of the requests that match. */
 struct rule {
     std::string m_name;
@@ -26,6 +35,13 @@
     request_class m_class{request_class::normal};
     bool m_idempotent{false};
     duration m_deadline{seconds{2}};
+    std::string m_host; //!< host name without port; empty: every host
+    //! Services that share the requests; empty: m_service takes all.
+    std::vector<weighted_service> m_split;
+    std::uint32_t m_max_attempts{4}; //!< upstreams a request may be sent to
+    //! Time within which an answer is of full use; 0: the deadline.
+    duration m_target{0};
+    std::uint32_t m_rank{0}; //!< order within a class, 0 first
 
     bool operator==(const rule&) const = default;
 };
--- a/include/skylark/config/service.hpp
+++ b/include/skylark/config/service.hpp
@@ -17,6 +17,13 @@
     //! Slots of each upstream that bulk work never takes.
     std::uint32_t m_urgent_reserve{1};
     std::string m_policy{"preferred_least"}; //!< name of a routing policy
+    //! Path that answers at once with the load report.
+    std::string m_health_path{"/load"};
+    //! Whether entries own shares of cold upstreams and of bulk work. Without
+    //! shares cold upstreams rest, and bulk work has no limit of its own.
+    bool m_shares{true};
+    //! Ask for the load just before each request is sent.
+    bool m_ask{false};
 
     bool operator==(const service&) const = default;
 };
--- a/include/skylark/core/suggest.hpp
+++ b/include/skylark/core/suggest.hpp
@@ -43,8 +43,9 @@
     std::string_view nearest;
     std::size_t best = 3; // more edits are no misspelling
     for (const std::string_view candidate : known) {
-        all += all.empty() ? "" : ", ";
-        all += candidate;
+        if (!all.empty())
+            all.append(", ");
+        all.append(candidate);
         const std::size_t distance = edit_distance(name, candidate);
         if (distance < best) {
             best = distance;
@@ -53,7 +54,9 @@
     }
     if (nearest.empty())
         return "one of: " + all;
-    return "\"" + std::string{nearest} + "\" perhaps; one of: " + all;
+    std::string out{'"'};
+    out.append(nearest).append("\" perhaps; one of: ").append(all);
+    return out;
 }
 
 } // namespace skylark
--- a/include/skylark/discovery/instance.hpp
+++ b/include/skylark/discovery/instance.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <skylark/core/address.hpp>
+#include <skylark/core/time.hpp>
 
 namespace skylark {
 
@@ -22,6 +23,10 @@
     std::string m_service; //!< empty for an entry
     std::string m_zone;
     bool m_leaving{};
+    //! Changes when an instance starts again under its id; 0: not told.
+    std::uint64_t m_incarnation{};
+    //! End of its cold start; the epoch when it is not cold.
+    time_point m_cold_until;
 
     bool operator==(const instance&) const = default;
 };
--- a/include/skylark/limit/ratio_budget.hpp
+++ b/include/skylark/limit/ratio_budget.hpp
@@ -16,6 +16,12 @@
     /*! @param cap extra attempts that may gather */
     explicit ratio_budget(double cap) : m_cap{cap} {}
 
+    /*! @brief Changes the cap; what is above it is lost. */
+    void set_cap(double cap) {
+        m_cap = cap;
+        m_saved = std::min(m_cap, m_saved);
+    }
+
     /*! @brief A request has arrived.
      *  @param percent extra attempts that 100 requests earn */
     void earn(double percent) {
--- a/include/skylark/load/report.hpp
+++ b/include/skylark/load/report.hpp
@@ -1,6 +1,6 @@
 /*! @file
  *  Load report of an upstream, as its answers and its load endpoint carry
- *  it: "inc=7;state=warm;used=3;slots=6;queue=0". */
+ *  it: "inc=7;state=warm;used=3;slots=6;queue=0;slow=100". */
 #ifndef SKYLARK_LOAD_REPORT_HPP
 #define SKYLARK_LOAD_REPORT_HPP
 
@@ -16,6 +16,9 @@
 /*! @brief What an upstream says about itself. */
 enum class upstream_state : std::uint8_t { cold, warm, draining };
 
+//! Slowness of an upstream whose work takes as long as usual.
+inline constexpr std::uint32_t usual_slowness = 100;
+
 /*! @brief One report. */
 struct load_report {
     std::uint64_t m_incarnation{}; //!< changes with each cold start
@@ -23,6 +26,8 @@
     std::uint32_t m_used{};  //!< slots at work
     std::uint32_t m_slots{}; //!< slots in all
     std::uint32_t m_queue{}; //!< requests that wait for a slot
+    //! Time that work takes at present, in percent of the usual time.
+    std::uint32_t m_slowness{usual_slowness};
 
     bool operator==(const load_report&) const = default;
 };
--- a/include/skylark/load/upstream_load.hpp
+++ b/include/skylark/load/upstream_load.hpp
@@ -41,6 +41,12 @@
     /*! @brief The upstream could not be reached or broke off. */
     void failed() { m_failures = m_failures < 8 ? m_failures + 1 : 8; }
 
+    /*! @brief The upstream answered a question: it can be reached. */
+    void answered() { m_failures = 0; }
+
+    /*! @brief Whether it failed and has not answered since. */
+    [[nodiscard]] bool suspect() const { return m_failures > 0; }
+
     /*! @brief Forgets the warm state; work is limited until a report. */
     void forget_warm() { m_known = false; }
 
--- /dev/null
+++ b/include/skylark/route/ask_plan.hpp
@@ -0,0 +1,75 @@
+/*! @file
+ *  Ask plan: whom to ask for its load just before a request is sent, and who
+ *  takes the request.
+ *
+ *  Answers the load of upstreams that slow down and recover within fractions
+ *  of a second: a report that is older than the time between two requests of
+ *  one entry says nothing about them. Pure: reports come in, a step goes
+ *  out. */
+#ifndef SKYLARK_ROUTE_ASK_PLAN_HPP
+#define SKYLARK_ROUTE_ASK_PLAN_HPP
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <variant>
+#include <vector>
+
+#include <skylark/core/id.hpp>
+#include <skylark/core/random.hpp>
+#include <skylark/load/report.hpp>
+
+namespace skylark {
+
+/*! @brief An upstream as the plan sees it. */
+struct ask_candidate {
+    upstream_id m_upstream;
+    bool m_near{};               //!< in this entry's own availability zone
+    bool m_asked{};              //!< was asked for this request already
+    bool m_pending{};            //!< and has not answered yet
+    bool m_suspect{};            //!< failed lately; goes last
+    bool m_idle_connection{};    //!< can be asked without a new connection
+    std::uint32_t m_in_flight{}; //!< this entry's own requests
+    //! A report that is young enough to act on.
+    std::optional<load_report> m_report;
+};
+
+/*! @brief Ask these, then plan again. */
+struct ask_upstreams {
+    std::vector<upstream_id> m_whom;
+};
+
+/*! @brief Send the request to this one. */
+struct send_to_upstream {
+    upstream_id m_upstream;
+};
+
+/*! @brief Wait for answers that are on their way. */
+struct await_answers {};
+
+/*! @brief Nobody can take the request now. */
+struct nobody_free {};
+
+using ask_step =
+    std::variant<ask_upstreams, send_to_upstream, await_answers, nobody_free>;
+
+/*! @brief Expected time of a further request, in parts of the usual time of
+ *  one request on an idle upstream.
+ *  @param of what the upstream said */
+double expected_time(const load_report& of);
+
+/*! @brief Whether an upstream can still queue a request: some never answer
+ *  one that they cannot. */
+bool has_room(const load_report& of);
+
+/*! @brief Plans the next step for one request.
+ *  @param from upstreams that may take it
+ *  @param patient whether answers under way are waited for
+ *  @param random source of chance
+ *  @return the step */
+ask_step plan_ask(std::span<const ask_candidate> from, bool patient,
+                  random_source& random);
+
+} // namespace skylark
+
+#endif
--- a/include/skylark/rule/classify.hpp
+++ b/include/skylark/rule/classify.hpp
@@ -17,10 +17,12 @@
  *  @param rules the document's rules, first match wins
  *  @param method the request's method
  *  @param path the request's path, with or without query
+ *  @param host the host that the request names
  *  @param header gives the request's headers
  *  @return the rule, or nullptr when no service answers this request */
 const rule* classify(const std::vector<rule>& rules, std::string_view method,
-                     std::string_view path, const header_lookup& header);
+                     std::string_view path, std::string_view host,
+                     const header_lookup& header);
 
 } // namespace skylark
 
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -60,9 +60,15 @@
 
 static parsed<void> check_rule(const document& subject, const rule& checked,
                                const std::string& place) {
-    if (!subject.find_service(checked.m_service))
+    if (checked.m_split.empty() && !subject.find_service(checked.m_service))
         return contradiction(place + "/service", checked.m_service,
                              "the name of a declared service");
+    for (const weighted_service& part : checked.m_split)
+        if (!subject.find_service(part.m_service))
+            return contradiction(place + "/split", part.m_service,
+                                 "the name of a declared service");
+    if (checked.m_max_attempts == 0)
+        return contradiction(place + "/max_attempts", "0", "at least 1");
     if (checked.m_path_prefix.empty() || checked.m_path_prefix[0] != '/')
         return contradiction(place + "/path_prefix", checked.m_path_prefix,
                              "a path that begins with /");
--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -41,6 +41,18 @@
     reader.read("cold_slots", out.m_cold_slots);
     reader.read("urgent_reserve", out.m_urgent_reserve);
     reader.read("policy", out.m_policy);
+    reader.read("health_path", out.m_health_path);
+    reader.read("shares", out.m_shares);
+    reader.read("ask", out.m_ask);
+    return finish(reader, std::move(out));
+}
+
+static parsed<weighted_service> read_part(const json& from,
+                                          const std::string& place) {
+    json_reader reader{from, place};
+    weighted_service out;
+    reader.read("service", out.m_service);
+    reader.read("weight", out.m_weight);
     return finish(reader, std::move(out));
 }
 
@@ -56,6 +68,11 @@
     reader.read_enum<request_class>("class", out.m_class, classes);
     reader.read("idempotent", out.m_idempotent);
     reader.read_ms("deadline_ms", out.m_deadline);
+    reader.read("host", out.m_host);
+    reader.read_list("split", out.m_split, read_part);
+    reader.read("max_attempts", out.m_max_attempts);
+    reader.read_ms("target_ms", out.m_target);
+    reader.read("rank", out.m_rank);
     return finish(reader, std::move(out));
 }
 
@@ -65,10 +82,14 @@
     reader.read("probes_per_upstream", out.m_probes_per_upstream);
     reader.read("probes_fleet", out.m_probes_fleet);
     reader.read("retry_percent", out.m_retry_percent);
+    reader.read("retry_burst", out.m_retry_burst);
     reader.read("hedge_percent", out.m_hedge_percent);
     reader.read_ms("hedge_after_ms", out.m_hedge_after);
     reader.read("connections_per_upstream", out.m_connections_per_upstream);
     reader.read("queue_length", out.m_queue_length);
+    reader.read("head_bytes", out.m_head_bytes);
+    reader.read("body_bytes", out.m_body_bytes);
+    reader.read_ms("idle_ms", out.m_idle);
     return finish(reader, out);
 }
 
@@ -105,7 +126,24 @@
             {"slots", from.m_slots},
             {"cold_slots", from.m_cold_slots},
             {"urgent_reserve", from.m_urgent_reserve},
-            {"policy", from.m_policy}};
+            {"policy", from.m_policy},
+            {"health_path", from.m_health_path},
+            {"shares", from.m_shares},
+            {"ask", from.m_ask}};
+}
+
+static json write(const weighted_service& from) {
+    return {{"service", from.m_service}, {"weight", from.m_weight}};
+}
+
+static json write(const rule& from);
+
+template <class Items>
+static json write_list(const Items& items) {
+    json out = json::array();
+    for (const auto& item : items)
+        out.push_back(write(item));
+    return out;
 }
 
 static json write(const rule& from) {
@@ -117,25 +155,26 @@
             {"header_value", from.m_header_value},
             {"class", name_of(from.m_class)},
             {"idempotent", from.m_idempotent},
-            {"deadline_ms", to_ms(from.m_deadline)}};
+            {"deadline_ms", to_ms(from.m_deadline)},
+            {"host", from.m_host},
+            {"split", write_list(from.m_split)},
+            {"max_attempts", from.m_max_attempts},
+            {"target_ms", to_ms(from.m_target)},
+            {"rank", from.m_rank}};
 }
 
 static json write(const limits& from) {
     return {{"probes_per_upstream", from.m_probes_per_upstream},
             {"probes_fleet", from.m_probes_fleet},
             {"retry_percent", from.m_retry_percent},
+            {"retry_burst", from.m_retry_burst},
             {"hedge_percent", from.m_hedge_percent},
             {"hedge_after_ms", to_ms(from.m_hedge_after)},
             {"connections_per_upstream", from.m_connections_per_upstream},
-            {"queue_length", from.m_queue_length}};
-}
-
-template <class Items>
-static json write_list(const Items& items) {
-    json out = json::array();
-    for (const auto& item : items)
-        out.push_back(write(item));
-    return out;
+            {"queue_length", from.m_queue_length},
+            {"head_bytes", from.m_head_bytes},
+            {"body_bytes", from.m_body_bytes},
+            {"idle_ms", to_ms(from.m_idle)}};
 }
 
 } // namespace internal
--- a/src/config/json_reader.hpp
+++ b/src/config/json_reader.hpp
@@ -43,13 +43,13 @@
     }
 
     void read(std::string_view key, std::uint32_t& out) {
-        constexpr std::uint32_t largest = 1'000'000;
+        constexpr std::uint32_t largest = 1'000'000'000;
         if (const auto* value = take(key)) {
             if (value->is_number_unsigned() &&
                 value->get<std::uint64_t>() <= largest)
                 out = value->get<std::uint32_t>();
             else
-                fail(key, *value, "a whole number from 0 to 1000000");
+                fail(key, *value, "a whole number from 0 to 1000000000");
         }
     }
 
--- a/src/entry/changer.cpp
+++ b/src/entry/changer.cpp
@@ -32,18 +32,18 @@
 
 void changer::read(const change_ptr& of) {
     m_configurator.store().read(
-        0, duration{0}, [this, of](const platform::read_result& result) {
-            std::visit(overload{[&](const platform::stored_value& value) {
+        0, duration{0}, [this, of](const store::read_result& result) {
+            std::visit(overload{[&](const store::stored_value& value) {
                                     try_on(of, value);
                                 },
-                                [&](const platform::store_failure& failure) {
+                                [&](const store::store_failure& failure) {
                                     failed(of, failure.m_cause);
                                 }},
                        result);
         });
 }
 
-void changer::try_on(const change_ptr& of, const platform::stored_value& base) {
+void changer::try_on(const change_ptr& of, const store::stored_value& base) {
     // A store that went back in time must not make operators go back.
     if (base.m_revision < m_shared.m_config.revision()) {
         failed(of, "the store returned old revision " +
@@ -86,23 +86,22 @@
             base.m_revision});
         return;
     }
-    m_configurator.store().write(
-        base.m_revision, std::move(text),
-        [this, of](const platform::write_result& result) {
-            written_result(of, result);
-        });
+    m_configurator.store().write(base.m_revision, std::move(text),
+                                 [this, of](const store::write_result& result) {
+                                     written_result(of, result);
+                                 });
 }
 
 // In each case the document is read back: it tells whether the change is in
 // it, also when the answer of the write was lost.
 void changer::written_result(const change_ptr& of,
-                             const platform::write_result& result) {
-    if (const auto* failure = std::get_if<platform::store_failure>(&result)) {
+                             const store::write_result& result) {
+    if (const auto* failure = std::get_if<store::store_failure>(&result)) {
         of->m_may_be_written |= failure->m_may_have_run;
         failed(of, failure->m_cause);
         return;
     }
-    if (std::holds_alternative<platform::written>(result)) {
+    if (std::holds_alternative<store::written>(result)) {
         of->m_may_be_written = true;
         read(of);
         return;
--- a/src/entry/changer.hpp
+++ b/src/entry/changer.hpp
@@ -10,7 +10,7 @@
 
 #include "entry/configurator.hpp"
 #include "entry/context.hpp"
-#include "platform/store.hpp"
+#include "store/client.hpp"
 
 namespace skylark::entry {
 
@@ -69,9 +69,9 @@
     using change_ptr = std::shared_ptr<change>;
 
     void read(const change_ptr& of);
-    void try_on(const change_ptr& of, const platform::stored_value& base);
+    void try_on(const change_ptr& of, const store::stored_value& base);
     void written_result(const change_ptr& of,
-                        const platform::write_result& result);
+                        const store::write_result& result);
     void failed(const change_ptr& of, const std::string& cause);
     void again(const change_ptr& of);
     [[nodiscard]] static bool give_up(const change_ptr& of);
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -12,18 +12,16 @@
 namespace skylark::entry {
 
 namespace {
-constexpr auto watch_wait = seconds{1};
 constexpr auto retry_wait = milliseconds{500};
 constexpr auto turn_check = milliseconds{500};
 constexpr auto list_patience = seconds{30};
 constexpr std::size_t watchers_per_zone = 2;
+constexpr int silent_heartbeats = 4;
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 } // namespace
 
 configurator::configurator(context& shared, std::function<void()> changed)
-    : m_shared{shared}, m_changed{std::move(changed)},
-      m_store{shared.m_loop, shared.m_settings.m_platform,
-              platform::consul_protocol{}},
+    : m_shared{shared}, m_changed{std::move(changed)}, m_store{open_store()},
       m_peers{shared.m_loop, answer_limit}, m_guard{list_patience} {}
 
 void configurator::start() {
@@ -31,7 +29,21 @@
     watch_instances();
 }
 
-// A waiting watch counts as a call, so few entries of a zone watch.
+store::client configurator::open_store() {
+    const settings& from = m_shared.m_settings;
+    if (from.m_deployment == deployment::native)
+        return store::client{std::in_place_type<store::polling_client>,
+                             m_shared.m_loop, from.m_platform};
+    return store::client{
+        std::in_place_type<store::mirror_client>, m_shared.m_loop,
+        from.m_platform, from.m_zones, [this](const input_error& why) {
+            m_shared.m_journal.note(event_kind::configuration, "store record",
+                                    "cannot be used: " + why.text());
+        }};
+}
+
+// A waiting watch counts as a call, so few entries of a zone watch. One that
+// has been silent for some heartbeats does not count, so that others stand in.
 bool configurator::is_watcher() const {
     if (!m_shared.m_config.ready() || m_shared.m_instances.m_index == 0)
         return true;
@@ -39,11 +51,15 @@
         return rendezvous(hash("store watcher"), of.value());
     };
     const std::uint64_t zone = hash(m_shared.m_settings.m_zone);
+    const time_point now = io::event_loop::now();
+    const duration silent =
+        silent_heartbeats * m_shared.m_settings.m_timing.m_period;
     const std::uint64_t own = score(m_shared.m_fleet.self());
     std::size_t before = 0;
     for (const auto& [id, peer] : m_shared.m_fleet.members().peers())
         if (peer.m_record.m_contact.m_zone == zone &&
-            peer.m_state != member_state::leaving && score(id) > own)
+            peer.m_state != member_state::leaving &&
+            now - peer.m_heard <= silent && score(id) > own)
             ++before;
     return before < watchers_per_zone;
 }
@@ -55,35 +71,35 @@
     }
     m_shared.m_metrics.count(counter::store_reads);
     const time_point asked = io::event_loop::now();
-    m_store.read(m_shared.m_config.revision(), watch_wait,
-                 [this, asked](const platform::read_result& result) {
+    m_store.read(m_shared.m_config.revision(), m_store.longest_read(),
+                 [this, asked](const store::read_result& result) {
                      take_document(result, asked);
                  });
 }
 
-void configurator::take_document(const platform::read_result& result,
+void configurator::take_document(const store::read_result& result,
                                  time_point asked) {
     duration wait{0};
-    std::visit(overload{[&](const platform::stored_value& value) {
-                            const bool usable = value.m_revision >=
-                                                m_shared.m_config.revision();
-                            const bool absent = value.m_revision == 0;
-                            if (!absent)
-                                offer(value.m_revision, value.m_text, "store");
-                            // The answer is as old as the question, at the
-                            // most.
-                            m_shared.m_config.confirmed(value.m_revision,
-                                                        asked);
-                            if (!usable || absent ||
-                                value.m_revision ==
-                                    m_shared.m_config.refused_revision())
-                                wait = retry_wait;
-                        },
-                        [&](const platform::store_failure&) {
-                            m_shared.m_metrics.count(counter::store_failures);
-                            wait = retry_wait;
-                        }},
-               result);
+    std::visit(
+        overload{[&](const store::stored_value& value) {
+                     const bool usable =
+                         value.m_revision >= m_shared.m_config.revision();
+                     const bool absent = value.m_revision == 0;
+                     if (!absent)
+                         offer(value.m_revision, value.m_text, "store");
+                     // The answer is as old as the question, at the
+                     // most.
+                     m_shared.m_config.confirmed(value.m_revision, asked);
+                     if (!usable || (absent && !m_store.exact_instances()) ||
+                         value.m_revision ==
+                             m_shared.m_config.refused_revision())
+                         wait = retry_wait;
+                 },
+                 [&](const store::store_failure&) {
+                     m_shared.m_metrics.count(counter::store_failures);
+                     wait = retry_wait;
+                 }},
+        result);
     m_shared.m_loop.after(wait, [this] { watch_document(); });
 }
 
@@ -129,17 +145,16 @@
         return;
     }
     m_shared.m_metrics.count(counter::store_reads);
-    m_store.instances(m_shared.m_instances.m_index, watch_wait,
-                      [this](const platform::list_result& result) {
-                          take_instances(result);
-                      });
+    m_store.instances(
+        m_shared.m_instances.m_index, m_store.longest_read(),
+        [this](const store::list_result& result) { take_instances(result); });
 }
 
-void configurator::take_instances(const platform::list_result& result) {
+void configurator::take_instances(const store::list_result& result) {
     duration wait{0};
     if (const auto* list = std::get_if<instance_list>(&result)) {
         offer_instances(*list);
-        if (list->m_index != m_shared.m_instances.m_index)
+        if (list->m_index < m_shared.m_instances.m_index || m_guard.doubts())
             wait = retry_wait; // an old list, or one that is held back
     } else {
         m_shared.m_metrics.count(counter::store_failures);
@@ -152,7 +167,8 @@
     if (list.m_index <= m_shared.m_instances.m_index)
         return;
     const bool doubted = m_guard.doubts();
-    if (!m_guard.accepts(m_shared.m_instances, list, io::event_loop::now())) {
+    if (!m_store.exact_instances() &&
+        !m_guard.accepts(m_shared.m_instances, list, io::event_loop::now())) {
         if (!doubted)
             m_shared.m_journal.note(
                 event_kind::configuration,
@@ -219,8 +235,8 @@
         const auto* answer = std::get_if<io::fetch_answer>(&result);
         if (!answer || revision_of(*answer) == 0)
             return;
-        const auto list =
-            platform::parse_instances(answer->m_body, revision_of(*answer));
+        const auto list = store::parse_instances(
+            answer->m_body, revision_of(*answer), io::event_loop::now());
         if (list)
             offer_instances(list.value());
     });
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -10,7 +10,7 @@
 
 #include "entry/context.hpp"
 #include "io/fetcher.hpp"
-#include "platform/store.hpp"
+#include "store/client.hpp"
 
 namespace skylark::entry {
 
@@ -32,14 +32,15 @@
     void offer(std::uint64_t revision, const std::string& text,
                std::string_view source);
 
-    platform::store& store() { return m_store; }
+    store::client& store() { return m_store; }
 
 private:
+    store::client open_store();
     [[nodiscard]] bool is_watcher() const;
     void watch_document();
     void watch_instances();
-    void take_document(const platform::read_result& result, time_point asked);
-    void take_instances(const platform::list_result& result);
+    void take_document(const store::read_result& result, time_point asked);
+    void take_instances(const store::list_result& result);
     void offer_instances(const instance_list& list);
     void fetch_document(const member& from);
     void fetch_instances(const member& from);
@@ -47,7 +48,7 @@
 
     context& m_shared;
     std::function<void()> m_changed;
-    platform::store m_store;
+    store::client m_store;
     io::fetcher m_peers;
     list_guard m_guard;
     bool m_fetching_document{};
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -9,6 +9,7 @@
 #include <skylark/command/parse.hpp>
 
 #include "core/overload.hpp"
+#include "entry/lookup.hpp"
 #include "io/http_status.hpp"
 
 namespace skylark::entry {
@@ -67,16 +68,11 @@
 }
 
 void control::answer_ready(exchange_id key) {
-    if (!m_shared.m_config.ready())
-        text(key, io::status::unavailable, "no configuration yet\n");
-    else if (m_shared.m_draining)
-        text(key, io::status::unavailable, "draining\n");
-    else if (m_shared.m_isolated)
-        text(key, io::status::unavailable, "neither store nor majority\n");
-    else if (m_shared.m_fleet.members().state() != member_state::active)
-        text(key, io::status::unavailable, "joining\n");
-    else
+    const std::string_view why = unready_reason(m_shared);
+    if (why.empty())
         text(key, io::status::ok, "ready\n");
+    else
+        text(key, io::status::unavailable, std::string{why} + "\n");
 }
 
 void control::answer_config(exchange_id key) {
@@ -85,7 +81,7 @@
 
 void control::answer_instances(exchange_id key) {
     json(key, m_shared.m_instances.m_index,
-         platform::format_instances(m_shared.m_instances));
+         store::format_instances(m_shared.m_instances, io::event_loop::now()));
 }
 
 void control::answer_query(exchange_id key, const io::request_view& request) {
--- a/src/entry/entry_list.cpp
+++ b/src/entry/entry_list.cpp
@@ -1,4 +1,4 @@
-// GET /entries: which addresses callers may use.
+// Lookups: which addresses callers may use.
 #include "entry/entry_list.hpp"
 #include "io/http_status.hpp"
 
@@ -6,8 +6,6 @@
 #include <array>
 #include <tuple>
 
-#include <nlohmann/json.hpp>
-
 #include <skylark/core/hash.hpp>
 
 namespace skylark::entry {
@@ -42,7 +40,9 @@
          const member_record& of, std::uint32_t requests) {
     const document& config = shared.m_config.current();
     const member_contact& reach = of.m_contact;
-    if (zone_drained(config, reach.m_zone))
+    // On the platform operators drain the upstreams of a zone, not entries.
+    if (shared.m_settings.m_deployment == deployment::native &&
+        zone_drained(config, reach.m_zone))
         return;
     const std::uint64_t order =
         rendezvous(shared.m_fleet.self().value(), of.m_name.m_id.value());
@@ -50,19 +50,26 @@
         {reach.m_callers, zone_name(config, reach.m_zone), requests, order});
 }
 
+// Without shares there is nothing that an entry would have to wait for.
+bool usable(const context& shared, member_state state) {
+    if (shared.m_settings.m_deployment == deployment::native)
+        return state == member_state::active;
+    return state != member_state::leaving;
+}
+
 std::vector<listed_entry> collect(const context& shared) {
     std::vector<listed_entry> out;
     const member_table& members = shared.m_fleet.members();
     const bool self_usable =
         !shared.m_draining && !shared.m_isolated && shared.m_config.ready();
-    if (self_usable && members.state() == member_state::active)
+    if (self_usable && usable(shared, members.state()))
         add(out, shared, members.self(), members.requests());
     const time_point now = io::event_loop::now();
     const duration silence_limit =
         missed_heartbeats * shared.m_settings.m_timing.m_period;
     for (const auto& [id, peer] : members.peers())
-        if (peer.m_state == member_state::active &&
-            peer.m_config.m_revision > 0 && now - peer.m_heard <= silence_limit)
+        if (usable(shared, peer.m_state) && peer.m_config.m_revision > 0 &&
+            now - peer.m_heard <= silence_limit)
             add(out, shared, peer.m_record, peer.m_requests);
     return out;
 }
@@ -80,13 +87,8 @@
 
 } // namespace
 
-void answer_entries(context& shared, io::http_server& server, exchange_id key,
-                    std::string_view target) {
-    constexpr std::string_view zone_query = "zone=";
-    const auto at = target.find(zone_query);
-    const std::string_view near = at == std::string_view::npos
-                                      ? std::string_view{}
-                                      : target.substr(at + zone_query.size());
+std::vector<caller_address> list_entries(const context& shared,
+                                         std::string_view near) {
     auto list = collect(shared);
     fill_if_empty(list, shared);
     const auto rank = [&](const listed_entry& of) {
@@ -97,13 +99,27 @@
               [&](const auto& left, const auto& right) {
                   return rank(left) < rank(right);
               });
-    nlohmann::json out{{"ttl_ms", to_ms(shared.m_settings.m_entries_ttl)},
-                       {"entries", nlohmann::json::array()}};
+    std::vector<caller_address> out;
     for (const listed_entry& item : list)
-        out["entries"].push_back(
-            {{"address", item.m_address.text()}, {"zone", item.m_zone}});
-    const std::array headers{io::header{"Content-Type", "application/json"}};
-    server.answer(key, io::status::ok, headers, out.dump() + "\n");
+        out.push_back({item.m_address, item.m_zone});
+    return out;
+}
+
+bool answer_lookup(const context& shared, io::http_server& server,
+                   exchange_id key, std::string_view path) {
+    return std::visit(
+        [&](const auto& kind) {
+            const auto zone = kind.lookup_zone(path);
+            if (!zone)
+                return false;
+            const std::array headers{
+                io::header{"Content-Type", "application/json"}};
+            server.answer(key, io::status::ok, headers,
+                          kind.lookup_answer(list_entries(shared, *zone),
+                                             shared.m_settings.m_entries_ttl));
+            return true;
+        },
+        shared.m_dialect);
 }
 
 } // namespace skylark::entry
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -7,8 +7,10 @@
 
 #include <skylark/core/id_map.hpp>
 #include <skylark/limit/ratio_budget.hpp>
+#include <skylark/rule/split.hpp>
 
 #include "entry/admission_queue.hpp"
+#include "entry/asker.hpp"
 #include "entry/connection_pool.hpp"
 #include "entry/context.hpp"
 #include "entry/request.hpp"
@@ -59,13 +61,22 @@
 private:
     // Admission.
     void refuse_at_once(exchange_id key, int status, std::string_view reason,
-                        request_class of,
+                        request_class of, duration come_back,
                         std::optional<address> elsewhere = std::nullopt);
-    void admit(exchange_id key, const io::request_view& from,
-               const rule& under);
+    const std::string& service_of(const rule& under);
+    void admit(exchange_id key, const io::request_view& from, const rule& under,
+               const std::string& service);
+    ratio_budget& retry_budget(const std::string& service);
+    [[nodiscard]] duration come_back(const std::string& service);
     void pump_service(const std::string& name);
     bool start_next(const std::string& name, request_class of);
 
+    // Asking.
+    void begin_asking(request_id key);
+    void plan(request_id key, bool patient);
+    void ask(request_id key, request& of, const std::vector<upstream_id>& whom);
+    void heard(request_id key, upstream_id from);
+
     // Attempts.
     void start(request_id key, request& of, const route_choice& choice,
                bool is_hedge);
@@ -78,7 +89,7 @@
     void release(const attempt& of, bool work_may_go_on);
     void release_share(upstream_id key, share_kind kind);
     void hedge(request_id key);
-    bool may_retry(const verdict& how);
+    bool may_retry(const request& of, const verdict& how);
 
     // Answers.
     void apply(request_id key, const actions& list);
@@ -94,12 +105,14 @@
     io::http_server& m_callers;
     io::http_client m_client;
     connection_pool m_pool;
+    asker m_asker;
     router m_router;
     id_map<request_id, request> m_requests;
     std::map<exchange_id, request_id> m_by_exchange;
     std::map<std::string, admission_queue> m_queues; // by service
     std::uint64_t m_last_attempt{};
-    ratio_budget m_retry_budget;
+    std::map<std::string, ratio_budget> m_retry_budgets; // by service
+    std::map<std::string, split_cursor> m_splits;        // by rule
     ratio_budget m_hedge_budget;
     std::map<std::string, double> m_hedge_percent; // by service
 };
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -10,7 +10,8 @@
 namespace {
 constexpr auto sweep_period = milliseconds{50};
 constexpr auto old_connections_period = seconds{1};
-constexpr double retry_cap = 20.0; // attempts saved up
+// When it is not known how soon a further try makes sense.
+constexpr auto usual_come_back = milliseconds{300};
 constexpr double hedge_cap = 10.0; // attempts saved up
 // Bytes an upstream's answer may wait in the kernel, for each connection.
 constexpr int receive_buffer = 128 << 10;
@@ -21,8 +22,8 @@
     : m_shared{shared}, m_callers{callers}, m_client{shared.m_loop,
                                                      {seconds{2},
                                                       receive_buffer}},
-      m_pool{shared, m_client}, m_router{shared, seed},
-      m_retry_budget{retry_cap}, m_hedge_budget{hedge_cap} {
+      m_pool{shared, m_client}, m_asker{shared, m_client, m_pool},
+      m_router{shared, seed}, m_hedge_budget{hedge_cap} {
     m_shared.m_loop.every(sweep_period, [this] { sweep(); });
     m_shared.m_loop.every(old_connections_period,
                           [this] { m_pool.close_old(); });
@@ -31,85 +32,122 @@
 void forwarder::accept(exchange_id key, const io::request_view& from) {
     if (!m_shared.m_config.ready()) {
         refuse_at_once(key, io::status::unavailable, "no configuration yet",
-                       request_class::normal);
+                       request_class::normal, usual_come_back);
         return;
     }
     const document& config = m_shared.m_config.current();
-    const rule* under = classify(
-        config.m_rules, from.m_method, from.m_path, [&](std::string_view name) {
-            return io::find_header(from.m_headers, name);
-        });
-    if (!under)
+    const rule* under =
+        classify(config.m_rules, from.m_method, from.m_path, from.m_host,
+                 [&](std::string_view name) {
+                     return io::find_header(from.m_headers, name);
+                 });
+    if (!under) {
         refuse_at_once(key, io::status::not_found,
                        "no rule matches " + std::string{from.m_method} + ' ' +
                            std::string{from.m_path},
-                       request_class::normal);
-    else if (m_shared.m_isolated)
+                       request_class::normal, usual_come_back);
+        return;
+    }
+    const std::string& service = service_of(*under);
+    if (m_shared.m_isolated)
         refuse_at_once(key, io::status::unavailable,
                        "this entry reaches neither store nor majority",
-                       under->m_class);
-    else if (!m_router.serves(under->m_service))
+                       under->m_class, usual_come_back);
+    else if (!m_router.serves(service))
         refuse_at_once(key, io::status::unavailable,
-                       "service " + under->m_service + " has no upstream",
-                       under->m_class);
+                       "service " + service + " has no upstream",
+                       under->m_class, come_back(service));
     else
-        admit(key, from, *under);
+        admit(key, from, *under, service);
+}
+
+const std::string& forwarder::service_of(const rule& under) {
+    if (under.m_split.empty())
+        return under.m_service;
+    return under.m_split[m_splits[under.m_name].next(under.m_split)].m_service;
+}
+
+// A service whose upstreams are all cold serves again when the first is warm.
+duration forwarder::come_back(const std::string& service) {
+    const auto warm = m_router.first_warm(service, io::event_loop::now());
+    return std::max<duration>(usual_come_back, warm.value_or(duration{0}));
+}
+
+ratio_budget& forwarder::retry_budget(const std::string& service) {
+    const auto members =
+        static_cast<double>(m_shared.m_fleet.members().peers().size() + 1);
+    const double burst = m_shared.m_config.current().m_limits.m_retry_burst;
+    const double cap = std::max(1.0, burst / members);
+    ratio_budget& out = m_retry_budgets.try_emplace(service, cap).first->second;
+    out.set_cap(cap);
+    return out;
 }
 
 void forwarder::refuse_at_once(exchange_id key, int status,
                                std::string_view reason, request_class of,
+                               duration come_back,
                                std::optional<address> elsewhere) {
-    std::vector<io::header> headers{{std::string{verdict_header}, "not-run"},
-                                    {"Retry-After", "1"},
-                                    {"Content-Type", "text/plain"}};
-    if (elsewhere)
-        headers.push_back({std::string{other_entry_header}, elsewhere->text()});
+    const auto headers = std::visit(
+        [&](const auto& kind) {
+            return kind.refusal(not_run{not_run_proof::not_admitted}, come_back,
+                                elsewhere);
+        },
+        m_shared.m_dialect);
     m_shared.m_metrics.finished(of, outcome::not_run, duration{0});
     m_callers.answer(key, status, headers, std::string{reason} + "\n");
 }
 
 void forwarder::admit(exchange_id key, const io::request_view& from,
-                      const rule& under) {
-    if (!m_router.may_serve(under.m_service, under.m_class)) {
+                      const rule& under, const std::string& service) {
+    if (!m_router.may_serve(service, under.m_class)) {
         refuse_at_once(key, io::status::unavailable,
-                       "this entry owns no slot of service " + under.m_service,
-                       under.m_class,
-                       m_router.other_owner(under.m_service, under.m_class));
+                       "this entry owns no slot of service " + service,
+                       under.m_class, usual_come_back,
+                       m_router.other_owner(service, under.m_class));
         return;
     }
     const limits& bounds = m_shared.m_config.current().m_limits;
-    auto& line = m_queues[under.m_service];
+    auto& line = m_queues[service];
     if (line.queue(under.m_class).size() >= bounds.m_queue_length) {
         refuse_at_once(key, io::status::unavailable, "queue is full",
-                       under.m_class);
+                       under.m_class, come_back(service));
         return;
     }
     const time_point now = io::event_loop::now();
     // After a pause the request may have waited in the kernel all along.
     const duration wait =
-        std::min(under.m_deadline,
-                 wanted_deadline(from).value_or(under.m_deadline)) -
+        std::min(under.m_deadline, std::visit(
+                                       [&](const auto& kind) {
+                                           return kind.caller_deadline(from);
+                                       },
+                                       m_shared.m_dialect)
+                                       .value_or(under.m_deadline)) -
         m_shared.m_loop.notice_pause();
     const request_id made = m_requests.emplace(request{
-        key, under.m_service, under.m_name, under.m_class,
-        attempt_machine{{under.m_idempotent, now + wait}}, now,
-        forward_head(from), std::string{from.m_body}, from.m_method == "HEAD"});
+        key, service, under.m_name, under.m_class,
+        attempt_machine{{under.m_idempotent, now + wait, under.m_max_attempts}},
+        now, forward_head(from, m_shared.m_dialect), std::string{from.m_body},
+        from.m_method == "HEAD"});
     request& of = *m_requests.find(made);
+    of.m_rank = under.m_rank;
+    of.m_name = std::visit(
+        [&](const auto& kind) { return std::string{kind.request_name(from)}; },
+        m_shared.m_dialect);
     m_by_exchange[key] = made;
     of.m_deadline_timer = m_shared.m_loop.after(wait, [this, made] {
         if (request* found = m_requests.find(made))
             apply(made, found->m_machine.expired());
     });
+    retry_budget(service).earn(bounds.m_retry_percent);
     if (under.m_idempotent) {
-        m_retry_budget.earn(bounds.m_retry_percent);
-        m_hedge_budget.earn(m_hedge_percent[under.m_service]);
-        if (under.m_class != request_class::bulk)
+        m_hedge_budget.earn(m_hedge_percent[service]);
+        if (under.m_class != request_class::bulk && bounds.m_hedge_percent > 0)
             of.m_hedge_timer = m_shared.m_loop.after(
                 bounds.m_hedge_after, [this, made] { hedge(made); });
     }
     of.m_queued = true;
     line.push(under.m_class, made);
-    pump_service(under.m_service);
+    pump_service(service);
 }
 
 std::size_t forwarder::queued() const {
@@ -146,6 +184,13 @@
         apply(key, waiting.m_machine.expired());
         return true;
     }
+    const service* config = m_shared.m_config.current().find_service(name);
+    if (config && config->m_ask) {
+        line.pop_front();
+        waiting.m_queued = false;
+        begin_asking(key);
+        return true;
+    }
     auto choice = m_router.choose(waiting, now);
     if (!choice && !waiting.m_tried.empty()) {
         waiting.m_tried.clear();
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -61,11 +61,12 @@
     m_shared.m_journal.note(event_kind::request, of.m_rule,
                             std::string{verdict_text(why.m_verdict)} + ": " +
                                 reason);
-    std::vector<io::header> headers{
-        {std::string{verdict_header}, std::string{verdict_text(why.m_verdict)}},
-        {"Content-Type", "text/plain"}};
-    if (!ran)
-        headers.push_back({"Retry-After", "1"});
+    const auto headers = std::visit(
+        [&](const auto& kind) {
+            return kind.refusal(why.m_verdict, come_back(of.m_service),
+                                std::nullopt);
+        },
+        m_shared.m_dialect);
     m_callers.answer(of.m_exchange, status, headers, reason + "\n");
 }
 
@@ -145,6 +146,7 @@
     apply(key, of.m_machine.abandoned());
     m_shared.m_loop.cancel(of.m_deadline_timer);
     m_shared.m_loop.cancel(of.m_hedge_timer);
+    m_shared.m_loop.cancel(of.m_ask_timer);
     if (of.m_queued)
         m_queues[of.m_service].remove(of.m_class, key);
     while (!of.m_attempts.empty())
--- /dev/null
+++ b/src/entry/forwarder_asking.cpp
@@ -0,0 +1,80 @@
+// Asking: loads just before a request is sent, and who takes the request.
+#include <algorithm>
+
+#include "core/overload.hpp"
+#include "entry/forwarder.hpp"
+
+namespace skylark::entry {
+
+namespace {
+// After this the answers that are in decide: about four round trips between
+// zones, with a connection's set-up.
+constexpr auto ask_patience = milliseconds{8};
+} // namespace
+
+void forwarder::begin_asking(request_id key) {
+    request& of = *m_requests.find(key);
+    of.m_asked.clear();
+    of.m_unanswered.clear();
+    plan(key, true);
+}
+
+void forwarder::plan(request_id key, bool patient) {
+    request& of = *m_requests.find(key);
+    const time_point now = io::event_loop::now();
+    if (!of.m_machine.may_start(now)) {
+        apply(key, of.m_machine.expired());
+        return;
+    }
+    const auto candidates = m_router.ask_candidates(of, now);
+    const ask_step step = plan_ask(candidates, patient, m_router.random());
+    std::visit(
+        overload{[&](const ask_upstreams& next) { ask(key, of, next.m_whom); },
+                 [&](const send_to_upstream& chosen) {
+                     m_shared.m_loop.cancel(of.m_ask_timer);
+                     of.m_ask_timer = {};
+                     start(key, of, {chosen.m_upstream, {}}, false);
+                 },
+                 [](const await_answers&) {},
+                 [&](const nobody_free&) {
+                     m_shared.m_loop.cancel(of.m_ask_timer);
+                     of.m_ask_timer = {};
+                     apply(key, of.m_machine.rejected());
+                 }},
+        step);
+}
+
+void forwarder::ask(request_id key, request& of,
+                    const std::vector<upstream_id>& whom) {
+    const service* config =
+        m_shared.m_config.current().find_service(of.m_service);
+    m_shared.m_loop.cancel(of.m_ask_timer);
+    of.m_ask_timer = m_shared.m_loop.after(ask_patience, [this, key] {
+        if (request* found = m_requests.find(key)) {
+            found->m_ask_timer = {};
+            if (found->m_attempts.empty() && !found->m_queued)
+                plan(key, false);
+        }
+    });
+    for (const upstream_id target : whom) {
+        of.m_asked.push_back(target);
+        of.m_unanswered.push_back(target);
+        m_asker.ask(*m_shared.m_upstreams.find(target), config->m_health_path,
+                    [this, key, target] { heard(key, target); });
+    }
+}
+
+void forwarder::heard(request_id key, upstream_id from) {
+    request* of = m_requests.find(key);
+    if (!of || std::erase(of->m_unanswered, from) == 0)
+        return;
+    // An answer that comes after the request was sent, or went back into the
+    // queue, has been taken in for the next one.
+    const bool planning = of->m_attempts.empty() && !of->m_queued &&
+                          !of->m_machine.done() &&
+                          !of->m_machine.answer_has_begun();
+    if (planning)
+        plan(key, bool{of->m_ask_timer});
+}
+
+} // namespace skylark::entry
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -55,7 +55,9 @@
     const member_timing& timing = m_shared.m_settings.m_timing;
     if (made.m_share == share_kind::cold)
         left = std::min(left, timing.m_hold_down - timing.m_self_stop);
-    std::string bytes = complete_request(of.m_head, of.m_body, left);
+    const upstream& target = *m_shared.m_upstreams.find(made.m_upstream);
+    std::string bytes = complete_request(of.m_head, of.m_body, left,
+                                         target.m_instance, m_shared.m_dialect);
     // The clock is read again: nothing may come between check and write.
     const time_point now = io::event_loop::now();
     if (!of.m_machine.sending(which, now)) {
@@ -114,16 +116,20 @@
     const attempt made = of.m_attempts.at(which);
     upstream& target = *m_shared.m_upstreams.find(made.m_upstream);
     const time_point now = io::event_loop::now();
-    const auto report =
-        parse_report(io::find_header(head.m_headers, load_header));
-    if (report) {
-        target.m_load.compare(report.value());
-        take_report(target, report.value(), now);
+    const answer_signs signs = std::visit(
+        [&](const auto& kind) { return kind.read_answer(head, of.m_name); },
+        m_shared.m_dialect);
+    if (signs.m_foreign) {
+        end_attempt(key, which, may_have_run{attempt_step::request_sent},
+                    false);
+        return;
+    }
+    if (signs.m_report) {
+        target.m_load.compare(*signs.m_report);
+        take_report(target, *signs.m_report, now);
     }
-    const bool refused =
-        head.m_status == io::status::unavailable &&
-        !io::find_header(head.m_headers, refusal_header).empty();
-    if (refused) {
+    target.m_unhealthy |= signs.m_misdirected;
+    if (signs.m_refused) {
         end_attempt(key, which, not_run{not_run_proof::upstream_refused},
                     false);
         return;
@@ -135,7 +141,10 @@
                         of.m_machine.terms().m_idempotent &&
                         of.m_machine.may_start(now);
     // A body without a framed end could be cut without a trace.
-    if (!head.m_framed || (repeat && m_retry_budget.spend())) {
+    const bool trusts_close = std::visit(
+        [](const auto& kind) { return kind.trusts_close; }, m_shared.m_dialect);
+    const bool unchecked = !head.m_framed && !trusts_close;
+    if (unchecked || (repeat && retry_budget(of.m_service).spend())) {
         end_attempt(key, which, may_have_run{attempt_step::answer_begun},
                     false);
         return;
@@ -152,12 +161,13 @@
     m_shared.m_loop.cancel(of.m_hedge_timer);
     if (made.m_hedge)
         m_shared.m_metrics.count(counter::hedges_won);
-    m_callers.start(of.m_exchange, head.m_status, answer_headers(head),
-                    head.m_length);
+    m_callers.start(of.m_exchange, head.m_status,
+                    answer_headers(head, m_shared.m_dialect), head.m_length);
 }
 
-bool forwarder::may_retry(const verdict& how) {
-    return std::holds_alternative<may_have_run>(how) && m_retry_budget.spend();
+bool forwarder::may_retry(const request& of, const verdict& how) {
+    return std::holds_alternative<may_have_run>(how) &&
+           retry_budget(of.m_service).spend();
 }
 
 void forwarder::end_attempt(request_id key, attempt_id which,
@@ -181,7 +191,11 @@
     release(ended, lost && ended.m_sent);
     const bool retry = of->m_machine.terms().m_idempotent &&
                        !of->m_machine.answer_has_begun() &&
-                       of->m_attempts.empty() && may_retry(how);
+                       of->m_attempts.empty() && may_retry(*of, how);
+    // An upstream that refused has had the request: the next one is a repeat.
+    if (refused && refused->m_proof == not_run_proof::upstream_refused &&
+        !retry_budget(of->m_service).spend())
+        of->m_machine.stop_attempts();
     const std::string service = of->m_service;
     apply(key, of->m_machine.ended(which, how, io::event_loop::now(), retry));
     pump_service(service);
--- a/src/entry/inspector.cpp
+++ b/src/entry/inspector.cpp
@@ -215,13 +215,15 @@
                "preference", "share", "verdict"},
               {}};
     const document& config = m_shared.m_config.current();
-    const rule* under =
-        classify(config.m_rules, query.m_method, query.m_path,
-                 [&](std::string_view name) -> std::string_view {
-                     if (name != query.m_header)
-                         return {};
-                     return query.m_header_value;
-                 });
+    const rule* under = classify(
+        config.m_rules, query.m_method, query.m_path,
+        query.m_header == "Host" ? std::string_view{query.m_header_value}
+                                 : std::string_view{},
+        [&](std::string_view name) -> std::string_view {
+            if (name != query.m_header)
+                return {};
+            return query.m_header_value;
+        });
     if (!under) {
         out.m_rows.push_back(
             {"-", "-", "-", "-", "-", "-", "-", "no rule matches"});
@@ -233,10 +235,12 @@
          "service " + under->m_service + ", " +
              (under->m_idempotent ? "idempotent" : "at most once") +
              ", deadline " + text(to_ms(under->m_deadline)) + " ms"});
-    const service* of = config.find_service(under->m_service);
+    const std::string& name = under->m_split.empty()
+                                  ? under->m_service
+                                  : under->m_split.front().m_service;
+    const service* of = config.find_service(name);
     const time_point now = io::event_loop::now();
-    for (const upstream_id key :
-         m_shared.m_upstreams.of_service(under->m_service)) {
+    for (const upstream_id key : m_shared.m_upstreams.of_service(name)) {
         const upstream& item = *m_shared.m_upstreams.find(key);
         std::optional<share_kind> share;
         const exclusion why =
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -24,9 +24,9 @@
     : m_shared{loop, from}, m_callers{loop,
                                       {defaults::body_bytes, seconds{60}}},
       m_forwarder{m_shared, m_callers, seed_of(from)},
-      m_configurator{m_shared, [this] { adopt(); }},
-      m_prober{m_shared, m_forwarder}, m_control{m_shared, m_forwarder,
-                                                 m_configurator} {
+      m_configurator{m_shared, [this] { adopt(); }}, m_prober{m_shared,
+                                                              m_forwarder},
+      m_control{m_shared, m_forwarder, m_configurator}, m_lookup{m_shared} {
     m_callers.handle({[this](exchange_id key, const io::request_view& request) {
                           serve_caller(key, request);
                       },
@@ -40,6 +40,7 @@
 parsed<void> node::start() {
     BOOST_OUTCOME_TRYV(m_callers.listen(m_shared.m_settings.m_callers));
     BOOST_OUTCOME_TRYV(m_control.listen());
+    BOOST_OUTCOME_TRYV(m_lookup.listen());
     fleet_hooks hooks;
     hooks.m_mark = [this] { return m_configurator.mark(); };
     hooks.m_digests = [this] { return m_prober.digests(); };
@@ -61,13 +62,16 @@
 }
 
 void node::serve_caller(exchange_id key, const io::request_view& request) {
-    if (request.m_path == "/entries" || request.m_path.starts_with("/entries?"))
-        answer_entries(m_shared, m_callers, key, request.m_path);
-    else
+    // Lookups without an address of their own come with the requests.
+    const bool shares_address = !m_shared.m_settings.m_lookup;
+    if (!shares_address ||
+        !answer_lookup(m_shared, m_callers, key, request.m_path))
         m_forwarder.accept(key, request);
 }
 
 void node::adopt() {
+    const limits& bounds = m_shared.m_config.current().m_limits;
+    m_callers.bound({bounds.m_body_bytes, bounds.m_idle, bounds.m_head_bytes});
     m_forwarder.removed(m_shared.m_upstreams.adopt(m_shared.m_config.current(),
                                                    m_shared.m_instances));
     m_forwarder.pump();
@@ -76,6 +80,9 @@
 // Without store and majority nobody can say that a zone is still in force.
 void node::watch_isolation() {
     const duration age = m_shared.m_config.age(io::event_loop::now());
+    // Where the store arbitrates, there is no majority to wait for.
+    if (m_shared.m_settings.m_deployment != deployment::native)
+        return;
     const bool isolated = age > m_shared.m_settings.m_isolation_limit &&
                           !m_shared.m_fleet.has_majority();
     if (isolated == m_shared.m_isolated || !m_shared.m_config.ready())
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -6,6 +6,7 @@
 #include "entry/context.hpp"
 #include "entry/control.hpp"
 #include "entry/forwarder.hpp"
+#include "entry/lookup.hpp"
 #include "entry/prober.hpp"
 #include "io/http_server.hpp"
 
@@ -37,6 +38,7 @@
     configurator m_configurator;
     prober m_prober;
     control m_control;
+    lookup m_lookup;
 };
 
 } // namespace skylark::entry
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -47,6 +47,13 @@
     timer_id m_deadline_timer;
     timer_id m_hedge_timer;
     bool m_queued{};
+    std::string m_name;     //!< that the caller gave it, may be empty
+    std::uint32_t m_rank{}; //!< order within its class
+
+    // Questions before the request is sent.
+    std::vector<upstream_id> m_asked;      //!< since it left the queue
+    std::vector<upstream_id> m_unanswered; //!< of those
+    timer_id m_ask_timer;
     outcome m_outcome{outcome::answered}; //!< counted when it is over
     bool m_finishing{};                   //!< finish() is at work
 
--- a/src/entry/request_head.cpp
+++ b/src/entry/request_head.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace skylark::entry {
 
@@ -20,23 +19,48 @@
         [&](std::string_view known) { return io::same_name(name, known); });
 }
 
+std::string_view trim(std::string_view text) {
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    const auto last = text.find_last_not_of(" \t");
+    return text.substr(first, last - first + 1);
+}
+
+// Whether the Connection header names a field as one of this hop only.
+bool is_nominated(std::string_view connection, std::string_view name) {
+    while (!connection.empty()) {
+        const auto option = connection.substr(0, connection.find(','));
+        connection.remove_prefix(
+            std::min(connection.size(), option.size() + 1));
+        if (io::same_name(trim(option), name))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
-std::string forward_head(const io::request_view& from) {
+std::string forward_head(const io::request_view& from, const dialect& speaks) {
     constexpr std::size_t typical_size = 512; // bytes
+    const auto connection = io::find_header(from.m_headers, "connection");
     std::string out;
     out.reserve(typical_size);
     out.append(from.m_method).append(" ");
     out.append(from.m_path).append(" HTTP/1.1\r\n");
+    out.append("Host: ");
+    out.append(from.m_host.empty() ? "upstream" : from.m_host).append("\r\n");
     for (const io::header_view& field : from.m_headers) {
-        if (is_hop_by_hop(field.m_name) ||
-            io::same_name(field.m_name, deadline_header))
+        const bool forwards = std::visit(
+            [&](const auto& kind) { return kind.forwards(field.m_name); },
+            speaks);
+        if (!forwards || is_hop_by_hop(field.m_name) ||
+            io::same_name(field.m_name, "host") ||
+            is_nominated(connection, field.m_name))
             continue;
         out.append(field.m_name).append(": ");
         out.append(field.m_value).append("\r\n");
     }
-    if (io::find_header(from.m_headers, "host").empty())
-        out += "Host: upstream\r\n"; // h2o takes the header out
     const bool without_body = from.m_body.empty() && (from.m_method == "GET" ||
                                                       from.m_method == "HEAD");
     if (!without_body)
@@ -45,45 +69,35 @@
 }
 
 std::string complete_request(std::string_view head, std::string_view body,
-                             duration left) {
+                             duration left, std::string_view instance,
+                             const dialect& speaks) {
     std::string out{head};
-    out.append(deadline_header).append(": ");
-    out += std::to_string(std::max<std::int64_t>(1, to_ms(left)));
-    out += "\r\n\r\n";
+    std::visit(
+        [&](const auto& kind) { kind.write_attempt(out, left, instance); },
+        speaks);
+    out += "\r\n";
     out.append(body);
     return out;
 }
 
-std::vector<io::header> answer_headers(const io::response_head& from) {
+std::vector<io::header> answer_headers(const io::response_head& from,
+                                       const dialect& speaks) {
     std::vector<io::header> out;
     out.reserve(from.m_headers.size() + 1);
+    const auto connection = io::find_header(from.m_headers, "connection");
     for (const io::header_view& field : from.m_headers) {
-        if (is_hop_by_hop(field.m_name) ||
-            io::same_name(field.m_name, load_header) ||
-            io::same_name(field.m_name, verdict_header) ||
+        const bool passes = std::visit(
+            [&](const auto& kind) { return kind.passes_back(field.m_name); },
+            speaks);
+        if (!passes || is_hop_by_hop(field.m_name) ||
+            is_nominated(connection, field.m_name) ||
             io::same_name(field.m_name, "server") ||
             io::same_name(field.m_name, "date"))
             continue;
         out.push_back({std::string{field.m_name}, std::string{field.m_value}});
     }
-    out.push_back({std::string{verdict_header}, "answered"});
+    std::visit([&](const auto& kind) { kind.mark_answered(out); }, speaks);
     return out;
 }
 
-std::optional<duration> wanted_deadline(const io::request_view& from) {
-    const auto text = io::find_header(from.m_headers, deadline_header);
-    std::int64_t ms = 0;
-    const char* last = text.data() + text.size();
-    const auto [end, code] = std::from_chars(text.data(), last, ms);
-    if (code != std::errc{} || end != last || ms <= 0)
-        return std::nullopt;
-    return milliseconds{ms};
-}
-
-std::string_view verdict_text(const verdict& of) {
-    if (std::holds_alternative<answered>(of))
-        return "answered";
-    return std::holds_alternative<not_run>(of) ? "not-run" : "unknown";
-}
-
 } // namespace skylark::entry
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -9,6 +9,19 @@
 // A cold upstream answers slowly: others with as few requests go first.
 constexpr std::uint32_t cold_penalty = 2;
 constexpr duration utilization_validity = seconds{1};
+// Slowness changes within fractions of a second, so only a report that has
+// just come in says where a request should go.
+constexpr duration act_on_report = milliseconds{12};
+
+// An upstream that tells no load is judged by this entry's own requests.
+load_report assumed_report(const upstream& of) {
+    constexpr std::uint32_t assumed_slots = 4;
+    load_report out;
+    out.m_state = upstream_state::warm;
+    out.m_slots = assumed_slots;
+    out.m_used = of.m_load.in_flight();
+    return out;
+}
 } // namespace
 
 std::string_view name_of(exclusion why) {
@@ -23,6 +36,10 @@
         return "zone is out";
     case exclusion::draining:
         return "draining";
+    case exclusion::cold:
+        return "in cold start";
+    case exclusion::unhealthy:
+        return "health check failed";
     case exclusion::no_connection:
         return "connection limit reached";
     case exclusion::no_share:
@@ -31,8 +48,11 @@
     return "no free share";
 }
 
-std::optional<share_kind> router::share_for(upstream_state state,
+std::optional<share_kind> router::share_for(const service& of,
+                                            upstream_state state,
                                             request_class wanted) {
+    if (!of.m_shares)
+        return std::nullopt;
     if (state == upstream_state::cold)
         return share_kind::cold;
     if (wanted == request_class::bulk)
@@ -74,10 +94,12 @@
     const upstream_state state = candidate.m_load.state(now);
     if (state == upstream_state::draining)
         return exclusion::draining;
+    if (!of.m_shares && candidate.m_cold_until > now)
+        return exclusion::cold;
     if (candidate.m_idle.empty() &&
         candidate.m_connections >= connection_limit())
         return exclusion::no_connection;
-    share = share_for(state, wanted);
+    share = share_for(of, state, wanted);
     if (!share)
         return exclusion::none;
     const auto used = candidate.m_share_use[static_cast<std::size_t>(*share)];
@@ -111,8 +133,54 @@
     if (!chosen)
         return std::nullopt;
     const upstream& taken = *m_shared.m_upstreams.find(*chosen);
-    return route_choice{*chosen,
-                        share_for(taken.m_load.state(now), of.m_class)};
+    return route_choice{
+        *chosen, share_for(*config, taken.m_load.state(now), of.m_class)};
+}
+
+std::vector<ask_candidate> router::ask_candidates(const request& of,
+                                                  time_point now) {
+    std::vector<ask_candidate> out;
+    const service* config =
+        m_shared.m_config.current().find_service(of.m_service);
+    if (!config)
+        return out;
+    const auto in = [](const auto& list, upstream_id key) {
+        return std::find(list.begin(), list.end(), key) != list.end();
+    };
+    for (const upstream_id key :
+         m_shared.m_upstreams.of_service(of.m_service)) {
+        const upstream& item = *m_shared.m_upstreams.find(key);
+        std::optional<share_kind> share;
+        if (in(of.m_tried, key) ||
+            excluded(item, *config, of.m_class, now, share) != exclusion::none)
+            continue;
+        ask_candidate made;
+        made.m_upstream = key;
+        made.m_near = item.m_zone == m_shared.m_settings.m_zone;
+        made.m_asked = in(of.m_asked, key);
+        made.m_pending = in(of.m_unanswered, key);
+        made.m_suspect = item.m_load.suspect() || item.m_unhealthy;
+        made.m_idle_connection = !item.m_idle.empty();
+        made.m_in_flight = item.m_load.in_flight();
+        if (item.m_silent_load)
+            made.m_report = assumed_report(item);
+        else if (item.m_load.report_age(now) <= act_on_report &&
+                 !made.m_suspect)
+            made.m_report = item.m_load.last_report();
+        out.push_back(made);
+    }
+    return out;
+}
+
+std::optional<duration> router::first_warm(std::string_view service,
+                                           time_point now) {
+    std::optional<duration> out;
+    for (const upstream_id key : m_shared.m_upstreams.of_service(service)) {
+        const time_point until = m_shared.m_upstreams.find(key)->m_cold_until;
+        if (until > now)
+            out = std::min(until - now, out.value_or(until - now));
+    }
+    return out;
 }
 
 policy& router::policy_of(const service& of) {
@@ -138,7 +206,7 @@
         const upstream* item = m_shared.m_upstreams.find(key);
         if (!item->m_listed || item->m_leaving || !item->m_zone_active)
             return false;
-        const auto share = share_for(item->m_load.state(now), wanted);
+        const auto share = share_for(*of, item->m_load.state(now), wanted);
         return !share ||
                m_shared.m_fleet.usable(key, *share, limit_of(*of, *share)) > 0;
     });
@@ -154,7 +222,7 @@
     for (int i = 0; i < tries; ++i) {
         const auto index = m_random(static_cast<std::uint32_t>(keys.size()));
         const upstream* item = m_shared.m_upstreams.find(keys[index]);
-        const auto share = share_for(item->m_load.state(now), wanted);
+        const auto share = share_for(*of, item->m_load.state(now), wanted);
         if (!share || !item->m_listed || item->m_leaving ||
             !item->m_zone_active)
             continue;
--- a/src/entry/router.hpp
+++ b/src/entry/router.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include <skylark/route/ask_plan.hpp>
 #include <skylark/route/policy.hpp>
 
 #include "entry/context.hpp"
@@ -26,6 +27,8 @@
     leaving,
     zone_out,
     draining,
+    cold,
+    unhealthy,
     no_connection,
     no_share
 };
@@ -67,12 +70,25 @@
 
     /*! @brief The limit that work of a class falls under on an upstream in
      *  that state; none when it needs no share. */
-    static std::optional<share_kind> share_for(upstream_state state,
-                                               request_class wanted);
+    static std::optional<share_kind>
+    share_for(const service& of, upstream_state state, request_class wanted);
 
     /*! @brief Slots of a limit as the document gives them. */
     static std::uint32_t limit_of(const service& of, share_kind kind);
 
+    /*! @brief The upstreams that may take a request, for the ask plan.
+     *  @param of the request
+     *  @param now the present */
+    std::vector<ask_candidate> ask_candidates(const request& of,
+                                              time_point now);
+
+    /*! @brief Time until an upstream of a service ends its cold start.
+     *  @return none when none of them is cold */
+    std::optional<duration> first_warm(std::string_view service,
+                                       time_point now);
+
+    random_source& random() { return m_random; }
+
     /*! @brief Connections that this entry may hold to one upstream. */
     [[nodiscard]] std::uint32_t connection_limit() const;
 
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -34,7 +34,7 @@
     void where(std::string_view key, address& out, bool required) {
         std::string written;
         text(key, written, required);
-        if (written.empty())
+        if (m_error || !m_table.contains(key))
             return;
         const auto value = parse_address(written, place(*m_table.get(key)));
         if (value)
@@ -43,6 +43,31 @@
             m_error = m_error ? m_error : value.error();
     }
 
+    void where(std::string_view key, std::optional<address>& out) {
+        address value;
+        where(key, value, false);
+        if (!m_error && m_table.contains(key))
+            out = value;
+    }
+
+    void texts(std::string_view key, std::vector<std::string>& out) {
+        const toml::node* node = take(key, false);
+        if (!node)
+            return;
+        const toml::array* list = node->as_array();
+        if (!list) {
+            fail(*node, key, "an array of strings");
+            return;
+        }
+        for (const toml::node& item : *list) {
+            const auto value = item.value_exact<std::string>();
+            if (value)
+                out.push_back(*value);
+            else
+                fail(item, key, "an array of strings");
+        }
+    }
+
     void ms(std::string_view key, duration& out) {
         std::int64_t value = to_ms(out);
         whole(key, value);
@@ -82,7 +107,8 @@
     void one_of(std::string_view key, std::string& out,
                 std::span<const std::string_view> known) {
         text(key, out, false);
-        if (std::find(known.begin(), known.end(), out) == known.end())
+        if (std::find(known.begin(), known.end(), out) == known.end() &&
+            !m_error)
             fail(*m_table.get(key), key, expect_one_of(out, known));
     }
 
@@ -136,6 +162,7 @@
 
 constexpr std::array<std::string_view, 5> log_levels{"debug", "info", "warn",
                                                      "error", "off"};
+constexpr std::array<std::string_view, 2> deployments{"native", "platform"};
 
 std::optional<input_error> check_timing(const settings& subject,
                                         std::string_view file) {
@@ -154,7 +181,14 @@
     reader.text("name", out.m_name, true);
     reader.text("zone", out.m_zone, true);
     reader.text("region", out.m_region, false);
+    std::string deployed{deployments.front()};
+    reader.one_of("deployment", deployed, deployments);
+    out.m_deployment =
+        deployed == "native" ? deployment::native : deployment::platform;
+    reader.texts("zones", out.m_zones);
     reader.where("callers", out.m_callers, true);
+    reader.where("lookup", out.m_lookup);
+    reader.where("ready", out.m_ready);
     reader.where("control", out.m_control, true);
     reader.where("peer", out.m_peer, true);
     reader.where("platform", out.m_platform, true);
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_ENTRY_SETTINGS_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,12 +14,24 @@
 
 namespace skylark::entry {
 
+/*! @brief Whose store and interface the entry uses. */
+enum class deployment : std::uint8_t {
+    native,  //!< the product's own interface; a Consul-like store
+    platform //!< the users' platform
+};
+
 /*! @brief What an entry learns from its settings. */
 struct settings {
-    std::string m_name;           //!< unique in the deployment
-    std::string m_zone;           //!< availability zone of this instance
-    std::string m_region;         //!< for operators; not used in decisions
-    address m_callers;            //!< HTTP for callers
+    std::string m_name;   //!< unique in the deployment
+    std::string m_zone;   //!< availability zone of this instance
+    std::string m_region; //!< for operators; not used in decisions
+    deployment m_deployment{deployment::native};
+    //! Names of all availability zones; needed where the store lists none.
+    std::vector<std::string> m_zones;
+    address m_callers; //!< HTTP for callers
+    //! HTTP for lookups and readiness on addresses of their own, if set.
+    std::optional<address> m_lookup;
+    std::optional<address> m_ready;
     address m_control;            //!< HTTP for operators and peers
     address m_peer;               //!< UDP for heartbeats
     address m_platform;           //!< the platform's store
--- a/src/entry/upstream.hpp
+++ b/src/entry/upstream.hpp
@@ -22,7 +22,8 @@
 
 /*! @brief One upstream. */
 struct upstream {
-    upstream_id m_id; //!< the address's key, the same in every entry
+    upstream_id m_id;       //!< of one life of the instance, see id_of()
+    std::string m_instance; //!< the instance's id as the platform gives it
     address m_address;
     std::string m_service;
     std::string m_zone;
@@ -31,6 +32,13 @@
     bool m_zone_active{true};
     std::uint32_t m_preference{}; //!< position in this entry's own order
     upstream_load m_load;
+    //! End of its cold start, for services that rest meanwhile.
+    time_point m_cold_until;
+    time_point m_told_cold_until; //!< newest that the list said
+    //! Its last health check failed, or it said that it was another one.
+    bool m_unhealthy{};
+    //! Its answers carry no load: asking for it tells nothing.
+    bool m_silent_load{};
     std::vector<idle_connection> m_idle; // oldest first
     // Invariant: idle connections and those with an attempt.
     std::uint32_t m_connections{};
--- a/src/entry/upstream_table.cpp
+++ b/src/entry/upstream_table.cpp
@@ -8,6 +8,11 @@
 
 namespace skylark::entry {
 
+upstream_id id_of(const instance& from) {
+    const std::uint64_t life = rendezvous(hash(from.m_id), from.m_incarnation);
+    return upstream_id{rendezvous(life, from.m_address.key())};
+}
+
 std::vector<upstream> upstream_table::adopt(const document& config,
                                             const instance_list& list) {
     for (auto& [key, item] : m_upstreams)
@@ -30,9 +35,14 @@
 }
 
 void upstream_table::take(const instance& from, const document& config) {
-    const upstream_id key{from.m_address.key()};
+    const upstream_id key = id_of(from);
     upstream& item = m_upstreams[key];
     item.m_id = key;
+    item.m_instance = from.m_id;
+    if (from.m_cold_until > item.m_told_cold_until) {
+        item.m_told_cold_until = from.m_cold_until;
+        item.m_cold_until = std::max(item.m_cold_until, from.m_cold_until);
+    }
     item.m_address = from.m_address;
     item.m_service = from.m_service;
     item.m_zone = from.m_zone;
--- a/src/entry/upstream_table.hpp
+++ b/src/entry/upstream_table.hpp
@@ -14,6 +14,10 @@
 
 namespace skylark::entry {
 
+/*! @brief Id of one life of an instance, the same in every entry. An address
+ *  may pass from one instance to another. */
+upstream_id id_of(const instance& from);
+
 /*! @brief Owns the upstreams. One that has left stays until its last request
  *  has ended. */
 class upstream_table {
--- a/src/io/http_message.hpp
+++ b/src/io/http_message.hpp
@@ -28,6 +28,7 @@
     std::string_view m_path; //!< with the query
     std::string_view m_body;
     std::span<const header_view> m_headers;
+    std::string_view m_host; //!< with the port, if one was given
 };
 
 /*! @brief Head of a response as the client received it. */
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -146,7 +146,8 @@
     }
     const exchange_id key = server.open(request);
     const request_view seen{view(request->method), view(request->path),
-                            view(request->entity), server.m_headers};
+                            view(request->entity), server.m_headers,
+                            view(request->authority)};
     server.m_handlers.m_request(key, seen);
     return 0;
 }
@@ -217,8 +218,7 @@
     own->m_super.on_req = &native::on_request;
     own->m_server = m_native.get();
     h2o_context_init(&m_native->m_context, loop.native(), &config);
-    m_native->m_head_limit = limits.m_head_bytes;
-    m_native->m_input_limit = limits.m_body_bytes + limits.m_head_bytes;
+    bound(limits);
     auto* native = m_native.get();
     loop.every(oversize_check, [native] { native->end_oversized(); });
     m_native->m_accept.ctx = &m_native->m_context;
@@ -231,6 +231,15 @@
     static_cast<void>(m_native.release());
 }
 
+void http_server::bound(const server_limits& limits) {
+    m_native->m_config.max_request_entity_size = limits.m_body_bytes;
+    m_native->m_head_limit = limits.m_head_bytes;
+    m_native->m_input_limit = limits.m_body_bytes + limits.m_head_bytes;
+    // h2o reads the period when it arms a connection's timer.
+    m_native->m_context.http1.req_timeout.timeout =
+        static_cast<std::uint64_t>(to_ms(limits.m_idle));
+}
+
 void http_server::handle(handlers who) {
     m_native->m_handlers = std::move(who);
 }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -55,6 +55,9 @@
      *  @return the address in use, or the error */
     parsed<address> listen(address where);
 
+    /*! @brief Sets the bounds for what is accepted from now on. */
+    void bound(const server_limits& limits);
+
     /*! @brief Stops accepting; open connections stay. */
     void stop_listening();
 
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -37,6 +37,8 @@
         return read_number(value, out.m_slots);
     if (key == "queue")
         return read_number(value, out.m_queue);
+    if (key == "slow")
+        return read_number(value, out.m_slowness);
     return true; // later versions may say more
 }
 
@@ -80,7 +82,8 @@
            ";state=" + std::string{name_of(report.m_state)} +
            ";used=" + std::to_string(report.m_used) +
            ";slots=" + std::to_string(report.m_slots) +
-           ";queue=" + std::to_string(report.m_queue);
+           ";queue=" + std::to_string(report.m_queue) +
+           ";slow=" + std::to_string(report.m_slowness);
 }
 
 } // namespace skylark
--- a/src/rule/classify.cpp
+++ b/src/rule/classify.cpp
@@ -16,8 +16,22 @@
     return next == '/' || next == '?';
 }
 
+// Host names differ in neither case nor port.
+static bool same_host(std::string_view wanted, std::string_view host) {
+    host = host.substr(0, host.find(':'));
+    const auto lower = [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    };
+    return std::equal(
+        wanted.begin(), wanted.end(), host.begin(), host.end(),
+        [&](char left, char right) { return lower(left) == lower(right); });
+}
+
 static bool matches(const rule& candidate, std::string_view method,
-                    std::string_view path, const header_lookup& header) {
+                    std::string_view path, std::string_view host,
+                    const header_lookup& header) {
+    if (!candidate.m_host.empty() && !same_host(candidate.m_host, host))
+        return false;
     if (candidate.m_method != "*" && candidate.m_method != method)
         return false;
     if (!path_matches(candidate.m_path_prefix, path))
@@ -29,10 +43,11 @@
 } // namespace internal
 
 const rule* classify(const std::vector<rule>& rules, std::string_view method,
-                     std::string_view path, const header_lookup& header) {
+                     std::string_view path, std::string_view host,
+                     const header_lookup& header) {
     const auto found =
         std::find_if(rules.begin(), rules.end(), [&](const rule& candidate) {
-            return internal::matches(candidate, method, path, header);
+            return internal::matches(candidate, method, path, host, header);
         });
     return found == rules.end() ? nullptr : &*found;
 }
--- a/src/platform/consul_protocol.hpp
+++ b/src/store/consul_protocol.hpp
@@ -1,6 +1,6 @@
 // The published key-value and catalogue interface of Consul, over HTTP.
-#ifndef SKYLARK_PLATFORM_CONSUL_PROTOCOL_HPP
-#define SKYLARK_PLATFORM_CONSUL_PROTOCOL_HPP
+#ifndef SKYLARK_STORE_CONSUL_PROTOCOL_HPP
+#define SKYLARK_STORE_CONSUL_PROTOCOL_HPP
 
 #include <cstdint>
 #include <string>
@@ -9,9 +9,9 @@
 #include <skylark/discovery/instance.hpp>
 
 #include "io/fetcher.hpp"
-#include "platform/stored_value.hpp"
+#include "store/stored_value.hpp"
 
-namespace skylark::platform {
+namespace skylark::store {
 
 /*! @brief Formats requests and reads answers; keeps no connection. */
 struct consul_protocol {
@@ -36,13 +36,18 @@
     read_instances(const io::fetch_answer& answer) const;
 };
 
-/*! @brief Reads the catalogue's JSON. */
+/*! @brief Reads the catalogue's JSON.
+ *  @param text the JSON
+ *  @param index of the list
+ *  @param now the present, from which cold starts count */
 parsed<instance_list> parse_instances(std::string_view text,
-                                      std::uint64_t index);
+                                      std::uint64_t index, time_point now);
 
-/*! @brief Writes the catalogue's JSON, for peers. */
-std::string format_instances(const instance_list& list);
+/*! @brief Writes the catalogue's JSON, for peers.
+ *  @param list the list
+ *  @param now the present, to which cold starts are related */
+std::string format_instances(const instance_list& list, time_point now);
 
-} // namespace skylark::platform
+} // namespace skylark::store
 
 #endif
--- /dev/null
+++ b/src/store/mirror_client.cpp
@@ -0,0 +1,265 @@
+// Client of a store of many keys: keeps a mirror and follows the changes.
+#include "store/mirror_client.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <skylark/config/config.hpp>
+
+#include "core/overload.hpp"
+#include "platform/records.hpp"
+
+namespace skylark::store {
+
+namespace {
+
+// A listing holds every prefix that is followed; changes come for all keys.
+constexpr std::array prefixes{platform::operator_prefix,
+                              platform::upstream_prefix};
+constexpr std::string_view all_keys;
+// Living upstreams are back in the store this long after its return.
+constexpr auto removal_hold = milliseconds{2200};
+constexpr auto shortest_wait = milliseconds{100};
+constexpr std::size_t answer_limit = std::size_t{8} << 20U; // bytes
+// More pages than any store holds: such a listing never ends.
+constexpr std::size_t most_pages = 1000;
+
+} // namespace
+
+mirror_client::mirror_client(io::event_loop& loop, address where,
+                             std::vector<std::string> zones,
+                             std::function<void(const input_error&)> note)
+    : m_loop{loop}, m_fetcher{loop, answer_limit}, m_where{where},
+      m_zones{std::move(zones)}, m_note{std::move(note)},
+      m_mirror{std::string{platform::upstream_prefix}, removal_hold} {}
+
+void mirror_client::read(std::uint64_t index, duration wait,
+                         std::function<void(const read_result&)> done) {
+    m_document_readers.push_back(
+        {index, io::event_loop::now() + wait, std::move(done)});
+    advance();
+}
+
+void mirror_client::instances(std::uint64_t index, duration wait,
+                              std::function<void(const list_result&)> done) {
+    m_list_readers.push_back(
+        {index, io::event_loop::now() + wait, std::move(done)});
+    advance();
+}
+
+void mirror_client::write(
+    std::uint64_t, const std::string&,
+    const std::function<void(const write_result&)>& done) {
+    const store_failure failure{
+        false, "operators write this store's configuration themselves"};
+    m_loop.after(duration{0}, [done, failure] { done(failure); });
+}
+
+bool mirror_client::idle() const {
+    return m_document_readers.empty() && m_list_readers.empty();
+}
+
+// Starts the next call, unless one is under way or nobody waits.
+void mirror_client::advance() {
+    if (m_calling || idle())
+        return;
+    m_calling = true;
+    if (m_listed) {
+        watch();
+        return;
+    }
+    m_mirror.begin_listing();
+    m_pages = 0;
+    list(0, {});
+}
+
+void mirror_client::list(std::size_t prefix, const std::string& after) {
+    auto request = m_protocol.range(prefixes.at(prefix), after);
+    request.m_to = m_where;
+    m_fetcher.run(request, [this, prefix](const io::fetch_result& got) {
+        take_page(prefix, got);
+    });
+}
+
+void mirror_client::take_page(std::size_t prefix, const io::fetch_result& got) {
+    const auto* answer = std::get_if<io::fetch_answer>(&got);
+    if (!answer) {
+        failed(std::get<io::fetch_failure>(got).m_cause);
+        return;
+    }
+    const auto page = m_protocol.read_page(*answer);
+    if (!page || ++m_pages > most_pages) {
+        failed(page ? "a listing without an end" : page.error().text());
+        return;
+    }
+    m_mirror.list(page.value());
+    const auto& records = page.value().m_records;
+    if (page.value().m_more && !records.empty()) {
+        list(prefix, records.back().m_key);
+        return;
+    }
+    if (prefix + 1 < prefixes.size()) {
+        list(prefix + 1, {});
+        return;
+    }
+    const time_point now = io::event_loop::now();
+    m_mirror.reached(now);
+    m_mirror.end_listing(now);
+    m_listed = true;
+    m_calling = false;
+    serve(now);
+}
+
+duration mirror_client::longest_wait(time_point now) const {
+    time_point first = time_point::max();
+    for (const auto& item : m_document_readers)
+        first = std::min(first, item.m_due);
+    for (const auto& item : m_list_readers)
+        first = std::min(first, item.m_due);
+    return std::max<duration>(shortest_wait, first - now);
+}
+
+void mirror_client::watch() {
+    auto request = m_protocol.watch(all_keys, m_mirror.revision(),
+                                    longest_wait(io::event_loop::now()));
+    request.m_to = m_where;
+    m_fetcher.run(request,
+                  [this](const io::fetch_result& got) { take_changes(got); });
+}
+
+void mirror_client::take_changes(const io::fetch_result& got) {
+    const auto* answer = std::get_if<io::fetch_answer>(&got);
+    if (!answer) {
+        failed(std::get<io::fetch_failure>(got).m_cause);
+        return;
+    }
+    const auto changes = m_protocol.read_changes(*answer);
+    if (!changes) {
+        failed(changes.error().text());
+        return;
+    }
+    const time_point now = io::event_loop::now();
+    m_mirror.reached(now);
+    m_calling = false;
+    std::visit(
+        overload{[&](const record_changes& list) { m_mirror.apply(list, now); },
+                 [&](const history_lost&) { m_listed = false; }},
+        changes.value());
+    if (m_listed)
+        serve(now);
+    advance();
+}
+
+// Each reader is told; whoever asks again later starts the next call.
+void mirror_client::failed(const std::string& cause) {
+    m_mirror.lost();
+    m_calling = false;
+    const auto documents = std::exchange(m_document_readers, {});
+    const auto lists = std::exchange(m_list_readers, {});
+    for (const auto& item : documents)
+        item.m_done(store_failure{false, cause});
+    for (const auto& item : lists)
+        item.m_done(store_failure{false, cause});
+}
+
+// Tells the readers for whom there is something newer, or who waited long
+// enough; the store has just confirmed what they get.
+void mirror_client::serve(time_point confirmed) {
+    m_mirror.settle(confirmed);
+    settle_later();
+    const auto take = [&](auto& readers, std::uint64_t version) {
+        const auto waits = [&](const auto& item) {
+            return item.m_index >= version && confirmed < item.m_due;
+        };
+        const auto split =
+            std::stable_partition(readers.begin(), readers.end(), waits);
+        std::decay_t<decltype(readers)> out{
+            std::make_move_iterator(split),
+            std::make_move_iterator(readers.end())};
+        readers.erase(split, readers.end());
+        return out;
+    };
+    const auto documents =
+        take(m_document_readers, m_mirror.changed(platform::operator_prefix));
+    const auto lists =
+        take(m_list_readers, m_mirror.version(platform::upstream_prefix));
+    for (const auto& item : documents)
+        item.m_done(document_value());
+    for (const auto& item : lists)
+        item.m_done(instance_value());
+    advance();
+}
+
+// A held removal becomes known when its hold ends, without another answer.
+void mirror_client::settle_later() {
+    const auto due = m_mirror.next_due();
+    if (!due)
+        return;
+    const duration wait =
+        std::max<duration>(duration{0}, *due - io::event_loop::now());
+    m_loop.after(wait, [this] {
+        const auto before = m_mirror.version(platform::upstream_prefix);
+        m_mirror.settle(io::event_loop::now());
+        if (m_mirror.version(platform::upstream_prefix) != before)
+            serve(io::event_loop::now());
+    });
+}
+
+stored_value mirror_client::document_value() {
+    const std::uint64_t revision = m_mirror.changed(platform::operator_prefix);
+    if (m_document && m_document->m_revision == revision)
+        return *m_document;
+    const auto& records = m_mirror.all();
+    const auto found = records.find(platform::configuration_key);
+    if (found == records.end())
+        return {};
+    std::vector<std::string> drained;
+    const auto prefix = platform::drained_zone_prefix;
+    for (auto it = records.lower_bound(prefix);
+         it != records.end() && it->first.starts_with(prefix); ++it)
+        drained.push_back(it->first.substr(prefix.size()));
+    const auto read =
+        platform::read_configuration(found->second.m_value, m_zones, drained);
+    // Text that cannot be read is handed on: its refusal is noted there.
+    m_document = stored_value{revision, read ? format_document(read.value())
+                                             : found->second.m_value};
+    if (!read)
+        m_note(read.error());
+    return *m_document;
+}
+
+const std::optional<instance>& mirror_client::decode(const record& from) {
+    decoded& kept = m_decoded[from.m_key];
+    if (kept.m_revision == from.m_revision)
+        return kept.m_instance;
+    kept = {from.m_revision, std::nullopt};
+    const auto id =
+        std::string_view{from.m_key}.substr(platform::upstream_prefix.size());
+    auto read =
+        platform::read_upstream(id, from.m_value, io::event_loop::now());
+    if (read)
+        kept.m_instance = std::move(read).value();
+    else
+        m_note(read.error());
+    return kept.m_instance;
+}
+
+instance_list mirror_client::instance_value() {
+    const std::uint64_t version = m_mirror.version(platform::upstream_prefix);
+    if (m_list.m_index == version)
+        return m_list;
+    const auto& records = m_mirror.all();
+    const auto prefix = platform::upstream_prefix;
+    m_list = {version, {}};
+    std::erase_if(m_decoded, [&](const auto& item) {
+        return !records.contains(item.first);
+    });
+    for (auto it = records.lower_bound(prefix);
+         it != records.end() && it->first.starts_with(prefix); ++it)
+        if (const auto& found = decode(it->second))
+            m_list.m_instances.push_back(*found);
+    return m_list;
+}
+
+} // namespace skylark::store
--- a/src/platform/stored_value.hpp
+++ b/src/store/stored_value.hpp
@@ -1,11 +1,11 @@
 // A value in the platform's store with its revision.
-#ifndef SKYLARK_PLATFORM_STORED_VALUE_HPP
-#define SKYLARK_PLATFORM_STORED_VALUE_HPP
+#ifndef SKYLARK_STORE_STORED_VALUE_HPP
+#define SKYLARK_STORE_STORED_VALUE_HPP
 
 #include <cstdint>
 #include <string>
 
-namespace skylark::platform {
+namespace skylark::store {
 
 /*! @brief One value. */
 struct stored_value {
@@ -13,6 +13,6 @@
     std::string m_text;
 };
 
-} // namespace skylark::platform
+} // namespace skylark::store
 
 #endif
--- a/test/entry/request_head.cpp
+++ b/test/entry/request_head.cpp
@@ -13,22 +13,26 @@
                              io::header_view{"Transfer-Encoding", "chunked"},
                              io::header_view{"request-timeout-ms", "9"}};
     const io::request_view from{"POST", "/b?x=1", "body", headers};
-    const auto bytes = entry::complete_request(entry::forward_head(from),
-                                               from.m_body, seconds{1});
-    EXPECT_EQ(bytes, "POST /b?x=1 HTTP/1.1\r\nX-A: 1\r\nHost: upstream\r\n"
+    const entry::dialect speaks;
+    const auto bytes =
+        entry::complete_request(entry::forward_head(from, speaks), from.m_body,
+                                seconds{1}, "u1", speaks);
+    EXPECT_EQ(bytes, "POST /b?x=1 HTTP/1.1\r\nHost: upstream\r\nX-A: 1\r\n"
                      "Content-Length: 4\r\nRequest-Timeout-Ms: 1000\r\n\r\n"
                      "body");
 }
 
 TEST(request_head, the_deadline_is_never_zero) {
-    const auto bytes = entry::complete_request("", "", microseconds{10});
+    const auto bytes =
+        entry::complete_request("", "", microseconds{10}, "", entry::dialect{});
     EXPECT_NE(bytes.find("Request-Timeout-Ms: 1\r\n"), std::string::npos);
 }
 
 TEST(request_head, odd_deadlines_are_no_deadline) {
     for (const char* text : {"", "0", "-5", "abc", "5s"}) {
         const std::array headers{io::header_view{"Request-Timeout-Ms", text}};
-        EXPECT_FALSE(entry::wanted_deadline({"GET", "/", "", headers}));
+        EXPECT_FALSE(
+            entry::native_dialect{}.caller_deadline({"GET", "/", "", headers}));
     }
 }
 
--- a/test/entry/settings.cpp
+++ b/test/entry/settings.cpp
@@ -42,4 +42,14 @@
     expect_error(good + "share_hold_down_ms = 1000\n",
                  "share_hold_down_ms = 1000");
     expect_error("name = \n", "e.toml:1: got");
+    expect_error(good + "lookup = \"\"\n", "e.toml:7: got \"\"");
+    expect_error(good + "deployment = \"plaform\"\n", "\"platform\" perhaps");
+    expect_error(good + "zones = [1]\n", "array of strings");
+}
+
+TEST(settings, refuses_an_empty_address) {
+    const std::string key = "callers = \"127.0.0.1:1\"";
+    std::string text = good;
+    text.replace(text.find(key), key.size(), "callers = \"\"");
+    expect_error(text, "e.toml:3: got \"\"");
 }
--- a/test/rule/classify.cpp
+++ b/test/rule/classify.cpp
@@ -25,9 +25,10 @@
 }
 
 std::string name_of_match(std::string_view method, std::string_view path,
-                          const header_lookup& header = no_header) {
+                          const header_lookup& header = no_header,
+                          std::string_view host = "any.example") {
     const auto list = rules();
-    const rule* found = classify(list, method, path, header);
+    const rule* found = classify(list, method, path, host, header);
     return found ? found->m_name : "none";
 }
 
--- a/test/platform/consul_protocol.cpp
+++ b/test/store/consul_protocol.cpp
@@ -1,10 +1,10 @@
 // Requests follow the published interface; odd answers are errors.
-#include "platform/consul_protocol.hpp"
+#include "store/consul_protocol.hpp"
 
 #include <gtest/gtest.h>
 
 using namespace skylark;
-using platform::consul_protocol;
+using store::consul_protocol;
 
 namespace {
 
@@ -48,9 +48,9 @@
                          "enna",
                          true}};
     const auto read =
-        platform::parse_instances(platform::format_instances(list), 5);
+        store::parse_instances(store::format_instances(list, {}), 5, {});
     ASSERT_TRUE(read);
     EXPECT_EQ(read.value(), list);
-    EXPECT_FALSE(platform::parse_instances("[{}]", 5));
-    EXPECT_FALSE(platform::parse_instances("no", 5));
+    EXPECT_FALSE(store::parse_instances("[{}]", 5, {}));
+    EXPECT_FALSE(store::parse_instances("no", 5, {}));
 }
