Send again only after the last write was reported; reload settings

Cause: h2o reports a write after the reads of the same turn. Ruled out: a stale id in the pool; the connection was idle and its own. Change: the end of an answer waits for that report within the turn; a request that the kernel has not taken ends its connection. SIGHUP and a new file reload the settings. A 2xx without its stamp is no answer. Tests: client_test.sends_again_from_the_end_of_a_quick_answer aborted before.

--- a/include/skylark/event/event.hpp
+++ b/include/skylark/event/event.hpp
@@ -12,6 +12,7 @@
 /*! @brief What changed. */
 enum class event_kind : std::uint8_t {
     started,
+    settings,      //!< read again
     upstream,      //!< an upstream's state or incarnation
     member,        //!< the set of live entries
     share,         //!< agreement reached or lost
@@ -28,6 +29,8 @@
     switch (kind) {
     case event_kind::started:
         return "started";
+    case event_kind::settings:
+        return "settings";
     case event_kind::upstream:
         return "upstream";
     case event_kind::member:
--- a/include/skylark/route/ask_plan.hpp
+++ b/include/skylark/route/ask_plan.hpp
@@ -28,7 +28,6 @@
     bool m_asked{};              //!< was asked for this request already
     bool m_pending{};            //!< and has not answered yet
     bool m_suspect{};            //!< failed lately; goes last
-    bool m_idle_connection{};    //!< can be asked without a new connection
     std::uint32_t m_in_flight{}; //!< this entry's own requests
     //! A report that is young enough to act on.
     std::optional<load_report> m_report;
--- a/src/entry/exchange_signs.hpp
+++ b/src/entry/exchange_signs.hpp
@@ -12,7 +12,7 @@
 
 /*! @brief Signs of an answer to a request. */
 struct answer_signs {
-    bool m_foreign{};     //!< answers another request
+    bool m_unusable{};    //!< answers another request, or is not whole
     bool m_refused{};     //!< says that the request did not run
     bool m_misdirected{}; //!< another instance has the address
     std::optional<load_report> m_report;
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -57,6 +57,9 @@
     [[nodiscard]] const member_table& members() const { return m_members; }
     [[nodiscard]] const share_table& shares() const { return m_shares; }
     [[nodiscard]] entry_id self() const { return m_members.self().m_name.m_id; }
+    void add_seeds(std::span<const address> seeds) {
+        m_members.add_seeds(seeds);
+    }
     void set_requests(std::uint32_t count) { m_members.set_requests(count); }
 
 private:
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -119,7 +119,7 @@
     const answer_signs signs = std::visit(
         [&](const auto& kind) { return kind.read_answer(head, of.m_name); },
         m_shared.m_dialect);
-    if (signs.m_foreign) {
+    if (signs.m_unusable) {
         end_attempt(key, which, may_have_run{attempt_step::request_sent},
                     false);
         return;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,8 +1,11 @@
 // skylark-entry: one entry instance.
 #include <csignal>
+#include <filesystem>
 #include <iostream>
 #include <string>
+#include <system_error>
 #include <unistd.h>
+#include <utility>
 
 #include <CLI/CLI.hpp>
 
@@ -14,15 +17,22 @@
 namespace {
 
 volatile std::sig_atomic_t drain_requested = 0;
+volatile std::sig_atomic_t reload_requested = 0;
 
 void request_drain(int) {
     drain_requested = 1;
 }
 
+void request_reload(int) {
+    reload_requested = 1;
+}
+
 constexpr auto signal_check = skylark::milliseconds{20};
 constexpr int exit_bad_settings = 2;
+// Settings may also change without a signal.
+constexpr auto settings_check = skylark::seconds{1};
 
-int run(const skylark::entry::settings& from) {
+int run(const skylark::entry::settings& from, const std::string& path) {
     skylark::io::event_loop loop;
     skylark::entry::node node{loop, from};
     const auto started = node.start();
@@ -30,9 +40,21 @@
         std::cerr << started.error().text() << '\n';
         return exit_bad_settings;
     }
-    loop.every(signal_check, [&node] {
+    loop.every(signal_check, [&node, &path] {
         if (drain_requested != 0)
             node.drain();
+        if (reload_requested != 0) {
+            reload_requested = 0;
+            node.reload(path);
+        }
+    });
+    std::error_code ignored; // a file that is being replaced has no time
+    auto changed = std::filesystem::last_write_time(path, ignored);
+    loop.every(settings_check, [&node, &path, changed]() mutable {
+        std::error_code missing;
+        const auto found = std::filesystem::last_write_time(path, missing);
+        if (!missing && std::exchange(changed, found) != found)
+            node.reload(path);
     });
     loop.run();
     // h2o keeps references into the node; the process ends as a whole.
@@ -62,5 +84,6 @@
     }
     std::signal(SIGTERM, request_drain);
     std::signal(SIGINT, request_drain);
-    return run(settings.value());
+    std::signal(SIGHUP, request_reload);
+    return run(settings.value(), path);
 }
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -127,6 +127,29 @@
                             std::to_string(to_ms(gap)) + " ms");
 }
 
+void node::reload(const std::string& path) {
+    const auto read = load_settings(path);
+    const auto note = [&](const std::string& detail) {
+        m_shared.m_journal.note(event_kind::settings, path, detail);
+    };
+    if (!read) {
+        note("refused: " + read.error().text());
+        return;
+    }
+    const settings& next = read.value();
+    settings& kept = m_shared.m_settings;
+    kept.m_drain_limit = next.m_drain_limit;
+    kept.m_entries_ttl = next.m_entries_ttl;
+    kept.m_seeds = next.m_seeds;
+    m_shared.m_fleet.add_seeds(next.m_seeds);
+    const bool same_place =
+        kept.m_callers == next.m_callers && kept.m_control == next.m_control &&
+        kept.m_peer == next.m_peer && kept.m_platform == next.m_platform &&
+        kept.m_zone == next.m_zone;
+    note(same_place ? "reloaded"
+                    : "reloaded; new addresses or a new zone need a restart");
+}
+
 void node::drain() {
     if (m_shared.m_draining)
         return;
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -21,6 +21,11 @@
      *  @return nothing, or the address that could not be bound */
     parsed<void> start();
 
+    /*! @brief Reads the settings again and takes over what may change while
+     *  the entry runs; a file that does not hold changes nothing.
+     *  @param path of the settings file */
+    void reload(const std::string& path);
+
     /*! @brief Begins the graceful shutdown; the loop is stopped at its end. */
     void drain();
 
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -54,6 +54,7 @@
     found->m_phase = phase::head;
     found->m_head_only = head_only;
     found->m_bytes_sent = true;
+    found->m_writing = true;
     found->m_output = std::move(bytes);
     auto buffer =
         h2o_iovec_init(found->m_output.data(), found->m_output.size());
--- a/src/io/http_client_native.hpp
+++ b/src/io/http_client_native.hpp
@@ -16,7 +16,14 @@
 namespace internal {
 
 /*! @brief What a connection is doing. */
-enum class phase : std::uint8_t { connecting, idle, head, body, closed };
+enum class phase : std::uint8_t {
+    connecting,
+    idle,
+    head,
+    body,
+    settling, //!< the answer is whole, its request's write not yet reported
+    closed
+};
 
 /*! @brief One connection. */
 struct connection {
@@ -28,6 +35,7 @@
     std::string m_output; // stays until the kernel has all of it
     phase m_phase{phase::connecting};
     bool m_bytes_sent{};
+    bool m_writing{}; // h2o has not yet reported the write
     bool m_head_only{};
     bool m_paused{};
 };
@@ -51,6 +59,8 @@
     bool advance_head(internal::connection& from);
     bool advance_body(internal::connection& from);
     void finish(internal::connection& from, std::size_t rest, bool unchecked);
+    void settle(connection_id key);
+    void complete(internal::connection& from, bool reusable, bool unchecked);
     void end_of_stream(internal::connection& from, const char* error);
     void read_buffered(connection_id key);
     void tune(int fd) const;
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -69,8 +69,12 @@
     auto* self = static_cast<connection*>(socket->data);
     if (!self)
         return;
-    if (error)
-        static_cast<native*>(self->m_owner)->fail(*self, error);
+    self->m_writing = false;
+    auto& owner = *static_cast<native*>(self->m_owner);
+    if (error && self->m_phase == phase::settling)
+        owner.complete(*self, false, false);
+    else if (error)
+        owner.fail(*self, error);
 }
 
 void http_client::native::on_read(h2o_socket_t* socket, const char* error) {
@@ -97,6 +101,10 @@
         return advance_head(from);
     if (from.m_phase == phase::body)
         return advance_body(from);
+    if (from.m_phase == phase::settling) {
+        complete(from, false, false);
+        return false;
+    }
     fail(from, "bytes outside of a response");
     return false;
 }
@@ -155,9 +163,28 @@
 
 void http_client::native::finish(connection& from, std::size_t rest,
                                  bool unchecked) {
-    const connection_id key = from.m_key;
     const bool reusable =
         rest == 0 && !unchecked && from.m_parser.keeps_connection();
+    if (!reusable || !from.m_writing) {
+        complete(from, reusable, unchecked);
+        return;
+    }
+    // h2o takes no further write yet. It reports this one in the same turn,
+    // unless the kernel has not taken the whole request.
+    from.m_phase = phase::settling;
+    const connection_id key = from.m_key;
+    m_loop->after(duration{0}, [this, key] { settle(key); });
+}
+
+void http_client::native::settle(connection_id key) {
+    connection* found = m_connections.find(key);
+    if (found && found->m_phase == phase::settling)
+        complete(*found, !found->m_writing, false);
+}
+
+void http_client::native::complete(connection& from, bool reusable,
+                                   bool unchecked) {
+    const connection_id key = from.m_key;
     from.m_phase = phase::idle;
     from.m_bytes_sent = false;
     if (!reusable)
@@ -173,6 +200,8 @@
                               error == h2o_socket_error_closed;
     if (body_may_end)
         finish(from, 0, true);
+    else if (from.m_phase == phase::settling)
+        complete(from, false, false);
     else
         fail(from, error);
 }
--- a/src/io/http_status.hpp
+++ b/src/io/http_status.hpp
@@ -6,6 +6,7 @@
 
 inline constexpr int ok = 200;
 inline constexpr int no_content = 204;
+inline constexpr int first_redirect = 300; //!< above all successes
 inline constexpr int not_modified = 304;
 inline constexpr int bad_request = 400;
 inline constexpr int not_found = 404;
--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -33,8 +33,8 @@
     return best;
 }
 
-// Chance decides, but those that failed lately go last and those that can be
-// asked on an open connection go first.
+// Chance decides, so that a new upstream is found soon; those that failed
+// lately go last.
 std::vector<upstream_id> pick(std::span<const ask_candidate> from, bool near,
                               random_source& random) {
     struct ranked {
@@ -46,9 +46,8 @@
     for (const ask_candidate& item : from) {
         if (item.m_near != near || item.m_asked || item.m_report)
             continue;
-        const std::uint32_t suspect = item.m_suspect ? 2 : 0;
-        const std::uint32_t connect = item.m_idle_connection ? 0 : 1;
-        list.push_back({suspect + connect, random(), item.m_upstream});
+        const std::uint32_t suspect = item.m_suspect ? 1 : 0;
+        list.push_back({suspect, random(), item.m_upstream});
     }
     std::sort(list.begin(), list.end(),
               [](const auto& left, const auto& right) {
--- a/test/io/http_client.cpp
+++ b/test/io/http_client.cpp
@@ -216,3 +216,39 @@
     turn_until([this] { return m_log.m_complete; });
     EXPECT_EQ(m_log.m_body, "hello");
 }
+
+// The answer is read before the loop reports the request's write as done.
+TEST_F(client_test, sends_again_from_the_end_of_a_quick_answer) {
+    open();
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    int answers = 0;
+    m_client.rebind(
+        m_connection, [&](connection_id key, const io::client_event& what) {
+            record(what);
+            const auto* end = std::get_if<io::response_complete>(&what);
+            if (end && end->m_reusable && ++answers == 1)
+                m_client.send(key, request_bytes, false);
+        });
+    m_server.write(answer);
+    m_client.send(m_connection, request_bytes, false);
+    turn_until([&] { return answers == 1; });
+    m_server.read_request();
+    m_server.read_request();
+    m_server.write(answer);
+    turn_until([&] { return answers == 2; });
+    EXPECT_FALSE(m_log.m_failed);
+}
+
+// The rest of the body is due first on such a connection.
+TEST_F(client_test, an_answer_before_the_body_is_out_ends_the_connection) {
+    open();
+    constexpr std::size_t more_than_the_kernel_takes = std::size_t{64} << 20U;
+    m_client.send(m_connection,
+                  request_bytes + std::string(more_than_the_kernel_takes, 'x'),
+                  false);
+    m_server.read_request();
+    m_server.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+    turn_until([this] { return m_log.m_complete; });
+    EXPECT_EQ(m_log.m_body, "ab");
+    EXPECT_FALSE(m_log.m_reusable);
+}
