Bound the questions to one upstream over all entries

Change: each entry has its part of the upstreams' budget; without it, the better of two by own requests takes the request. The budget begins with one round, and two of three questions go out on open connections.

--- a/include/skylark/limit/token_bucket.hpp
+++ b/include/skylark/limit/token_bucket.hpp
@@ -4,6 +4,7 @@
 #define SKYLARK_LIMIT_TOKEN_BUCKET_HPP
 
 #include <algorithm>
+#include <cstddef>
 
 #include <skylark/core/time.hpp>
 #include <skylark/limit/fwd.hpp>
@@ -18,12 +19,22 @@
      *  a new owner of a budget adds nothing to what the old one spent */
     token_bucket(double rate, double burst) : m_rate{rate}, m_burst{burst} {}
 
+    /*! @param tokens that are there at first */
+    token_bucket(double rate, double burst, double tokens)
+        : m_rate{rate}, m_burst{burst}, m_tokens{std::min(burst, tokens)} {}
+
     /*! @brief Whether a token is there, without taking it. */
     bool has(time_point now) {
         refill(now);
         return m_tokens >= 1.0;
     }
 
+    /*! @brief Whole tokens that are there. */
+    std::size_t available(time_point now) {
+        refill(now);
+        return static_cast<std::size_t>(m_tokens);
+    }
+
     /*! @brief Takes one token.
      *  @param now the present
      *  @return whether there was one */
--- a/include/skylark/route/ask_plan.hpp
+++ b/include/skylark/route/ask_plan.hpp
@@ -28,6 +28,7 @@
     bool m_asked{};              //!< was asked for this request already
     bool m_pending{};            //!< and has not answered yet
     bool m_suspect{};            //!< failed lately; goes last
+    bool m_connected{}; //!< has an idle connection
     std::uint32_t m_in_flight{}; //!< this entry's own requests
     //! A report that is young enough to act on.
     std::optional<load_report> m_report;
@@ -61,12 +62,22 @@
  *  one that they cannot. */
 bool has_room(const load_report& of);
 
+/*! @brief What one step may do. */
+struct ask_terms {
+    bool m_patient{};          //!< answers under way are waited for
+    std::size_t m_questions{}; //!< that the budget allows now
+};
+
+/*! @brief Most questions that one step asks. */
+inline constexpr std::size_t most_questions = 3;
+
 /*! @brief Plans the next step for one request.
  *  @param from upstreams that may take it
- *  @param patient whether answers under way are waited for
+ *  @param terms what the step may do
  *  @param random source of chance
- *  @return the step */
-ask_step plan_ask(std::span<const ask_candidate> from, bool patient,
+ *  @return the step; without a budget for questions, the better of two by
+ *  this entry's own requests */
+ask_step plan_ask(std::span<const ask_candidate> from, const ask_terms& terms,
                   random_source& random);
 
 } // namespace skylark
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -34,12 +34,14 @@
     if (from.m_deployment == deployment::native)
         return store::client{std::in_place_type<store::polling_client>,
                              m_shared.m_loop, from.m_platform};
-    return store::client{
-        std::in_place_type<store::mirror_client>, m_shared.m_loop,
-        from.m_platform, from.m_zones, [this](const input_error& why) {
-            m_shared.m_journal.note(event_kind::configuration, "store record",
-                                    "cannot be used: " + why.text());
-        }};
+    const platform::deployment_terms terms{from.m_zones,
+                                           from.m_questions_per_upstream};
+    const auto note = [this](const input_error& why) {
+        m_shared.m_journal.note(event_kind::configuration, "store record",
+                                "cannot be used: " + why.text());
+    };
+    return store::client{std::in_place_type<store::mirror_client>,
+                         m_shared.m_loop, from.m_platform, terms, note};
 }
 
 // A waiting watch counts as a call, so few entries of a zone watch. One that
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -7,6 +7,7 @@
 
 #include <skylark/core/id_map.hpp>
 #include <skylark/limit/ratio_budget.hpp>
+#include <skylark/limit/token_bucket.hpp>
 #include <skylark/rule/split.hpp>
 
 #include "entry/admission_queue.hpp"
@@ -76,6 +77,7 @@
     void plan(request_id key, bool patient);
     void ask(request_id key, request& of, const std::vector<upstream_id>& whom);
     void heard(request_id key, upstream_id from);
+    token_bucket& question_budget(const std::string& service);
 
     // Attempts.
     void start(request_id key, request& of, const route_choice& choice,
@@ -112,6 +114,7 @@
     std::map<std::string, admission_queue> m_queues; // by service
     std::uint64_t m_last_attempt{};
     std::map<std::string, ratio_budget> m_retry_budgets; // by service
+    std::map<std::string, token_bucket> m_question_budgets; // by service
     std::map<std::string, split_cursor> m_splits;        // by rule
     ratio_budget m_hedge_budget;
     std::map<std::string, double> m_hedge_percent; // by service
--- a/src/entry/forwarder_asking.cpp
+++ b/src/entry/forwarder_asking.cpp
@@ -19,6 +19,23 @@
     plan(key, true);
 }
 
+// This entry's part of the questions that all entries may put to a service.
+token_bucket& forwarder::question_budget(const std::string& service) {
+    const auto members = static_cast<double>(
+        m_shared.m_fleet.members().peers().size() + 1);
+    const auto upstreams =
+        static_cast<double>(m_shared.m_upstreams.of_service(service).size());
+    const double each =
+        m_shared.m_config.current().m_limits.m_probes_per_upstream;
+    const double rate = each * upstreams / members;
+    const double burst = std::max<double>(most_questions, rate);
+    token_bucket& out = m_question_budgets
+                            .try_emplace(service, rate, burst, most_questions)
+                            .first->second;
+    out.set_rate(rate, burst);
+    return out;
+}
+
 void forwarder::plan(request_id key, bool patient) {
     request& of = *m_requests.find(key);
     const time_point now = io::event_loop::now();
@@ -27,7 +44,9 @@
         return;
     }
     const auto candidates = m_router.ask_candidates(of, now);
-    const ask_step step = plan_ask(candidates, patient, m_router.random());
+    token_bucket& budget = question_budget(of.m_service);
+    const ask_terms terms{patient, budget.available(now)};
+    const ask_step step = plan_ask(candidates, terms, m_router.random());
     std::visit(
         overload{[&](const ask_upstreams& next) { ask(key, of, next.m_whom); },
                  [&](const send_to_upstream& chosen) {
@@ -56,7 +75,9 @@
                 plan(key, false);
         }
     });
+    token_bucket& budget = question_budget(of.m_service);
     for (const upstream_id target : whom) {
+        budget.take(io::event_loop::now());
         of.m_asked.push_back(target);
         of.m_unanswered.push_back(target);
         m_asker.ask(*m_shared.m_upstreams.find(target), config->m_health_path,
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -160,6 +160,7 @@
         made.m_asked = in(of.m_asked, key);
         made.m_pending = in(of.m_unanswered, key);
         made.m_suspect = item.m_load.suspect() || item.m_unhealthy;
+        made.m_connected = !item.m_idle.empty();
         made.m_in_flight = item.m_load.in_flight();
         if (item.m_silent_load)
             made.m_report = assumed_report(item);
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -186,6 +186,9 @@
     out.m_deployment =
         deployed == "native" ? deployment::native : deployment::platform;
     reader.texts("zones", out.m_zones);
+    std::int64_t questions = out.m_questions_per_upstream;
+    reader.whole("questions_per_upstream", questions);
+    out.m_questions_per_upstream = static_cast<std::uint32_t>(questions);
     reader.where("callers", out.m_callers, true);
     reader.where("lookup", out.m_lookup);
     reader.where("ready", out.m_ready);
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -28,6 +28,9 @@
     deployment m_deployment{deployment::native};
     //! Names of all availability zones; needed where the store lists none.
     std::vector<std::string> m_zones;
+    //! Load questions a second that one upstream bears from all entries;
+    //! used where the store's configuration does not say.
+    std::uint32_t m_questions_per_upstream{60};
     address m_callers; //!< HTTP for callers
     //! HTTP for lookups and readiness on addresses of their own, if set.
     std::optional<address> m_lookup;
--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -2,13 +2,12 @@
 #include <skylark/route/ask_plan.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace skylark {
 
 namespace {
 
-// Of three upstreams of which a third is slow, one in thirty is all slow.
-constexpr std::size_t asked_at_once = 3;
 // Upstreams with more waiting requests than this many times their slots are
 // taken as full; it lies below the queue of any upstream seen.
 constexpr std::uint32_t queue_per_slot = 2;
@@ -33,33 +32,57 @@
     return best;
 }
 
-// Chance decides, so that a new upstream is found soon; those that failed
-// lately go last.
+// Those that failed lately go last. The first is taken by chance, so that a
+// new upstream is found soon; the others preferably on open connections.
 std::vector<upstream_id> pick(std::span<const ask_candidate> from, bool near,
-                              random_source& random) {
+                              std::size_t most, random_source& random) {
     struct ranked {
-        std::uint32_t m_rank;
+        bool m_suspect;
+        bool m_unconnected;
         std::uint32_t m_chance;
         upstream_id m_upstream;
     };
     std::vector<ranked> list;
-    for (const ask_candidate& item : from) {
-        if (item.m_near != near || item.m_asked || item.m_report)
-            continue;
-        const std::uint32_t suspect = item.m_suspect ? 1 : 0;
-        list.push_back({suspect, random(), item.m_upstream});
-    }
-    std::sort(list.begin(), list.end(),
-              [](const auto& left, const auto& right) {
-                  return std::pair{left.m_rank, left.m_chance} <
-                         std::pair{right.m_rank, right.m_chance};
-              });
+    for (const ask_candidate& item : from)
+        if (item.m_near == near && !item.m_asked && !item.m_report)
+            list.push_back({item.m_suspect, !item.m_connected, random(),
+                            item.m_upstream});
+    const auto by_chance = [](const ranked& left, const ranked& right) {
+        return std::tuple{left.m_suspect, left.m_chance} <
+               std::tuple{right.m_suspect, right.m_chance};
+    };
+    const auto by_cost = [](const ranked& left, const ranked& right) {
+        return std::tuple{left.m_suspect, left.m_unconnected, left.m_chance} <
+               std::tuple{right.m_suspect, right.m_unconnected, right.m_chance};
+    };
     std::vector<upstream_id> out;
-    for (std::size_t i = 0; i < std::min(list.size(), asked_at_once); ++i)
+    const std::size_t count = std::min({list.size(), most, most_questions});
+    if (count == 0)
+        return out;
+    std::iter_swap(list.begin(),
+                   std::min_element(list.begin(), list.end(), by_chance));
+    std::sort(list.begin() + 1, list.end(), by_cost);
+    for (std::size_t i = 0; i < count; ++i)
         out.push_back(list[i].m_upstream);
     return out;
 }
 
+ask_step better_of_two(std::span<const ask_candidate> from,
+                       random_source& random) {
+    const ask_candidate* best = nullptr;
+    for (int i = 0; i < 2 && !from.empty(); ++i) {
+        const auto index = random(static_cast<std::uint32_t>(from.size()));
+        const ask_candidate& item = from[index];
+        const bool full = item.m_report && !has_room(*item.m_report);
+        if (!full && !item.m_asked &&
+            (!best || item.m_in_flight < best->m_in_flight))
+            best = &item;
+    }
+    if (!best)
+        return nobody_free{};
+    return send_to_upstream{best->m_upstream};
+}
+
 } // namespace
 
 double expected_time(const load_report& of) {
@@ -76,18 +99,18 @@
     return of.m_queue < queue_per_slot * std::max(1U, of.m_slots);
 }
 
-ask_step plan_ask(std::span<const ask_candidate> from, bool patient,
+ask_step plan_ask(std::span<const ask_candidate> from, const ask_terms& terms,
                   random_source& random) {
-    const bool waits =
-        std::any_of(from.begin(), from.end(),
-                    [](const ask_candidate& item) { return item.m_pending; });
-    if (waits && patient)
+    const bool waits = std::any_of(
+        from.begin(), from.end(),
+        [](const ask_candidate& item) { return item.m_pending; });
+    if (waits && terms.m_patient)
         return await_answers{};
     const ask_candidate* best = best_known(from);
     if (best && cost(*best) < good_enough)
         return send_to_upstream{best->m_upstream};
     for (const bool near : {true, false}) {
-        auto whom = pick(from, near, random);
+        auto whom = pick(from, near, terms.m_questions, random);
         if (!whom.empty())
             return ask_upstreams{std::move(whom)};
     }
@@ -95,6 +118,8 @@
         return send_to_upstream{best->m_upstream};
     if (waits)
         return await_answers{};
+    if (terms.m_questions == 0)
+        return better_of_two(from, random);
     return nobody_free{};
 }
 
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -8,7 +8,6 @@
 #include <skylark/config/config.hpp>
 
 #include "core/overload.hpp"
-#include "platform/records.hpp"
 
 namespace skylark::store {
 
@@ -28,10 +27,10 @@
 } // namespace
 
 mirror_client::mirror_client(io::event_loop& loop, address where,
-                             std::vector<std::string> zones,
+                             platform::deployment_terms terms,
                              std::function<void(const input_error&)> note)
     : m_loop{loop}, m_fetcher{loop, answer_limit}, m_where{where},
-      m_zones{std::move(zones)}, m_note{std::move(note)},
+      m_terms{std::move(terms)}, m_note{std::move(note)},
       m_mirror{std::string{platform::upstream_prefix}, removal_hold} {}
 
 void mirror_client::read(std::uint64_t index, duration wait,
@@ -220,7 +219,7 @@
          it != records.end() && it->first.starts_with(prefix); ++it)
         drained.push_back(it->first.substr(prefix.size()));
     const auto read =
-        platform::read_configuration(found->second.m_value, m_zones, drained);
+        platform::read_configuration(found->second.m_value, m_terms, drained);
     // Text that cannot be read is handed on: its refusal is noted there.
     m_document = stored_value{revision, read ? format_document(read.value())
                                              : found->second.m_value};
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -12,6 +12,7 @@
 #include "io/event_loop.hpp"
 #include "io/fetcher.hpp"
 #include "platform/kv_protocol.hpp"
+#include "platform/records.hpp"
 #include "store/mirror.hpp"
 #include "store/result.hpp"
 
@@ -23,10 +24,10 @@
 public:
     /*! @param loop event loop
      *  @param where the store
-     *  @param zones names of all availability zones
+     *  @param terms what the settings say besides the store
      *  @param note gets a line for each record that cannot be used */
     mirror_client(io::event_loop& loop, address where,
-                  std::vector<std::string> zones,
+                  platform::deployment_terms terms,
                   std::function<void(const input_error&)> note);
 
     /*! @brief See client::read. */
@@ -75,7 +76,7 @@
     io::fetcher m_fetcher;
     address m_where;
     platform::kv_protocol m_protocol;
-    std::vector<std::string> m_zones;
+    platform::deployment_terms m_terms;
     std::function<void(const input_error&)> m_note;
     mirror m_mirror;
     std::vector<reader<read_result>> m_document_readers;
