--- a/src/entry/journal.cpp
+++ b/src/entry/journal.cpp
@@ -13,12 +13,21 @@
 namespace skylark::entry {
 
 struct journal::log {
-    log4cplus::Initializer m_initializer;
     log4cplus::Logger m_logger;
 };
 
+namespace {
+
+// log4cplus starts once for each process and cannot start again.
+void start_logging() {
+    static const log4cplus::Initializer initializer;
+}
+
+} // namespace
+
 journal::journal(const std::string& name, const std::string& level)
     : m_log{std::make_unique<log>()} {
+    start_logging();
     constexpr bool to_stderr = true;
     constexpr bool flush = true;
     log4cplus::SharedAppenderPtr appender{
@@ -26,6 +35,7 @@
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "%D{%Y-%m-%dT%H:%M:%S.%q} %p %c %m%n"));
     m_log->m_logger = log4cplus::Logger::getInstance(name);
+    m_log->m_logger.removeAllAppenders();
     m_log->m_logger.addAppender(appender);
     std::string upper;
     for (const char c : level)
--- a/src/io/fetcher.cpp
+++ b/src/io/fetcher.cpp
@@ -17,7 +17,8 @@
 
 std::string format_request(const fetch_request& what) {
     std::string out = what.m_method + ' ' + what.m_path + " HTTP/1.1\r\n";
-    out += "Host: " + what.m_to.text() + "\r\n";
+    out += "Host: " + (what.m_host.empty() ? what.m_to.text() : what.m_host) +
+           "\r\n";
     for (const header& field : what.m_headers)
         out += field.m_name + ": " + field.m_value + "\r\n";
     if (!what.m_body.empty() || what.m_method != "GET")
--- a/src/io/fetcher.hpp
+++ b/src/io/fetcher.hpp
@@ -25,6 +25,7 @@
     std::vector<header> m_headers;
     std::string m_body;
     duration m_timeout{seconds{1}};
+    std::string m_host; //!< that is asked for; empty: the address
 };
 
 /*! @brief A whole answer. */
--- /dev/null
+++ b/test/platform/dialect.cpp
@@ -0,0 +1,100 @@
+// Header fields are decoded once; unreadable ones say nothing.
+#include "platform/dialect.hpp"
+
+#include <array>
+
+#include <gtest/gtest.h>
+
+using namespace skylark;
+
+namespace {
+
+const platform::dialect speaks;
+
+entry::answer_signs signs(int status, std::vector<io::header_view> fields) {
+    io::response_head head;
+    head.m_status = status;
+    head.m_headers = fields;
+    return speaks.read_answer(head, "r1");
+}
+
+std::optional<load_report> load(std::string_view text) {
+    return signs(500, {{"Server-Load", text}}).m_report;
+}
+
+} // namespace
+
+TEST(platform_dialect, reads_a_load) {
+    const auto full = load("3, 1,8,700");
+    ASSERT_TRUE(full);
+    EXPECT_EQ(full->m_used, 3U);
+    EXPECT_EQ(full->m_queue, 1U);
+    EXPECT_EQ(full->m_slots, 8U);
+    EXPECT_EQ(full->m_slowness, 700U);
+    EXPECT_EQ(load("3,0,8")->m_slowness, usual_slowness);
+    for (const char* text : {"", "3", "3,0", "3,0,0", "a,0,8", "-1,0,8", ",,,"})
+        EXPECT_FALSE(load(text)) << text;
+}
+
+TEST(platform_dialect, tells_refusals_and_foreign_answers) {
+    EXPECT_TRUE(signs(503, {{"Not-Executed", "1"}}).m_refused);
+    EXPECT_FALSE(signs(503, {}).m_refused);
+    EXPECT_TRUE(signs(421, {}).m_misdirected);
+    EXPECT_TRUE(signs(421, {}).m_refused);
+    EXPECT_TRUE(signs(500, {{"Request-Id", "r2"}}).m_unusable);
+    EXPECT_FALSE(signs(500, {{"Request-Id", "r1"}}).m_unusable);
+}
+
+TEST(platform_dialect, a_success_needs_its_stamp) {
+    EXPECT_TRUE(signs(200, {}).m_unusable);
+    EXPECT_FALSE(signs(200, {{"Response-Stamp", "s"}}).m_unusable);
+    EXPECT_FALSE(signs(404, {}).m_unusable);
+}
+
+TEST(platform_dialect, an_attempt_names_deadline_and_instance) {
+    std::string head;
+    speaks.write_attempt(head, microseconds{1500}, "i-1");
+    EXPECT_EQ(head, "Deadline-Ms: 1\r\nExpected-Instance: i-1\r\n");
+    EXPECT_FALSE(speaks.forwards("deadline-ms"));
+    EXPECT_FALSE(speaks.forwards("Expected-Instance"));
+    EXPECT_TRUE(speaks.forwards("Request-Id"));
+}
+
+TEST(platform_dialect, a_health_check_shows_cold_start_and_instance) {
+    const std::array fields{io::header_view{"Instance-Id", "i-1"},
+                            io::header_view{"Server-Load", "1,0,6,100"},
+                            io::header_view{"Warmup-Ms", "700"}};
+    io::response_head head;
+    head.m_status = 200;
+    head.m_headers = fields;
+    const auto found = speaks.read_health(head, "");
+    EXPECT_TRUE(found.m_healthy);
+    EXPECT_EQ(found.m_instance, "i-1");
+    EXPECT_EQ(found.m_cold_left, milliseconds{700});
+    ASSERT_TRUE(found.m_report);
+}
+
+TEST(platform_dialect, only_a_proven_refusal_says_when_to_return) {
+    const auto refused = speaks.refusal(not_run{not_run_proof::not_admitted},
+                                        milliseconds{300}, std::nullopt);
+    EXPECT_EQ(refused.back().m_name, "Retry-After");
+    EXPECT_EQ(refused.back().m_value, "0.300");
+    const auto unknown =
+        speaks.refusal(may_have_run{attempt_step::request_sent},
+                       milliseconds{300}, std::nullopt);
+    for (const io::header& field : unknown)
+        EXPECT_NE(field.m_name, "Retry-After");
+}
+
+TEST(platform_dialect, answers_lookups) {
+    EXPECT_EQ(speaks.lookup_zone("/resolve?name=x&region=r&zone=perth-a"),
+              "perth-a");
+    EXPECT_EQ(speaks.lookup_zone("/resolve"), "");
+    EXPECT_FALSE(speaks.lookup_zone("/resolves"));
+    EXPECT_TRUE(speaks.asks_ready("/readiness"));
+    const std::vector<entry::caller_address> many(
+        100, {address{0x7f000001U, 80}, "a"});
+    const auto text = speaks.lookup_answer(many, seconds{2});
+    EXPECT_NE(text.find("\"ttl_s\":2.0"), std::string::npos) << text;
+    EXPECT_EQ(std::count(text.begin(), text.end(), ':') - 2, 64);
+}
