Keep upstreams' queues for what is answered in time; fewer store calls

Store calls: every entry watched until it had a list, and each of many changes cost one call. Change: a queue only takes what is still in time, counted from the caller's first try; full upstreams are left alone for 0.1 s; six full ones refuse a request; one watcher in each zone, calls at least 0.1 s apart.

--- a/include/skylark/config/limits.hpp
+++ b/include/skylark/config/limits.hpp
@@ -19,6 +19,8 @@
     std::uint32_t m_retry_percent{10}; //!< retries in 100 requests
     //! Repeats that a service may save up, by all entries together.
     std::uint32_t m_retry_burst{40};
+    //! Whether a repeat after an upstream's refusal counts as a retry.
+    bool m_refusals_count{false};
     std::uint32_t m_hedge_percent{5}; //!< hedges in 100 requests, when idle
     duration m_hedge_after{milliseconds{30}}; //!< shortest wait for a hedge
     //! Connections to one upstream, by all entries together.
--- a/include/skylark/route/ask_plan.hpp
+++ b/include/skylark/route/ask_plan.hpp
@@ -28,10 +28,12 @@
     bool m_asked{};              //!< was asked for this request already
     bool m_pending{};            //!< and has not answered yet
     bool m_suspect{};            //!< failed lately; goes last
-    bool m_connected{}; //!< has an idle connection
+    bool m_connected{};          //!< has an idle connection
     std::uint32_t m_in_flight{}; //!< this entry's own requests
     //! A report that is young enough to act on.
     std::optional<load_report> m_report;
+    //! An older one, which still tells whether it was full a moment ago.
+    std::optional<load_report> m_recent;
 };
 
 /*! @brief Ask these, then plan again. */
@@ -58,14 +60,21 @@
  *  @param of what the upstream said */
 double expected_time(const load_report& of);
 
-/*! @brief Whether an upstream can still queue a request: some never answer
- *  one that they cannot. */
-bool has_room(const load_report& of);
+/*! @brief Whether an upstream should get a request now. A free slot takes any;
+ *  its queue only one that is still answered in time, as whatever is late
+ *  there makes all that follow late. Some upstreams never answer a request
+ *  that they cannot queue.
+ *  @param of what the upstream said
+ *  @param in_time see ask_terms */
+bool has_room(const load_report& of, double in_time);
 
 /*! @brief What one step may do. */
 struct ask_terms {
     bool m_patient{};          //!< answers under way are waited for
     std::size_t m_questions{}; //!< that the budget allows now
+    //! Longest expected time, in the unit of expected_time(), that is worth
+    //! waiting for in an upstream's queue.
+    double m_in_time{3.0};
 };
 
 /*! @brief Most questions that one step asks. */
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -248,6 +248,14 @@
         self.signal(name, signal.SIGKILL)
         self.processes.pop(name).wait()
 
+    def crashed(self):
+        """Processes that ended by themselves, with how; those that a cell
+        killed are not among them."""
+        return {name: process.returncode
+                for name, process in self.processes.items()
+                if process.poll() not in (None, 0, -signal.SIGKILL,
+                                          -signal.SIGTERM)}
+
     def stop(self):
         for process in self.processes.values():
             process.kill()
--- a/scripts/matrix.py
+++ b/scripts/matrix.py
@@ -54,7 +54,15 @@
         except (OSError, TimeoutError) as error:
             run.findings.append(f"{type(error).__name__}: {error}")
         process.communicate()
-        ends = judge(run, deployment.result("load"), options.get("lossy"))
+        run.expect(process.returncode == 0,
+                   f"the load ended with code {process.returncode}")
+        for ended, code in deployment.crashed().items():
+            run.findings.append(f"{ended} ended with code {code}")
+        ends = {}
+        try:
+            ends = judge(run, deployment.result("load"), options.get("lossy"))
+        except (OSError, ValueError) as error:
+            run.findings.append(f"no result of the load: {error}")
     return run.findings, ends
 
 
--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -83,6 +83,7 @@
     reader.read("probes_fleet", out.m_probes_fleet);
     reader.read("retry_percent", out.m_retry_percent);
     reader.read("retry_burst", out.m_retry_burst);
+    reader.read("refusals_count", out.m_refusals_count);
     reader.read("hedge_percent", out.m_hedge_percent);
     reader.read_ms("hedge_after_ms", out.m_hedge_after);
     reader.read("connections_per_upstream", out.m_connections_per_upstream);
@@ -168,6 +169,7 @@
             {"probes_fleet", from.m_probes_fleet},
             {"retry_percent", from.m_retry_percent},
             {"retry_burst", from.m_retry_burst},
+            {"refusals_count", from.m_refusals_count},
             {"hedge_percent", from.m_hedge_percent},
             {"hedge_after_ms", to_ms(from.m_hedge_after)},
             {"connections_per_upstream", from.m_connections_per_upstream},
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -15,7 +15,8 @@
 constexpr auto retry_wait = milliseconds{500};
 constexpr auto turn_check = milliseconds{500};
 constexpr auto list_patience = seconds{30};
-constexpr std::size_t watchers_per_zone = 2;
+// Watchers of other zones stand in for a while when this zone's one fails.
+constexpr std::size_t watchers_per_zone = 1;
 constexpr int silent_heartbeats = 4;
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 } // namespace
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -9,6 +9,7 @@
 #include <skylark/limit/ratio_budget.hpp>
 #include <skylark/limit/token_bucket.hpp>
 #include <skylark/rule/split.hpp>
+#include <skylark/rule/usual_deadline.hpp>
 
 #include "entry/admission_queue.hpp"
 #include "entry/asker.hpp"
@@ -77,6 +78,8 @@
     void plan(request_id key, bool patient);
     void ask(request_id key, request& of, const std::vector<upstream_id>& whom);
     void heard(request_id key, upstream_id from);
+    [[nodiscard]] double in_time_limit(const request& of, time_point now) const;
+    void learn_work(const request& of, const attempt& by, duration took);
     token_bucket& question_budget(const std::string& service);
 
     // Attempts.
@@ -113,9 +116,11 @@
     std::map<exchange_id, request_id> m_by_exchange;
     std::map<std::string, admission_queue> m_queues; // by service
     std::uint64_t m_last_attempt{};
-    std::map<std::string, ratio_budget> m_retry_budgets; // by service
-    std::map<std::string, token_bucket> m_question_budgets; // by service
-    std::map<std::string, split_cursor> m_splits;        // by rule
+    std::map<std::string, ratio_budget> m_retry_budgets;     // by service
+    std::map<std::string, token_bucket> m_question_budgets;  // by service
+    std::map<std::string, duration> m_usual_work;            // by rule
+    std::map<std::string, usual_deadline> m_usual_deadlines; // by rule
+    std::map<std::string, split_cursor> m_splits;            // by rule
     ratio_budget m_hedge_budget;
     std::map<std::string, double> m_hedge_percent; // by service
 };
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -115,14 +115,17 @@
     }
     const time_point now = io::event_loop::now();
     // After a pause the request may have waited in the kernel all along.
+    const duration pause = m_shared.m_loop.notice_pause();
+    const auto asked =
+        std::visit([&](const auto& kind) { return kind.caller_deadline(from); },
+                   m_shared.m_dialect);
     const duration wait =
-        std::min(under.m_deadline, std::visit(
-                                       [&](const auto& kind) {
-                                           return kind.caller_deadline(from);
-                                       },
-                                       m_shared.m_dialect)
-                                       .value_or(under.m_deadline)) -
-        m_shared.m_loop.notice_pause();
+        std::min(under.m_deadline, asked.value_or(under.m_deadline)) - pause;
+    usual_deadline& usual = m_usual_deadlines[under.m_name];
+    if (asked)
+        usual.seen(*asked);
+    const duration waited =
+        pause + (asked ? usual.waited(*asked) : duration{0});
     const request_id made = m_requests.emplace(request{
         key, service, under.m_name, under.m_class,
         attempt_machine{{under.m_idempotent, now + wait, under.m_max_attempts}},
@@ -130,6 +133,8 @@
         from.m_method == "HEAD"});
     request& of = *m_requests.find(made);
     of.m_rank = under.m_rank;
+    of.m_target =
+        now + (under.m_target > duration{0} ? under.m_target - waited : wait);
     of.m_name = std::visit(
         [&](const auto& kind) { return std::string{kind.request_name(from)}; },
         m_shared.m_dialect);
--- a/src/entry/forwarder_asking.cpp
+++ b/src/entry/forwarder_asking.cpp
@@ -21,21 +21,43 @@
 
 // This entry's part of the questions that all entries may put to a service.
 token_bucket& forwarder::question_budget(const std::string& service) {
-    const auto members = static_cast<double>(
-        m_shared.m_fleet.members().peers().size() + 1);
+    const auto members =
+        static_cast<double>(m_shared.m_fleet.members().peers().size() + 1);
     const auto upstreams =
         static_cast<double>(m_shared.m_upstreams.of_service(service).size());
     const double each =
         m_shared.m_config.current().m_limits.m_probes_per_upstream;
     const double rate = each * upstreams / members;
     const double burst = std::max<double>(most_questions, rate);
-    token_bucket& out = m_question_budgets
-                            .try_emplace(service, rate, burst, most_questions)
-                            .first->second;
+    token_bucket& out =
+        m_question_budgets.try_emplace(service, rate, burst, most_questions)
+            .first->second;
     out.set_rate(rate, burst);
     return out;
 }
 
+// Until answers have shown how long the work of a rule takes, a third of the
+// target is assumed.
+double forwarder::in_time_limit(const request& of, time_point now) const {
+    constexpr double assumed = 3.0;
+    const auto known = m_usual_work.find(of.m_rule);
+    if (known == m_usual_work.end() || known->second <= duration{0})
+        return assumed;
+    const std::chrono::duration<double> left = of.m_target - now;
+    const std::chrono::duration<double> work = known->second;
+    return left / work;
+}
+
+// Divides what an answer took by what was expected of its upstream.
+void forwarder::learn_work(const request& of, const attempt& by,
+                           duration took) {
+    constexpr int smoothing = 16; // weight 1/16 for a new sample
+    const auto sample = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>{took} / by.m_expected);
+    duration& kept = m_usual_work.try_emplace(of.m_rule, sample).first->second;
+    kept += (sample - kept) / smoothing;
+}
+
 void forwarder::plan(request_id key, bool patient) {
     request& of = *m_requests.find(key);
     const time_point now = io::event_loop::now();
@@ -45,7 +67,8 @@
     }
     const auto candidates = m_router.ask_candidates(of, now);
     token_bucket& budget = question_budget(of.m_service);
-    const ask_terms terms{patient, budget.available(now)};
+    const ask_terms terms{patient, budget.available(now),
+                          in_time_limit(of, now)};
     const ask_step step = plan_ask(candidates, terms, m_router.random());
     std::visit(
         overload{[&](const ask_upstreams& next) { ask(key, of, next.m_whom); },
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -13,6 +13,8 @@
 constexpr auto upstream_cancel_time = milliseconds{200};
 // A reused connection that was silent for longer makes its siblings suspect.
 constexpr auto silent_connection_limit = milliseconds{300};
+// A report of this age described the upstream when the request was sent.
+constexpr auto recent_report = milliseconds{20};
 } // namespace
 
 void forwarder::start(request_id key, request& of, const route_choice& choice,
@@ -27,6 +29,9 @@
     made.m_upstream = choice.m_upstream;
     made.m_share = choice.m_share;
     made.m_hedge = is_hedge;
+    const time_point now = io::event_loop::now();
+    if (target.m_load.report_age(now) <= recent_report)
+        made.m_expected = expected_time(target.m_load.last_report());
     if (made.m_share)
         ++target.share_use(*made.m_share);
     target.m_load.sent();
@@ -136,6 +141,8 @@
     }
     const bool failure = head.m_status >= io::status::first_failure;
     target.m_load.measured(now - made.m_sent_at, !failure);
+    if (!failure)
+        learn_work(of, made, now - made.m_sent_at);
     const bool only_attempt = of.m_attempts.size() == 1;
     const bool repeat = failure && only_attempt &&
                         of.m_machine.terms().m_idempotent &&
@@ -193,7 +200,9 @@
                        !of->m_machine.answer_has_begun() &&
                        of->m_attempts.empty() && may_retry(*of, how);
     // An upstream that refused has had the request: the next one is a repeat.
-    if (refused && refused->m_proof == not_run_proof::upstream_refused &&
+    const bool counts = m_shared.m_config.current().m_limits.m_refusals_count;
+    if (counts && refused &&
+        refused->m_proof == not_run_proof::upstream_refused &&
         !retry_budget(of->m_service).spend())
         of->m_machine.stop_attempts();
     const std::string service = of->m_service;
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -27,6 +27,8 @@
     bool m_reused{}; //!< the connection had answered before
     bool m_sent{};
     bool m_hedge{};
+    //! Expected time by the upstream's report, as expected_time() gives it.
+    double m_expected{1.0};
 };
 
 /*! @brief One request. */
@@ -48,6 +50,7 @@
     timer_id m_hedge_timer;
     bool m_queued{};
     std::string m_name;     //!< that the caller gave it, may be empty
+    time_point m_target;    //!< an answer until then is of full use
     std::uint32_t m_rank{}; //!< order within its class
 
     // Questions before the request is sent.
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -12,6 +12,8 @@
 // Slowness changes within fractions of a second, so only a report that has
 // just come in says where a request should go.
 constexpr duration act_on_report = milliseconds{12};
+// A queue that was too long stays so for about the time of one request.
+constexpr duration full_memory = milliseconds{100};
 
 // An upstream that tells no load is judged by this entry's own requests.
 load_report assumed_report(const upstream& of) {
@@ -162,6 +164,8 @@
         made.m_suspect = item.m_load.suspect() || item.m_unhealthy;
         made.m_connected = !item.m_idle.empty();
         made.m_in_flight = item.m_load.in_flight();
+        if (!item.m_silent_load && item.m_load.report_age(now) <= full_memory)
+            made.m_recent = item.m_load.last_report();
         if (item.m_silent_load)
             made.m_report = assumed_report(item);
         else if (item.m_load.report_age(now) <= act_on_report &&
--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -10,7 +10,10 @@
 
 // Upstreams with more waiting requests than this many times their slots are
 // taken as full; it lies below the queue of any upstream seen.
-constexpr std::uint32_t queue_per_slot = 2;
+// A request that finds so many full is refused: further questions would use
+// up the budget when it is needed most.
+constexpr std::size_t most_full = 2 * most_questions;
+constexpr std::uint32_t queue_per_slot = 1;
 // Below this expected time a near upstream is good enough.
 constexpr double good_enough = 1.7;
 // A far answer crosses zones twice and its bytes are paid for.
@@ -23,19 +26,26 @@
     return expected_time(*of.m_report) + penalty;
 }
 
-const ask_candidate* best_known(std::span<const ask_candidate> from) {
+const ask_candidate* best_known(std::span<const ask_candidate> from,
+                                double in_time) {
     const ask_candidate* best = nullptr;
     for (const ask_candidate& item : from)
-        if (item.m_report && has_room(*item.m_report) &&
+        if (item.m_report && has_room(*item.m_report, in_time) &&
             (!best || cost(item) < cost(*best)))
             best = &item;
     return best;
 }
 
+// A queue does not empty between two requests of one entry, so asking again at
+// once tells nothing new.
+bool was_full(const ask_candidate& of, double in_time) {
+    return of.m_recent && !has_room(*of.m_recent, in_time);
+}
+
 // Those that failed lately go last. The first is taken by chance, so that a
 // new upstream is found soon; the others preferably on open connections.
 std::vector<upstream_id> pick(std::span<const ask_candidate> from, bool near,
-                              std::size_t most, random_source& random) {
+                              const ask_terms& terms, random_source& random) {
     struct ranked {
         bool m_suspect;
         bool m_unconnected;
@@ -44,9 +54,10 @@
     };
     std::vector<ranked> list;
     for (const ask_candidate& item : from)
-        if (item.m_near == near && !item.m_asked && !item.m_report)
-            list.push_back({item.m_suspect, !item.m_connected, random(),
-                            item.m_upstream});
+        if (item.m_near == near && !item.m_asked && !item.m_report &&
+            !was_full(item, terms.m_in_time))
+            list.push_back(
+                {item.m_suspect, !item.m_connected, random(), item.m_upstream});
     const auto by_chance = [](const ranked& left, const ranked& right) {
         return std::tuple{left.m_suspect, left.m_chance} <
                std::tuple{right.m_suspect, right.m_chance};
@@ -56,7 +67,8 @@
                std::tuple{right.m_suspect, right.m_unconnected, right.m_chance};
     };
     std::vector<upstream_id> out;
-    const std::size_t count = std::min({list.size(), most, most_questions});
+    const std::size_t count =
+        std::min({list.size(), terms.m_questions, most_questions});
     if (count == 0)
         return out;
     std::iter_swap(list.begin(),
@@ -67,14 +79,13 @@
     return out;
 }
 
-ask_step better_of_two(std::span<const ask_candidate> from,
+ask_step better_of_two(std::span<const ask_candidate> from, double in_time,
                        random_source& random) {
     const ask_candidate* best = nullptr;
     for (int i = 0; i < 2 && !from.empty(); ++i) {
         const auto index = random(static_cast<std::uint32_t>(from.size()));
         const ask_candidate& item = from[index];
-        const bool full = item.m_report && !has_room(*item.m_report);
-        if (!full && !item.m_asked &&
+        if (!was_full(item, in_time) && !item.m_asked &&
             (!best || item.m_in_flight < best->m_in_flight))
             best = &item;
     }
@@ -95,22 +106,38 @@
     return slowness * (1.0 + wait + crowding * busy * busy);
 }
 
-bool has_room(const load_report& of) {
-    return of.m_queue < queue_per_slot * std::max(1U, of.m_slots);
+bool has_room(const load_report& of, double in_time) {
+    if (of.m_used < of.m_slots && of.m_queue == 0)
+        return true;
+    return expected_time(of) <= in_time &&
+           of.m_queue < queue_per_slot * std::max(1U, of.m_slots);
 }
 
 ask_step plan_ask(std::span<const ask_candidate> from, const ask_terms& terms,
                   random_source& random) {
-    const bool waits = std::any_of(
-        from.begin(), from.end(),
-        [](const ask_candidate& item) { return item.m_pending; });
+    const bool waits =
+        std::any_of(from.begin(), from.end(),
+                    [](const ask_candidate& item) { return item.m_pending; });
     if (waits && terms.m_patient)
         return await_answers{};
-    const ask_candidate* best = best_known(from);
+    const ask_candidate* best = best_known(from, terms.m_in_time);
     if (best && cost(*best) < good_enough)
         return send_to_upstream{best->m_upstream};
+    const auto count = [&](const auto& which) {
+        return static_cast<std::size_t>(
+            std::count_if(from.begin(), from.end(), which));
+    };
+    const std::size_t asked =
+        count([](const ask_candidate& item) { return item.m_asked; });
+    const std::size_t full = count([&](const ask_candidate& item) {
+        return item.m_asked && item.m_report &&
+               !has_room(*item.m_report, terms.m_in_time);
+    });
+    const bool may_ask = full < most_full;
     for (const bool near : {true, false}) {
-        auto whom = pick(from, near, terms.m_questions, random);
+        if (!may_ask)
+            break;
+        auto whom = pick(from, near, terms, random);
         if (!whom.empty())
             return ask_upstreams{std::move(whom)};
     }
@@ -118,8 +145,8 @@
         return send_to_upstream{best->m_upstream};
     if (waits)
         return await_answers{};
-    if (terms.m_questions == 0)
-        return better_of_two(from, random);
+    if (terms.m_questions == 0 && asked == 0)
+        return better_of_two(from, terms.m_in_time, random);
     return nobody_free{};
 }
 
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -20,6 +20,8 @@
 // Living upstreams are back in the store this long after its return.
 constexpr auto removal_hold = milliseconds{2200};
 constexpr auto shortest_wait = milliseconds{100};
+// Changes come in bursts; one call takes what gathered meanwhile.
+constexpr auto gathering_time = milliseconds{100};
 constexpr std::size_t answer_limit = std::size_t{8} << 20U; // bytes
 // More pages than any store holds: such a listing never ends.
 constexpr std::size_t most_pages = 1000;
@@ -61,7 +63,7 @@
 
 // Starts the next call, unless one is under way or nobody waits.
 void mirror_client::advance() {
-    if (m_calling || idle())
+    if (m_calling || m_gathering || idle())
         return;
     m_calling = true;
     if (m_listed) {
@@ -145,6 +147,13 @@
         overload{[&](const record_changes& list) { m_mirror.apply(list, now); },
                  [&](const history_lost&) { m_listed = false; }},
         changes.value());
+    // The next call waits a little, also when readers ask for it at once.
+    m_gathering = m_listed;
+    if (m_gathering)
+        m_loop.after(gathering_time, [this] {
+            m_gathering = false;
+            advance();
+        });
     if (m_listed)
         serve(now);
     advance();
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -81,6 +81,7 @@
     mirror m_mirror;
     std::vector<reader<read_result>> m_document_readers;
     std::vector<reader<list_result>> m_list_readers;
+    bool m_gathering{};    // no call for a while, so that changes gather
     bool m_calling{};      // a call is under way
     bool m_listed{};       // the mirror holds a whole listing
     std::size_t m_pages{}; // of the listing under way
--- a/test/route/ask_plan.cpp
+++ b/test/route/ask_plan.cpp
@@ -105,7 +105,10 @@
 }
 
 TEST_F(ask_plan_test, full_upstreams_get_nothing) {
-    EXPECT_FALSE(has_room(with(6, 12, 100)));
+    EXPECT_FALSE(has_room(with(6, 12, 100), 100.0));
+    EXPECT_FALSE(has_room(with(6, 3, 200), 3.0));
+    EXPECT_TRUE(has_room(with(6, 3, 100), 3.0));
+    EXPECT_TRUE(has_room(with(5, 0, 700), 3.0));
     const std::vector<ask_candidate> from{near(1, with(6, 12, 100))};
     EXPECT_TRUE(
         std::holds_alternative<nobody_free>(plan_ask(from, patient, m_random)));
@@ -113,6 +116,17 @@
         std::holds_alternative<nobody_free>(plan_ask({}, patient, m_random)));
 }
 
+TEST_F(ask_plan_test, an_upstream_that_was_full_is_not_asked_again_at_once) {
+    constexpr ask_terms no_budget{true, 0};
+    auto full = near(1);
+    full.m_recent = with(6, 12, 100);
+    EXPECT_EQ(asked({full, near(2)}), std::vector{upstream_id{2}});
+    EXPECT_TRUE(std::holds_alternative<nobody_free>(
+        plan_ask({&full, 1}, patient, m_random)));
+    EXPECT_TRUE(std::holds_alternative<nobody_free>(
+        plan_ask({&full, 1}, no_budget, m_random)));
+}
+
 TEST_F(ask_plan_test, suspects_are_asked_last) {
     std::vector<ask_candidate> from;
     for (std::uint64_t key = 1; key <= 6; ++key)
