--- a/src/entry/entry_list.cpp
+++ b/src/entry/entry_list.cpp
@@ -100,6 +100,7 @@
                   return rank(left) < rank(right);
               });
     std::vector<caller_address> out;
+    out.reserve(list.size());
     for (const listed_entry& item : list)
         out.push_back({item.m_address, item.m_zone});
     return out;
