--- a/include/skylark/route/ask_plan.hpp
+++ b/include/skylark/route/ask_plan.hpp
@@ -55,19 +55,6 @@
 using ask_step =
     std::variant<ask_upstreams, send_to_upstream, await_answers, nobody_free>;
 
-/*! @brief Expected time of a further request, in parts of the usual time of
- *  one request on an idle upstream.
- *  @param of what the upstream said */
-double expected_time(const load_report& of);
-
-/*! @brief Whether an upstream should get a request now. A free slot takes any;
- *  its queue only one that is still answered in time, as whatever is late
- *  there makes all that follow late. Some upstreams never answer a request
- *  that they cannot queue.
- *  @param of what the upstream said
- *  @param in_time see ask_terms */
-bool has_room(const load_report& of, double in_time);
-
 /*! @brief What one step may do. */
 struct ask_terms {
     bool m_patient{};          //!< answers under way are waited for
@@ -75,8 +62,28 @@
     //! Longest expected time, in the unit of expected_time(), that is worth
     //! waiting for in an upstream's queue.
     double m_in_time{3.0};
+    //! See expected_time().
+    double m_crowding{};
 };
 
+/*! @brief Expected time of a further request, in parts of the usual time of
+ *  one request on an idle upstream.
+ *  @param of what the upstream said
+ *  @param crowding part by which work takes longer while all slots are used */
+double expected_time(const load_report& of, double crowding);
+
+/*! @brief Whether a further request leaves hardly a slot free, so that an
+ *  upstream that slows down when nearly full does so. */
+bool crowds(const load_report& of);
+
+/*! @brief Whether an upstream should get a request now. A free slot takes any;
+ *  its queue, and the last slots of one that slows down when nearly full, only
+ *  one that is still answered in time: whatever is late there makes all that
+ *  follow late. Some upstreams never answer a request that they cannot queue.
+ *  @param of what the upstream said
+ *  @param terms of the step */
+bool has_room(const load_report& of, const ask_terms& terms);
+
 /*! @brief Most questions that one step asks. */
 inline constexpr std::size_t most_questions = 3;
 
--- a/scripts/matrix.py
+++ b/scripts/matrix.py
@@ -36,11 +36,11 @@
     return ends
 
 
-def run_cell(name, seed, net, seconds):
+def run_cell(name, seed, net, seconds, build):
     function, options = CELLS[name]
     deployment = Deployment(
-        "small", 6, net=net, upstream_args=options.get("upstream_args"),
-        out=ROOT / "out" / "matrix")
+        "small", 6, net=net, build=build, upstream_args=options.get("upstream_args"),
+        out=ROOT / "out" / f"matrix-{net}")
     if not options.get("wait_warm", True):
         deployment.all_warm = lambda: True
     if options.get("wire"):
@@ -93,6 +93,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=9)
     parser.add_argument("--net", type=int, default=50)
+    parser.add_argument("--build", help="folder of the build, if not build")
     args = parser.parse_args()
     print(f"seed {args.seed}")
     red = 0
@@ -100,7 +101,8 @@
     for name in CELLS:
         if args.only not in name:
             continue
-        findings, ends = run_cell(name, args.seed, args.net, args.seconds)
+        findings, ends = run_cell(name, args.seed, args.net, args.seconds,
+                                  args.build)
         excused = findings and name in listed
         verdict = "good" if not findings else "known" if excused else "RED"
         red += verdict == "RED"
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -8,6 +8,7 @@
 #include <skylark/core/id_map.hpp>
 #include <skylark/limit/ratio_budget.hpp>
 #include <skylark/limit/token_bucket.hpp>
+#include <skylark/load/work_estimate.hpp>
 #include <skylark/rule/split.hpp>
 #include <skylark/rule/usual_deadline.hpp>
 
@@ -78,8 +79,9 @@
     void plan(request_id key, bool patient);
     void ask(request_id key, request& of, const std::vector<upstream_id>& whom);
     void heard(request_id key, upstream_id from);
-    [[nodiscard]] double in_time_limit(const request& of, time_point now) const;
     void learn_work(const request& of, const attempt& by, duration took);
+    [[nodiscard]] ask_terms terms_of(const request& of, bool patient,
+                                     time_point now);
     token_bucket& question_budget(const std::string& service);
 
     // Attempts.
@@ -118,7 +120,7 @@
     std::uint64_t m_last_attempt{};
     std::map<std::string, ratio_budget> m_retry_budgets;     // by service
     std::map<std::string, token_bucket> m_question_budgets;  // by service
-    std::map<std::string, duration> m_usual_work;            // by rule
+    std::map<std::string, work_estimate> m_work;             // by rule
     std::map<std::string, usual_deadline> m_usual_deadlines; // by rule
     std::map<std::string, split_cursor> m_splits;            // by rule
     ratio_budget m_hedge_budget;
--- a/src/entry/forwarder_asking.cpp
+++ b/src/entry/forwarder_asking.cpp
@@ -36,26 +36,31 @@
     return out;
 }
 
-// Until answers have shown how long the work of a rule takes, a third of the
-// target is assumed.
-double forwarder::in_time_limit(const request& of, time_point now) const {
-    constexpr double assumed = 3.0;
-    const auto known = m_usual_work.find(of.m_rule);
-    if (known == m_usual_work.end() || known->second <= duration{0})
-        return assumed;
+// Until answers have shown how long the work of a rule takes, the usual terms
+// hold.
+ask_terms forwarder::terms_of(const request& of, bool patient, time_point now) {
+    ask_terms out;
+    out.m_patient = patient;
+    out.m_questions = question_budget(of.m_service).available(now);
+    const auto known = m_work.find(of.m_rule);
+    if (known == m_work.end() || known->second.work() <= duration{0})
+        return out;
     const std::chrono::duration<double> left = of.m_target - now;
-    const std::chrono::duration<double> work = known->second;
-    return left / work;
+    const std::chrono::duration<double> work = known->second.work();
+    out.m_in_time = left / work;
+    out.m_crowding = known->second.crowding();
+    return out;
 }
 
-// Divides what an answer took by what was expected of its upstream.
+// Only an upstream without a queue shows how long the work itself took.
 void forwarder::learn_work(const request& of, const attempt& by,
                            duration took) {
-    constexpr int smoothing = 16; // weight 1/16 for a new sample
-    const auto sample = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>{took} / by.m_expected);
-    duration& kept = m_usual_work.try_emplace(of.m_rule, sample).first->second;
-    kept += (sample - kept) / smoothing;
+    if (!by.m_report || by.m_report->m_queue > 0 ||
+        by.m_report->m_used >= by.m_report->m_slots)
+        return;
+    const double slowness =
+        by.m_report->m_slowness / static_cast<double>(usual_slowness);
+    m_work[of.m_rule].answered(took, slowness, crowds(*by.m_report));
 }
 
 void forwarder::plan(request_id key, bool patient) {
@@ -66,9 +71,7 @@
         return;
     }
     const auto candidates = m_router.ask_candidates(of, now);
-    token_bucket& budget = question_budget(of.m_service);
-    const ask_terms terms{patient, budget.available(now),
-                          in_time_limit(of, now)};
+    const ask_terms terms = terms_of(of, patient, now);
     const ask_step step = plan_ask(candidates, terms, m_router.random());
     std::visit(
         overload{[&](const ask_upstreams& next) { ask(key, of, next.m_whom); },
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -31,7 +31,7 @@
     made.m_hedge = is_hedge;
     const time_point now = io::event_loop::now();
     if (target.m_load.report_age(now) <= recent_report)
-        made.m_expected = expected_time(target.m_load.last_report());
+        made.m_report = target.m_load.last_report();
     if (made.m_share)
         ++target.share_use(*made.m_share);
     target.m_load.sent();
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -10,6 +10,7 @@
 #include <skylark/attempt/machine.hpp>
 #include <skylark/config/rule.hpp>
 #include <skylark/core/id.hpp>
+#include <skylark/load/report.hpp>
 #include <skylark/share/kind.hpp>
 
 #include "entry/metrics.hpp"
@@ -27,8 +28,8 @@
     bool m_reused{}; //!< the connection had answered before
     bool m_sent{};
     bool m_hedge{};
-    //! Expected time by the upstream's report, as expected_time() gives it.
-    double m_expected{1.0};
+    //! What the upstream said just before the request was sent.
+    std::optional<load_report> m_report;
 };
 
 /*! @brief One request. */
--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -18,28 +18,31 @@
 constexpr double good_enough = 1.7;
 // A far answer crosses zones twice and its bytes are paid for.
 constexpr double far_penalty = 0.25;
-// An upstream with all slots at work slows down by about half.
-constexpr double crowding = 0.5;
+// Some upstreams slow down when nearly all their slots are at work; up to this
+// part of them they do not.
+constexpr double uncrowded = 0.7;
+// Less than this is no reason to leave a slot free.
+constexpr double harmless_crowding = 0.2;
 
-double cost(const ask_candidate& of) {
+double cost(const ask_candidate& of, const ask_terms& terms) {
     const double penalty = of.m_near ? 0.0 : far_penalty;
-    return expected_time(*of.m_report) + penalty;
+    return expected_time(*of.m_report, terms.m_crowding) + penalty;
 }
 
 const ask_candidate* best_known(std::span<const ask_candidate> from,
-                                double in_time) {
+                                const ask_terms& terms) {
     const ask_candidate* best = nullptr;
     for (const ask_candidate& item : from)
-        if (item.m_report && has_room(*item.m_report, in_time) &&
-            (!best || cost(item) < cost(*best)))
+        if (item.m_report && has_room(*item.m_report, terms) &&
+            (!best || cost(item, terms) < cost(*best, terms)))
             best = &item;
     return best;
 }
 
 // A queue does not empty between two requests of one entry, so asking again at
 // once tells nothing new.
-bool was_full(const ask_candidate& of, double in_time) {
-    return of.m_recent && !has_room(*of.m_recent, in_time);
+bool was_full(const ask_candidate& of, const ask_terms& terms) {
+    return of.m_recent && !has_room(*of.m_recent, terms);
 }
 
 // Those that failed lately go last. The first is taken by chance, so that a
@@ -55,7 +58,7 @@
     std::vector<ranked> list;
     for (const ask_candidate& item : from)
         if (item.m_near == near && !item.m_asked && !item.m_report &&
-            !was_full(item, terms.m_in_time))
+            !was_full(item, terms))
             list.push_back(
                 {item.m_suspect, !item.m_connected, random(), item.m_upstream});
     const auto by_chance = [](const ranked& left, const ranked& right) {
@@ -79,13 +82,13 @@
     return out;
 }
 
-ask_step better_of_two(std::span<const ask_candidate> from, double in_time,
-                       random_source& random) {
+ask_step better_of_two(std::span<const ask_candidate> from,
+                       const ask_terms& terms, random_source& random) {
     const ask_candidate* best = nullptr;
     for (int i = 0; i < 2 && !from.empty(); ++i) {
         const auto index = random(static_cast<std::uint32_t>(from.size()));
         const ask_candidate& item = from[index];
-        if (!was_full(item, in_time) && !item.m_asked &&
+        if (!was_full(item, terms) && !item.m_asked &&
             (!best || item.m_in_flight < best->m_in_flight))
             best = &item;
     }
@@ -96,20 +99,27 @@
 
 } // namespace
 
-double expected_time(const load_report& of) {
+double expected_time(const load_report& of, double crowding) {
     const double slots = std::max(1U, of.m_slots);
     const double slowness = of.m_slowness / static_cast<double>(usual_slowness);
-    const double busy = std::min(1.0, of.m_used / slots);
+    const double busy = std::min(1.0, (of.m_used + 1.0) / slots);
+    const double crowd = std::max(0.0, busy - uncrowded) / (1.0 - uncrowded);
     const double ahead =
         static_cast<double>(of.m_used) + of.m_queue + 1.0 - slots;
     const double wait = std::max(0.0, ahead) / slots;
-    return slowness * (1.0 + wait + crowding * busy * busy);
+    return slowness * (1.0 + wait + crowd * crowding);
 }
 
-bool has_room(const load_report& of, double in_time) {
-    if (of.m_used < of.m_slots && of.m_queue == 0)
+bool crowds(const load_report& of) {
+    return of.m_used + 1.0 > uncrowded * of.m_slots;
+}
+
+bool has_room(const load_report& of, const ask_terms& terms) {
+    const bool free = of.m_used < of.m_slots && of.m_queue == 0;
+    const bool slows = terms.m_crowding > harmless_crowding && crowds(of);
+    if (free && !slows)
         return true;
-    return expected_time(of) <= in_time &&
+    return expected_time(of, terms.m_crowding) <= terms.m_in_time &&
            of.m_queue < queue_per_slot * std::max(1U, of.m_slots);
 }
 
@@ -120,8 +130,8 @@
                     [](const ask_candidate& item) { return item.m_pending; });
     if (waits && terms.m_patient)
         return await_answers{};
-    const ask_candidate* best = best_known(from, terms.m_in_time);
-    if (best && cost(*best) < good_enough)
+    const ask_candidate* best = best_known(from, terms);
+    if (best && cost(*best, terms) < good_enough)
         return send_to_upstream{best->m_upstream};
     const auto count = [&](const auto& which) {
         return static_cast<std::size_t>(
@@ -131,7 +141,7 @@
         count([](const ask_candidate& item) { return item.m_asked; });
     const std::size_t full = count([&](const ask_candidate& item) {
         return item.m_asked && item.m_report &&
-               !has_room(*item.m_report, terms.m_in_time);
+               !has_room(*item.m_report, terms);
     });
     const bool may_ask = full < most_full;
     for (const bool near : {true, false}) {
@@ -146,7 +156,7 @@
     if (waits)
         return await_answers{};
     if (terms.m_questions == 0 && asked == 0)
-        return better_of_two(from, terms.m_in_time, random);
+        return better_of_two(from, terms, random);
     return nobody_free{};
 }
 
--- a/test/route/ask_plan.cpp
+++ b/test/route/ask_plan.cpp
@@ -105,10 +105,16 @@
 }
 
 TEST_F(ask_plan_test, full_upstreams_get_nothing) {
-    EXPECT_FALSE(has_room(with(6, 12, 100), 100.0));
-    EXPECT_FALSE(has_room(with(6, 3, 200), 3.0));
-    EXPECT_TRUE(has_room(with(6, 3, 100), 3.0));
-    EXPECT_TRUE(has_room(with(5, 0, 700), 3.0));
+    ask_terms terms = patient;
+    EXPECT_FALSE(has_room(with(6, 3, 200), terms));
+    EXPECT_TRUE(has_room(with(6, 3, 100), terms));
+    EXPECT_TRUE(has_room(with(5, 0, 700), terms));
+    terms.m_crowding = 0.7;
+    EXPECT_FALSE(has_room(with(5, 0, 700), terms));
+    EXPECT_TRUE(has_room(with(5, 0, 100), terms));
+    EXPECT_TRUE(has_room(with(3, 0, 700), terms));
+    terms.m_in_time = 100.0;
+    EXPECT_FALSE(has_room(with(6, 12, 100), terms));
     const std::vector<ask_candidate> from{near(1, with(6, 12, 100))};
     EXPECT_TRUE(
         std::holds_alternative<nobody_free>(plan_ask(from, patient, m_random)));
