Share requests among upstreams that look equal

Change: equals are chosen by chance; one that failed is asked again before it gets work. The test failed first.

--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -166,7 +166,7 @@
         made.m_in_flight = item.m_load.in_flight();
         if (!item.m_silent_load && item.m_load.report_age(now) <= full_memory)
             made.m_recent = item.m_load.last_report();
-        if (item.m_silent_load)
+        if (item.m_silent_load && !made.m_suspect)
             made.m_report = assumed_report(item);
         else if (item.m_load.report_age(now) <= act_on_report &&
                  !made.m_suspect)
--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -30,12 +30,22 @@
 }
 
 const ask_candidate* best_known(std::span<const ask_candidate> from,
-                                const ask_terms& terms) {
+                                const ask_terms& terms, random_source& random) {
     const ask_candidate* best = nullptr;
-    for (const ask_candidate& item : from)
-        if (item.m_report && has_room(*item.m_report, terms) &&
-            (!best || cost(item, terms) < cost(*best, terms)))
-            best = &item;
+    double least = 0.0;
+    std::uint32_t equals = 0;
+    for (const ask_candidate& item : from) {
+        if (!item.m_report || !has_room(*item.m_report, terms))
+            continue;
+        const double costs = cost(item, terms);
+        if (best && costs > least)
+            continue;
+        equals = best && costs == least ? equals + 1 : 1;
+        if (equals > 1 && random(equals) != 0)
+            continue;
+        best = &item;
+        least = costs;
+    }
     return best;
 }
 
@@ -130,7 +140,7 @@
                     [](const ask_candidate& item) { return item.m_pending; });
     if (waits && terms.m_patient)
         return await_answers{};
-    const ask_candidate* best = best_known(from, terms);
+    const ask_candidate* best = best_known(from, terms, random);
     if (best && cost(*best, terms) < good_enough)
         return send_to_upstream{best->m_upstream};
     const auto count = [&](const auto& which) {
--- a/test/route/ask_plan.cpp
+++ b/test/route/ask_plan.cpp
@@ -1,6 +1,8 @@
 // Whom to ask and who takes the request, at each state of knowledge.
 #include <skylark/route/ask_plan.hpp>
 
+#include <map>
+
 #include <gtest/gtest.h>
 
 using namespace skylark;
@@ -77,6 +79,17 @@
               upstream_id{2});
 }
 
+TEST_F(ask_plan_test, equals_share_the_requests) {
+    std::vector<ask_candidate> from;
+    for (std::uint64_t key = 1; key <= 4; ++key)
+        from.push_back(near(key, with(0, 0, 100)));
+    std::map<upstream_id, int> counts;
+    for (int i = 0; i < 400; ++i)
+        ++counts[chosen(from)];
+    for (std::uint64_t key = 1; key <= 4; ++key)
+        EXPECT_GT(counts[upstream_id{key}], 50); // its fair part is 100
+}
+
 TEST_F(ask_plan_test, asks_further_when_all_are_slow) {
     auto far = near(4);
     far.m_near = false;
