Keep the entries' addresses in the store under a lease

Cause: entries found each other only by at most three seeds, which may all be gone when a new entry starts. Change: each entry holds a key under a lease, renewed every 1.6 s and ended when it drains; the mirror lists these keys and the member table tries their addresses. Ruled out: heartbeats to all addresses ever seen (they would gather). Tests: lease through refusals, lost answers and lost leases; two entries without seeds name each other to callers.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -10,7 +10,7 @@
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
     test/discovery/list_guard.cpp test/event/ring.cpp test/io/http_client.cpp test/io/http_server.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/peer/codec.cpp
-    test/store/consul_protocol.cpp test/store/mirror.cpp
+    test/store/consul_protocol.cpp test/store/mirror.cpp test/store/lease_holder.cpp
     test/store/mirror_client.cpp test/platform/records.cpp
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/route/ask_plan.cpp test/rule/split.cpp
--- a/include/skylark/member/table.hpp
+++ b/include/skylark/member/table.hpp
@@ -63,6 +63,12 @@
     /*! @brief Adds peer addresses to try, such as the platform's list. */
     void add_seeds(std::span<const address> seeds);
 
+    /*! @brief Sets the addresses that the platform lists at present. */
+    void set_listed(std::span<const address> listed) {
+        m_listed = {listed.begin(), listed.end()};
+        m_listed.erase(m_self.m_contact.m_peer);
+    }
+
     /*! @brief Periodic work: lapse, removal, and the heartbeats to send.
      *  @param now the present
      *  @param settled whether no share is used that the view takes away
@@ -142,6 +148,7 @@
     member_timing m_timing;
     member_state m_state{member_state::joining};
     std::set<address> m_seeds;
+    std::set<address> m_listed; // by the platform; tried like the seeds
     std::size_t m_seed_count;
     std::map<entry_id, member> m_peers;
     // Invariant: names m_self and every peer that has not left with all its
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -60,6 +60,9 @@
     void add_seeds(std::span<const address> seeds) {
         m_members.add_seeds(seeds);
     }
+    void set_listed(std::span<const address> listed) {
+        m_members.set_listed(listed);
+    }
     void set_requests(std::uint32_t count) { m_members.set_requests(count); }
 
 private:
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -52,6 +52,7 @@
     };
     BOOST_OUTCOME_TRYV(m_shared.m_fleet.start(std::move(hooks)));
     m_configurator.start();
+    take_place();
     m_prober.start();
     m_shared.m_loop.every(isolation_check, [this] { watch_isolation(); });
     m_shared.m_loop.every(gauge_period, [this] { update_gauges(); });
@@ -69,7 +70,40 @@
         m_forwarder.accept(key, request);
 }
 
+// Where the store lists the entries, this one keeps its place in the list.
+void node::take_place() {
+    const settings& from = m_shared.m_settings;
+    if (from.m_deployment == deployment::native)
+        return;
+    m_place.emplace(m_shared.m_loop, from.m_platform,
+                    std::string{platform::entry_prefix} + from.m_name,
+                    from.m_peer.text(),
+                    [this](store::lease_event what) { note_place(what); });
+    m_place->start();
+}
+
+void node::note_place(store::lease_event what) {
+    const auto word = [what] {
+        switch (what) {
+        case store::lease_event::held:
+            return "held";
+        case store::lease_event::lost:
+            return "lost, taken again";
+        case store::lease_event::failed:
+            break;
+        }
+        return "the store does not answer";
+    };
+    m_shared.m_journal.note(event_kind::member, "place in the store's list",
+                            word());
+}
+
 void node::adopt() {
+    std::vector<address> entries;
+    for (const instance& item : m_shared.m_instances.m_instances)
+        if (item.m_role == instance_role::entry)
+            entries.push_back(item.m_address);
+    m_shared.m_fleet.set_listed(entries);
     const limits& bounds = m_shared.m_config.current().m_limits;
     m_callers.bound({bounds.m_body_bytes, bounds.m_idle, bounds.m_head_bytes});
     m_forwarder.removed(m_shared.m_upstreams.adopt(m_shared.m_config.current(),
@@ -157,6 +191,8 @@
     m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
                             "began");
     m_shared.m_fleet.leave();
+    if (m_place)
+        m_place->stop();
     const time_point now = io::event_loop::now();
     // Answers that name this entry may have been given until peers learnt of
     // the leave, and callers keep them for their whole life time.
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -9,6 +9,7 @@
 #include "entry/lookup.hpp"
 #include "entry/prober.hpp"
 #include "io/http_server.hpp"
+#include "store/lease_holder.hpp"
 
 namespace skylark::entry {
 
@@ -32,6 +33,8 @@
 private:
     void serve_caller(exchange_id key, const io::request_view& request);
     void adopt();
+    void take_place();
+    void note_place(store::lease_event what);
     void watch_isolation();
     void update_gauges();
     void paused(duration gap);
@@ -44,6 +47,7 @@
     prober m_prober;
     control m_control;
     lookup m_lookup;
+    std::optional<store::lease_holder> m_place; //!< in the store's list
 };
 
 } // namespace skylark::entry
--- /dev/null
+++ b/src/io/http_server_native.hpp
@@ -0,0 +1,81 @@
+// State of the HTTP server; private to its two sources.
+#ifndef SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
+#define SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <skylark/core/id_map.hpp>
+
+#include "io/http_server.hpp"
+#include "io/native.hpp"
+
+namespace skylark::io {
+
+namespace internal {
+
+struct generator;
+
+struct exchange {
+    h2o_req_t* m_request;
+    generator* m_generator; // lives in the request's pool
+    int m_socket;
+    std::string m_piece;
+    bool m_started{};
+    bool m_complete{};
+    bool m_moving{}; // h2o has not yet handed the last piece on
+};
+
+// Lives in the request's pool; h2o calls its members.
+struct generator {
+    h2o_generator_t m_super; // first: h2o hands back a pointer to it
+    void* m_server;
+    exchange_id m_key;
+};
+
+struct handler {
+    h2o_handler_t m_super; // first: h2o hands back a pointer to it
+    void* m_server;
+};
+
+struct accepted {
+    void* m_server;
+    std::uint64_t m_peer;
+};
+
+} // namespace internal
+
+/*! @brief The server's connections and what h2o calls for them. */
+struct http_server::native {
+    event_loop* m_loop{};
+    h2o_globalconf_t m_config{};
+    h2o_context_t m_context{};
+    h2o_accept_ctx_t m_accept{};
+    std::vector<h2o_socket_t*> m_listeners;
+    handlers m_handlers;
+    id_map<exchange_id, internal::exchange> m_exchanges;
+    std::unordered_map<std::uint64_t, h2o_socket_t*> m_sockets; // by peer
+    std::size_t m_head_limit{};         // bytes of all header fields
+    std::size_t m_input_limit{};        // bytes of one request, head and body
+    std::vector<header_view> m_headers; // scratch
+    time_point m_last_request;
+
+    void end_oversized();
+    static int on_request(h2o_handler_t* self, h2o_req_t* request);
+    static void on_accept(h2o_socket_t* listener, const char* error);
+    static void on_socket_close(void* data);
+    static void on_proceed(h2o_generator_t* self, h2o_req_t* request);
+    static void on_stop(h2o_generator_t* self, h2o_req_t* request);
+    static void on_dispose(void* self);
+
+    int socket_of(h2o_req_t* request);
+    exchange_id open(h2o_req_t* request);
+    std::size_t collect_headers(h2o_req_t* request);
+    void refuse_head(h2o_req_t* request, std::size_t size) const;
+};
+
+} // namespace skylark::io
+
+#endif
--- a/src/member/table.cpp
+++ b/src/member/table.cpp
@@ -276,6 +276,7 @@
     m_sent.push_back({m_sequence, now});
     std::vector<outgoing_heartbeat> out;
     std::set<address> unknown = m_seeds;
+    unknown.insert(m_listed.begin(), m_listed.end());
     for (const auto& [id, peer] : m_peers) {
         out.push_back({peer.m_record.m_contact.m_peer,
                        message_for(&peer, settled, mark, now)});
--- /dev/null
+++ b/src/store/lease_holder.cpp
@@ -0,0 +1,106 @@
+// Keeps one key in the platform's store for as long as this process lives.
+#include "store/lease_holder.hpp"
+
+#include <utility>
+
+#include "io/http_status.hpp"
+
+namespace skylark::store {
+
+namespace {
+// An entry that died is out of the list after this time.
+constexpr auto lease_life = seconds{5};
+// Two renewals may be lost before the lease ends.
+constexpr auto renewal_period = milliseconds{1600};
+constexpr auto retry_wait = milliseconds{700};
+constexpr std::size_t answer_limit = 4096; // bytes
+} // namespace
+
+lease_holder::lease_holder(io::event_loop& loop, address where, std::string key,
+                           std::string value,
+                           std::function<void(lease_event)> told)
+    : m_loop{loop}, m_fetcher{loop, answer_limit}, m_where{where},
+      m_key{std::move(key)}, m_value{std::move(value)}, m_told{
+                                                            std::move(told)} {}
+
+void lease_holder::start() {
+    step();
+}
+
+void lease_holder::stop() {
+    if (std::exchange(m_stopped, true) || m_lease == 0)
+        return;
+    auto request = m_protocol.end(m_lease);
+    request.m_to = m_where;
+    // Without an answer the lease ends by itself.
+    m_fetcher.run(request, [](const io::fetch_result&) {});
+}
+
+void lease_holder::step() {
+    if (m_stopped)
+        return;
+    if (m_lease == 0)
+        ask();
+    else if (!m_held)
+        write();
+    else
+        renew();
+}
+
+void lease_holder::again(duration wait) {
+    m_loop.after(wait, [this] { step(); });
+}
+
+// Runs a call; whatever is no answer is tried again.
+void lease_holder::call(io::fetch_request what, reader read) {
+    what.m_to = m_where;
+    m_fetcher.run(what, [this,
+                         read = std::move(read)](const io::fetch_result& got) {
+        const auto* answer = std::get_if<io::fetch_answer>(&got);
+        const bool ended = answer && answer->m_status == io::status::not_found;
+        if (answer && (answer->m_status == io::status::ok || ended)) {
+            m_failing = false;
+            if (ended)
+                lose();
+            else
+                read(*answer);
+            return;
+        }
+        if (!std::exchange(m_failing, true))
+            m_told(lease_event::failed);
+        again(retry_wait);
+    });
+}
+
+void lease_holder::lose() {
+    if (std::exchange(m_held, false))
+        m_told(lease_event::lost);
+    m_lease = 0;
+    step();
+}
+
+void lease_holder::ask() {
+    call(m_protocol.lease(lease_life), [this](const auto& answer) {
+        const auto granted = m_protocol.read_lease(answer);
+        m_lease = granted ? granted.value().m_id : 0;
+        if (m_lease == 0)
+            again(retry_wait);
+        else
+            step();
+    });
+}
+
+void lease_holder::write() {
+    call(m_protocol.put(m_key, m_value, m_lease), [this](const auto&) {
+        m_held = true;
+        m_told(lease_event::held);
+        again(renewal_period);
+    });
+}
+
+void lease_holder::renew() {
+    call(m_protocol.renew(m_lease),
+         [this](const auto&) { again(renewal_period); });
+}
+
+} // namespace skylark::store
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+// First segment of a key.
 std::string_view prefix_of(std::string_view key) {
     return key.substr(0, key.find('/') + 1);
 }
@@ -92,7 +93,11 @@
             continue;
         }
         m_records.erase(it->first);
-        ++m_versions[std::string{prefix_of(it->first)}];
+        // Above every version, so that the greatest of several also grows.
+        std::uint64_t newest = 0;
+        for (const auto& [prefix, version] : m_versions)
+            newest = std::max(newest, version);
+        m_versions[std::string{prefix_of(it->first)}] = newest + 1;
         it = m_removals.erase(it);
     }
 }
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -63,8 +63,8 @@
     /*! @brief Revision after which changes are wanted; 0 before a listing. */
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
 
-    /*! @brief Revision of the newest change under a prefix, or a later one
-     *  up to which nothing changed. */
+    /*! @brief Revision of the newest change under a key's first segment,
+     *  or a later one up to which nothing changed. */
     [[nodiscard]] std::uint64_t changed(std::string_view prefix) const {
         return version(prefix) >> removal_bits;
     }
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -15,7 +15,10 @@
 
 // A listing holds every prefix that is followed; changes come for all keys.
 constexpr std::array prefixes{platform::operator_prefix,
-                              platform::upstream_prefix};
+                              platform::upstream_prefix,
+                              platform::entry_prefix};
+// First segment of the entries' own keys.
+constexpr std::string_view own_segment = "skylark/";
 constexpr std::string_view all_keys;
 // Living upstreams are back in the store this long after its return.
 constexpr auto removal_hold = milliseconds{2200};
@@ -190,8 +193,7 @@
     };
     const auto documents =
         take(m_document_readers, m_mirror.changed(platform::operator_prefix));
-    const auto lists =
-        take(m_list_readers, m_mirror.version(platform::upstream_prefix));
+    const auto lists = take(m_list_readers, list_version());
     for (const auto& item : documents)
         item.m_done(document_value());
     for (const auto& item : lists)
@@ -207,9 +209,9 @@
     const duration wait =
         std::max<duration>(duration{0}, *due - io::event_loop::now());
     m_loop.after(wait, [this] {
-        const auto before = m_mirror.version(platform::upstream_prefix);
+        const auto before = list_version();
         m_mirror.settle(io::event_loop::now());
-        if (m_mirror.version(platform::upstream_prefix) != before)
+        if (list_version() != before)
             serve(io::event_loop::now());
     });
 }
@@ -253,8 +255,32 @@
     return kept.m_instance;
 }
 
+std::uint64_t mirror_client::list_version() const {
+    return std::max(m_mirror.version(platform::upstream_prefix),
+                    m_mirror.version(own_segment));
+}
+
+// An entry's record is its heartbeat address.
+void mirror_client::add_entries() {
+    const auto& records = m_mirror.all();
+    const auto prefix = platform::entry_prefix;
+    for (auto it = records.lower_bound(prefix);
+         it != records.end() && it->first.starts_with(prefix); ++it) {
+        const auto where = parse_address(it->second.m_value, it->first);
+        if (!where) {
+            m_note(where.error());
+            continue;
+        }
+        instance found;
+        found.m_id = it->first.substr(prefix.size());
+        found.m_role = instance_role::entry;
+        found.m_address = where.value();
+        m_list.m_instances.push_back(std::move(found));
+    }
+}
+
 instance_list mirror_client::instance_value() {
-    const std::uint64_t version = m_mirror.version(platform::upstream_prefix);
+    const std::uint64_t version = list_version();
     if (m_list.m_index == version)
         return m_list;
     const auto& records = m_mirror.all();
@@ -267,6 +293,7 @@
          it != records.end() && it->first.starts_with(prefix); ++it)
         if (const auto& found = decode(it->second))
             m_list.m_instances.push_back(*found);
+    add_entries();
     return m_list;
 }
 
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -71,6 +71,8 @@
     [[nodiscard]] stored_value document_value();
     [[nodiscard]] instance_list instance_value();
     const std::optional<instance>& decode(const record& from);
+    void add_entries();
+    [[nodiscard]] std::uint64_t list_version() const;
 
     io::event_loop& m_loop;
     io::fetcher m_fetcher;
--- a/test/store/mirror.cpp
+++ b/test/store/mirror.cpp
@@ -112,3 +112,14 @@
     subject.apply({{put("servers/b", 7)}, 7}, start + hold);
     EXPECT_GT(subject.version("servers/"), settled);
 }
+
+// Whoever goes by the greatest version of several segments sees it too.
+TEST(mirror, a_held_removal_is_newer_than_every_segment) {
+    auto subject = listed({put("servers/a", 3), put("skylark/x", 4)}, 5);
+    subject.lost();
+    subject.reached(start);
+    subject.apply({{removal("servers/a", 6), put("skylark/x", 9)}, 9}, start);
+    const auto before = subject.version("skylark/");
+    subject.settle(start + hold);
+    EXPECT_GT(subject.version("servers/"), before);
+}
