--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-// Upstreams with more waiting requests than this many times their slots are
-// taken as full; it lies below the queue of any upstream seen.
+// Upstreams with this many waiting requests for each slot are taken as full.
+// Some never answer a request that does not fit into their queue; the shortest
+// one known holds twice as many.
+constexpr std::uint32_t queue_per_slot = 1;
 // A request that finds so many full is refused: further questions would use
 // up the budget when it is needed most.
 constexpr std::size_t most_full = 2 * most_questions;
-constexpr std::uint32_t queue_per_slot = 1;
 // Below this expected time a near upstream is good enough.
 constexpr double good_enough = 1.7;
 // A far answer crosses zones twice and its bytes are paid for.
