Learn who lives through relays of each zone on the platform

Ruled out: silence measured against the freshest member of a zone (relays that died made living members vanish, test relays_that_die_are_replaced); dead relays ranked with avoided ones (zones lost each other when half of all died). Change: a roster takes the place of the agreement where nothing is shared out. Members send heartbeats to two relays of their zone, which report on all; relays of zones report to each other. Agreement, shares, prober and digests no longer run on the platform. Whoever lacks a confirmation for 3 s asks the store itself.

--- a/include/skylark/member/fwd.hpp
+++ b/include/skylark/member/fwd.hpp
@@ -7,8 +7,10 @@
 
 struct member;
 struct heartbeat;
+struct member_change;
 class member_view;
 class member_table;
+class roster;
 
 } // namespace skylark
 
--- a/include/skylark/member/heartbeat.hpp
+++ b/include/skylark/member/heartbeat.hpp
@@ -59,6 +59,24 @@
     duration m_age{};
 };
 
+/*! @brief What a sender wants to hear from the receiver. */
+enum class subscription : std::uint8_t {
+    nothing, //!< its heartbeats are enough
+    zone,    //!< reports on the receiver's availability zone
+    fleet    //!< reports on all members
+};
+
+/*! @brief What a relay knows of a third member. */
+struct member_report {
+    member_name m_name;
+    duration m_age{}; //!< since the last evidence that it lives
+    //! Its heartbeats have stopped, at the relay where they were expected.
+    bool m_missed{};
+    member_state m_state{};
+    std::uint64_t m_revision{}; //!< of its configuration; 0: none yet
+    std::uint32_t m_requests{}; //!< that it is serving
+};
+
 /*! @brief A load report passed on. */
 struct load_digest {
     upstream_id m_upstream;
@@ -89,6 +107,8 @@
     std::vector<silence> m_silent;
     std::vector<member_record> m_members; //!< only when views differ
     std::vector<load_digest> m_loads;
+    subscription m_wants{};
+    std::vector<member_report> m_reports; //!< for subscribers
 };
 
 } // namespace skylark
--- a/include/skylark/member/table.hpp
+++ b/include/skylark/member/table.hpp
@@ -15,41 +15,14 @@
 #include <utility>
 #include <vector>
 
+#include <skylark/member/change.hpp>
 #include <skylark/member/heartbeat.hpp>
+#include <skylark/member/peer.hpp>
 #include <skylark/member/timing.hpp>
 #include <skylark/member/view.hpp>
 
 namespace skylark {
 
-/*! @brief A peer as this entry knows it. */
-struct member {
-    member_record m_record;
-    member_state m_state{member_state::joining};
-    time_point m_heard;      //!< last heartbeat, or when it was learnt of
-    bool m_heard_directly{}; //!< whether any heartbeat came from it
-    std::uint64_t m_last_sequence{};
-    //! Sending time of the newest own heartbeat that it acknowledged.
-    std::optional<time_point> m_acknowledged;
-    std::uint64_t m_view_hash{};
-    std::uint64_t m_settled_hash{};
-    config_mark m_config;
-    std::uint32_t m_requests{};
-    std::vector<silence> m_silent; //!< its newest statement
-};
-
-/*! @brief One heartbeat on its way. */
-struct outgoing_heartbeat {
-    address m_to;
-    heartbeat m_message;
-};
-
-/*! @brief A change of the view, for events. */
-struct member_change {
-    enum class kind : std::uint8_t { joined, left, gone, replaced, lapsed };
-    kind m_kind;
-    member_name m_name;
-};
-
 /*! @brief State of the protocol in one entry. */
 class member_table {
 public:
@@ -95,6 +68,13 @@
      *  they released what it takes from them. */
     [[nodiscard]] bool agreed(time_point now) const;
 
+    /*! @brief First members of this entry's availability zone that were heard
+     *  lately, best first.
+     *  @param count how many
+     *  @param now the present */
+    [[nodiscard]] std::vector<entry_id> first_of_zone(std::size_t count,
+                                                      time_point now) const;
+
     [[nodiscard]] const member_view& view() const { return m_view; }
     [[nodiscard]] const member_record& self() const { return m_self; }
     [[nodiscard]] member_state state() const { return m_state; }
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -15,15 +15,21 @@
 constexpr auto retry_wait = milliseconds{500};
 constexpr auto turn_check = milliseconds{500};
 constexpr auto list_patience = seconds{30};
-// Watchers of other zones stand in for a while when this zone's one fails.
-constexpr std::size_t watchers_per_zone = 1;
-constexpr int silent_heartbeats = 4;
+// A watcher confirms what it has at least every 1.5 s; twice that is late.
+constexpr duration shortest_trust = seconds{3};
+// Entries that miss the confirmation together ask one after the other, and the
+// first of them tells the rest.
+constexpr std::uint32_t trust_steps = 16;
+constexpr auto trust_step = milliseconds{150};
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 } // namespace
 
 configurator::configurator(context& shared, std::function<void()> changed)
     : m_shared{shared}, m_changed{std::move(changed)}, m_store{open_store()},
-      m_peers{shared.m_loop, answer_limit}, m_guard{list_patience} {}
+      m_peers{shared.m_loop, answer_limit}, m_guard{list_patience},
+      m_longest_trust{shortest_trust +
+                      trust_step *
+                          (hash(shared.m_settings.m_name) % trust_steps)} {}
 
 void configurator::start() {
     watch_document();
@@ -45,26 +51,14 @@
                          m_shared.m_loop, from.m_platform, terms, note};
 }
 
-// A waiting watch counts as a call, so few entries of a zone watch. One that
-// has been silent for some heartbeats does not count, so that others stand in.
+// Whoever lacks something, or whose knowledge nobody has confirmed for long,
+// does not wait for others.
 bool configurator::is_watcher() const {
     if (!m_shared.m_config.ready() || m_shared.m_instances.m_index == 0)
         return true;
-    const auto score = [](entry_id of) {
-        return rendezvous(hash("store watcher"), of.value());
-    };
-    const std::uint64_t zone = hash(m_shared.m_settings.m_zone);
     const time_point now = io::event_loop::now();
-    const duration silent =
-        silent_heartbeats * m_shared.m_settings.m_timing.m_period;
-    const std::uint64_t own = score(m_shared.m_fleet.self());
-    std::size_t before = 0;
-    for (const auto& [id, peer] : m_shared.m_fleet.members().peers())
-        if (peer.m_record.m_contact.m_zone == zone &&
-            peer.m_state != member_state::leaving &&
-            now - peer.m_heard <= silent && score(id) > own)
-            ++before;
-    return before < watchers_per_zone;
+    return m_shared.m_fleet.is_watcher(now) ||
+           m_shared.m_config.age(now) > m_longest_trust;
 }
 
 void configurator::watch_document() {
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -51,6 +51,7 @@
     store::client m_store;
     io::fetcher m_peers;
     list_guard m_guard;
+    duration m_longest_trust; //!< in what nobody has confirmed
     bool m_fetching_document{};
     bool m_fetching_instances{};
     std::uint64_t m_noted_revert{}; // store revision that was told last
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -176,7 +176,7 @@
     auto behind = nlohmann::json::array();
     std::size_t members = 1;
     std::size_t count = m_shared.m_config.revision() >= wanted ? 1 : 0;
-    for (const auto& [id, peer] : m_shared.m_fleet.members().peers()) {
+    for (const auto& [id, peer] : m_shared.m_fleet.peers()) {
         ++members;
         if (peer.m_config.m_revision >= wanted)
             ++count;
@@ -197,7 +197,7 @@
     const event_ring& ring = m_shared.m_journal.ring();
     nlohmann::json out{
         {"entry", m_shared.m_settings.m_name},
-        {"incarnation", m_shared.m_fleet.members().self().m_name.m_incarnation},
+        {"incarnation", m_shared.m_fleet.self_record().m_name.m_incarnation},
         {"lost", ring.lost()},
         {"events", nlohmann::json::array()}};
     for (const event& item : ring.events())
--- a/src/entry/entry_list.cpp
+++ b/src/entry/entry_list.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-// An entry that was silent for longer is left out of callers' answers, long
-// before a majority can remove it from the view.
-constexpr int missed_heartbeats = 3;
-
 struct listed_entry {
     address m_address;
     std::string m_zone;
@@ -59,17 +55,15 @@
 
 std::vector<listed_entry> collect(const context& shared) {
     std::vector<listed_entry> out;
-    const member_table& members = shared.m_fleet.members();
+    const fleet& members = shared.m_fleet;
     const bool self_usable =
         !shared.m_draining && !shared.m_isolated && shared.m_config.ready();
     if (self_usable && usable(shared, members.state()))
-        add(out, shared, members.self(), members.requests());
+        add(out, shared, members.self_record(), members.requests());
     const time_point now = io::event_loop::now();
-    const duration silence_limit =
-        missed_heartbeats * shared.m_settings.m_timing.m_period;
     for (const auto& [id, peer] : members.peers())
         if (usable(shared, peer.m_state) && peer.m_config.m_revision > 0 &&
-            now - peer.m_heard <= silence_limit)
+            members.live(peer, now))
             add(out, shared, peer.m_record, peer.m_requests);
     return out;
 }
@@ -78,9 +72,9 @@
 void fill_if_empty(std::vector<listed_entry>& out, const context& shared) {
     if (!out.empty())
         return;
-    const member_table& members = shared.m_fleet.members();
-    out.push_back(
-        {members.self().m_contact.m_callers, shared.m_settings.m_zone, 0, 0});
+    const fleet& members = shared.m_fleet;
+    out.push_back({members.self_record().m_contact.m_callers,
+                   shared.m_settings.m_zone, 0, 0});
     for (const auto& [id, peer] : members.peers())
         out.push_back({peer.m_record.m_contact.m_callers, {}, 0, id.value()});
 }
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -1,16 +1,26 @@
 // Membership and shares of this entry: the protocol on its UDP socket.
 #include "entry/fleet.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <skylark/core/hash.hpp>
 
+#include "core/overload.hpp"
 #include "peer/codec.hpp"
 
 namespace skylark::entry {
 
 namespace {
 
+// An entry that was silent for longer is not named to callers, long before a
+// majority can remove it from the view.
+constexpr int missed_heartbeats = 3;
+// A waiting watch counts as a call to the store, so few entries watch.
+constexpr std::size_t watchers_per_zone = 1;
+// Without another zone to stand in, one watcher more.
+constexpr std::size_t watchers_of_single_zone = 2;
+
 member_record record_of(const settings& from) {
     member_record out;
     out.m_name = {id_of(from.m_name), journal::wall_ms()};
@@ -26,7 +36,7 @@
     case member_change::kind::left:
         return "left";
     case member_change::kind::gone:
-        return "gone by majority";
+        return "gone";
     case member_change::kind::replaced:
         return "new incarnation";
     case member_change::kind::lapsed:
@@ -35,6 +45,26 @@
     return "majority lost, shares dropped";
 }
 
+using members = std::variant<agreement, roster>;
+
+members members_of(const settings& from) {
+    const member_record self = record_of(from);
+    if (from.m_deployment == deployment::platform)
+        return members{std::in_place_type<roster>, self, from.m_seeds,
+                       roster_timing{from.m_timing.m_period}};
+    return members{std::in_place_type<agreement>, self, from,
+                   io::event_loop::now()};
+}
+
+// The table of either alternative, for what both have.
+template <class Of>
+auto& table_of(Of& of) {
+    if constexpr (std::is_same_v<std::remove_const_t<Of>, agreement>)
+        return of.m_members;
+    else
+        return of;
+}
+
 } // namespace
 
 entry_id id_of(std::string_view name) {
@@ -44,9 +74,7 @@
 fleet::fleet(io::event_loop& loop, const settings& from, journal& events,
              metrics& counts)
     : m_loop{loop}, m_settings{from}, m_events{events}, m_counts{counts},
-      m_socket{loop}, m_members{record_of(from), from.m_seeds, from.m_timing,
-                                io::event_loop::now()},
-      m_shares{id_of(from.m_name)} {}
+      m_socket{loop}, m_members{members_of(from)} {}
 
 parsed<void> fleet::start(fleet_hooks hooks) {
     m_hooks = std::move(hooks);
@@ -58,18 +86,29 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+std::vector<outgoing_heartbeat> fleet::round(time_point now) {
+    const config_mark mark = m_hooks.m_mark();
+    return std::visit(overload{[&](agreement& of) {
+                                   auto out = of.m_members.tick(
+                                       now, m_hooks.m_settled(), mark);
+                                   follow_view();
+                                   const auto loads = m_hooks.m_digests();
+                                   for (outgoing_heartbeat& item : out)
+                                       item.m_message.m_loads = loads;
+                                   return out;
+                               },
+                               [&](roster& of) { return of.tick(now, mark); }},
+                      m_members);
+}
+
 void fleet::beat() {
-    const time_point now = io::event_loop::now();
-    const bool settled = m_hooks.m_settled();
-    auto round = m_members.tick(now, settled, m_hooks.m_mark());
-    follow_view();
-    const auto loads = m_hooks.m_digests();
+    auto out = round(io::event_loop::now());
+    note_changes();
     const std::uint64_t stamp = m_events.stamp();
-    for (outgoing_heartbeat& out : round) {
-        out.m_message.m_loads = loads;
-        out.m_message.m_clock = stamp;
-        const auto bytes = peer::encode(out.m_message);
-        m_socket.send(out.m_to, bytes);
+    for (outgoing_heartbeat& item : out) {
+        item.m_message.m_clock = stamp;
+        const auto bytes = peer::encode(item.m_message);
+        m_socket.send(item.m_to, bytes);
         m_counts.count(counter::heartbeats_sent);
         m_counts.count(counter::heartbeat_bytes_sent, bytes.size());
     }
@@ -84,66 +123,157 @@
     m_counts.count(counter::heartbeats_received);
     m_counts.count(counter::heartbeat_bytes_received, bytes.size());
     m_events.seen(message.value().m_clock);
-    m_members.received(message.value(), io::event_loop::now());
+    const time_point now = io::event_loop::now();
+    std::visit(overload{[&](agreement& of) {
+                            of.m_members.received(message.value(), now);
+                        },
+                        [&](roster& of) { of.received(message.value(), now); }},
+               m_members);
     follow_view();
     for (const load_digest& digest : message.value().m_loads)
         m_hooks.m_digest(digest);
-    const auto& peers = m_members.peers();
-    const auto found = peers.find(message.value().m_sender.m_name.m_id);
-    if (found != peers.end())
+    const auto found = peers().find(message.value().m_sender.m_name.m_id);
+    if (found != peers().end())
         m_hooks.m_peer_mark(found->second);
 }
 
 // Keeps the share table in step with the member table.
 void fleet::follow_view() {
     note_changes();
+    auto* of = std::get_if<agreement>(&m_members);
+    if (!of)
+        return;
     const time_point now = io::event_loop::now();
-    if (m_seen_epoch != m_members.epoch()) {
-        m_seen_epoch = m_members.epoch();
-        m_shares.view_changed(m_members.view());
+    if (of->m_seen_epoch != of->m_members.epoch()) {
+        of->m_seen_epoch = of->m_members.epoch();
+        of->m_shares.view_changed(of->m_members.view());
     }
-    const bool agreed = !m_leaving && m_members.agreed(now);
+    const bool agreed = !m_leaving && of->m_members.agreed(now);
     if (agreed)
-        m_shares.view_agreed();
-    if (agreed == m_agreed)
+        of->m_shares.view_agreed();
+    if (agreed == of->m_agreed)
         return;
-    m_agreed = agreed;
+    of->m_agreed = agreed;
     m_events.note(event_kind::share,
-                  "view of " + std::to_string(m_members.view().size()),
+                  "view of " + std::to_string(of->m_members.view().size()),
                   agreed ? "agreed" : "not agreed");
     m_hooks.m_changed();
 }
 
 void fleet::note_changes() {
-    for (const member_change& change : m_members.take_changes()) {
-        if (change.m_kind == member_change::kind::lapsed)
-            m_shares.lapsed();
+    const auto changes = std::visit(
+        overload{[](agreement& of) {
+                     auto out = of.m_members.take_changes();
+                     for (const member_change& item : out)
+                         if (item.m_kind == member_change::kind::lapsed)
+                             of.m_shares.lapsed();
+                     return out;
+                 },
+                 [](roster& of) { return of.take_changes(); }},
+        m_members);
+    for (const member_change& change : changes)
         m_events.note(event_kind::member,
                       std::to_string(change.m_name.m_id.value()),
                       std::string{word_for(change.m_kind)});
-    }
 }
 
 std::uint32_t fleet::usable(upstream_id upstream, share_kind kind,
                             std::uint32_t slots) const {
-    if (m_leaving || !m_members.has_majority(io::event_loop::now()))
+    const auto* of = std::get_if<agreement>(&m_members);
+    if (!of || m_leaving || !of->m_members.has_majority(io::event_loop::now()))
         return 0;
-    return m_shares.usable(upstream, kind, slots);
+    return of->m_shares.usable(upstream, kind, slots);
+}
+
+std::optional<entry_id> fleet::owner(upstream_id upstream, share_kind kind,
+                                     std::uint32_t slot) const {
+    const auto* of = std::get_if<agreement>(&m_members);
+    if (!of)
+        return std::nullopt;
+    return of->m_shares.owner(upstream, kind, slot);
 }
 
 bool fleet::has_majority() const {
-    return m_members.has_majority(io::event_loop::now());
+    const auto* of = std::get_if<agreement>(&m_members);
+    return !of || of->m_members.has_majority(io::event_loop::now());
+}
+
+bool fleet::is_watcher(time_point now) const {
+    const auto first = std::visit(
+        overload{[&](const agreement& of) {
+                     return of.m_members.first_of_zone(watchers_per_zone, now);
+                 },
+                 [&](const roster& of) {
+                     return of.first_of(self_record().m_contact.m_zone,
+                                        of.single_zone()
+                                            ? watchers_of_single_zone
+                                            : watchers_per_zone,
+                                        now);
+                 }},
+        m_members);
+    return std::find(first.begin(), first.end(), self()) != first.end();
+}
+
+bool fleet::live(const member& peer, time_point now) const {
+    const auto* of = std::get_if<roster>(&m_members);
+    return of ? of->live(peer, now)
+              : now - peer.m_heard <=
+                    missed_heartbeats * m_settings.m_timing.m_period;
+}
+
+std::size_t fleet::size() const {
+    return std::visit(
+        overload{[](const agreement& of) { return of.m_members.view().size(); },
+                 [](const roster& of) { return of.live_count(); }},
+        m_members);
 }
 
 void fleet::paused() {
-    m_members.paused(io::event_loop::now());
+    const time_point now = io::event_loop::now();
+    std::visit([now](auto& of) { table_of(of).paused(now); }, m_members);
     follow_view();
 }
 
 void fleet::leave() {
     m_leaving = true;
-    m_members.leave();
+    std::visit([](auto& of) { table_of(of).leave(); }, m_members);
     beat();
 }
 
+const std::map<entry_id, member>& fleet::peers() const {
+    return std::visit(
+        [](const auto& of) -> const auto& { return table_of(of).peers(); },
+        m_members);
+}
+
+const member_record& fleet::self_record() const {
+    return std::visit(
+        [](const auto& of) -> const auto& { return table_of(of).self(); },
+        m_members);
+}
+
+member_state fleet::state() const {
+    return std::visit([](const auto& of) { return table_of(of).state(); },
+                      m_members);
+}
+
+std::uint32_t fleet::requests() const {
+    return std::visit([](const auto& of) { return table_of(of).requests(); },
+                      m_members);
+}
+
+void fleet::add_seeds(std::span<const address> seeds) {
+    std::visit([seeds](auto& of) { table_of(of).add_seeds(seeds); }, m_members);
+}
+
+void fleet::set_listed(std::span<const address> listed) {
+    std::visit([listed](auto& of) { table_of(of).set_listed(listed); },
+               m_members);
+}
+
+void fleet::set_requests(std::uint32_t count) {
+    std::visit([count](auto& of) { table_of(of).set_requests(count); },
+               m_members);
+}
+
 } // namespace skylark::entry
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -4,8 +4,11 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <variant>
 #include <vector>
 
+#include <skylark/member/roster.hpp>
 #include <skylark/member/table.hpp>
 #include <skylark/share/table.hpp>
 
@@ -33,7 +36,20 @@
     std::function<void(const member&)> m_peer_mark;
 };
 
-/*! @brief Runs the membership protocol and answers for shares. */
+/*! @brief Membership by agreement, with the shares that rest on it. */
+struct agreement {
+    agreement(const member_record& self, const settings& from, time_point now)
+        : m_members{self, from.m_seeds, from.m_timing, now},
+          m_shares{self.m_name.m_id} {}
+
+    member_table m_members;
+    share_table m_shares;
+    std::uint64_t m_seen_epoch{};
+    bool m_agreed{};
+};
+
+/*! @brief Runs the membership protocol. Where nothing is shared out among the
+ *  entries, a roster takes the place of the agreement. */
 class fleet {
 public:
     fleet(io::event_loop& loop, const settings& from, journal& events,
@@ -46,27 +62,43 @@
     [[nodiscard]] std::uint32_t usable(upstream_id upstream, share_kind kind,
                                        std::uint32_t slots) const;
 
+    /*! @brief Who owns a slot of a limit; none without an agreement. */
+    [[nodiscard]] std::optional<entry_id>
+    owner(upstream_id upstream, share_kind kind, std::uint32_t slot) const;
+
+    /*! @brief Whether a majority answers; always true without an agreement. */
     [[nodiscard]] bool has_majority() const;
 
+    /*! @brief Whether it is this entry's turn to watch the store for others.
+     */
+    [[nodiscard]] bool is_watcher(time_point now) const;
+
+    /*! @brief Whether a peer is heard lately enough to name it to callers. */
+    [[nodiscard]] bool live(const member& peer, time_point now) const;
+
+    /*! @brief Entries among which limits are divided, this one included. */
+    [[nodiscard]] std::size_t size() const;
+
     /*! @brief The process was paused. */
     void paused();
 
     /*! @brief Stops using shares and tells the peers. */
     void leave();
 
-    [[nodiscard]] const member_table& members() const { return m_members; }
-    [[nodiscard]] const share_table& shares() const { return m_shares; }
-    [[nodiscard]] entry_id self() const { return m_members.self().m_name.m_id; }
-    void add_seeds(std::span<const address> seeds) {
-        m_members.add_seeds(seeds);
-    }
-    void set_listed(std::span<const address> listed) {
-        m_members.set_listed(listed);
-    }
-    void set_requests(std::uint32_t count) { m_members.set_requests(count); }
+    /*! @brief Sends heartbeats now, because there is something new. */
+    void beat();
+
+    [[nodiscard]] const std::map<entry_id, member>& peers() const;
+    [[nodiscard]] const member_record& self_record() const;
+    [[nodiscard]] member_state state() const;
+    [[nodiscard]] std::uint32_t requests() const;
+    [[nodiscard]] entry_id self() const { return self_record().m_name.m_id; }
+    void add_seeds(std::span<const address> seeds);
+    void set_listed(std::span<const address> listed);
+    void set_requests(std::uint32_t count);
 
 private:
-    void beat();
+    std::vector<outgoing_heartbeat> round(time_point now);
     void receive(std::span<const std::uint8_t> bytes);
     void follow_view();
     void note_changes();
@@ -76,11 +108,8 @@
     journal& m_events;
     metrics& m_counts;
     io::udp_socket m_socket;
-    member_table m_members;
-    share_table m_shares;
+    std::variant<agreement, roster> m_members;
     fleet_hooks m_hooks;
-    std::uint64_t m_seen_epoch{};
-    bool m_agreed{};
     bool m_leaving{};
 };
 
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -74,8 +74,7 @@
 }
 
 ratio_budget& forwarder::retry_budget(const std::string& service) {
-    const auto members =
-        static_cast<double>(m_shared.m_fleet.members().peers().size() + 1);
+    const auto members = static_cast<double>(m_shared.m_fleet.size());
     const double burst = m_shared.m_config.current().m_limits.m_retry_burst;
     const double cap = std::max(1.0, burst / members);
     ratio_budget& out = m_retry_budgets.try_emplace(service, cap).first->second;
--- a/src/entry/forwarder_asking.cpp
+++ b/src/entry/forwarder_asking.cpp
@@ -21,8 +21,7 @@
 
 // This entry's part of the questions that all entries may put to a service.
 token_bucket& forwarder::question_budget(const std::string& service) {
-    const auto members =
-        static_cast<double>(m_shared.m_fleet.members().peers().size() + 1);
+    const auto members = static_cast<double>(m_shared.m_fleet.size());
     const auto upstreams =
         static_cast<double>(m_shared.m_upstreams.of_service(service).size());
     const double each =
--- a/src/entry/inspector.cpp
+++ b/src/entry/inspector.cpp
@@ -137,7 +137,7 @@
 table inspector::entries() {
     table out{{"entry", "address", "state", "requests", "revision", "heard_ms"},
               {}};
-    const member_table& members = m_shared.m_fleet.members();
+    const fleet& members = m_shared.m_fleet;
     const auto add = [&](const member_record& of, member_state state,
                          std::uint32_t requests, std::uint64_t revision,
                          duration heard) {
@@ -146,7 +146,7 @@
                               std::string{name_of(state)}, text(requests),
                               text(revision), age_text(heard)});
     };
-    add(members.self(), members.state(), members.requests(),
+    add(members.self_record(), members.state(), members.requests(),
         m_shared.m_config.revision(), duration{0});
     const time_point now = io::event_loop::now();
     for (const auto& [id, peer] : members.peers())
--- a/src/entry/lookup.cpp
+++ b/src/entry/lookup.cpp
@@ -20,7 +20,7 @@
         return "draining";
     if (shared.m_isolated)
         return "neither store nor majority";
-    if (native && shared.m_fleet.members().state() != member_state::active)
+    if (native && shared.m_fleet.state() != member_state::active)
         return "joining";
     if (!native && shared.m_instances.m_index == 0)
         return "no instance list yet";
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -53,7 +53,9 @@
     BOOST_OUTCOME_TRYV(m_shared.m_fleet.start(std::move(hooks)));
     m_configurator.start();
     take_place();
-    m_prober.start();
+    // Without shares nobody owns a probe; upstreams are asked before a send.
+    if (m_shared.m_settings.m_deployment == deployment::native)
+        m_prober.start();
     m_shared.m_loop.every(isolation_check, [this] { watch_isolation(); });
     m_shared.m_loop.every(gauge_period, [this] { update_gauges(); });
     m_shared.m_journal.note(event_kind::started, m_shared.m_settings.m_name,
@@ -141,8 +143,7 @@
     }
     out.set(gauge::requests, signed_size(m_forwarder.active()));
     out.set(gauge::queued, signed_size(m_forwarder.queued()));
-    out.set(gauge::members,
-            signed_size(m_shared.m_fleet.members().view().size()));
+    out.set(gauge::members, signed_size(m_shared.m_fleet.size()));
     out.set(gauge::config_revision, signed_size(m_shared.m_config.revision()));
     out.set(gauge::config_age_ms, to_ms(m_configurator.mark().m_confirmed_age));
     out.set(gauge::has_majority, m_shared.m_fleet.has_majority() ? 1 : 0);
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -40,8 +40,7 @@
 void prober::probe_due() {
     if (!m_shared.m_config.ready())
         return;
-    const auto members =
-        std::max<std::size_t>(1, m_shared.m_fleet.members().view().size());
+    const auto members = std::max<std::size_t>(1, m_shared.m_fleet.size());
     const limits& bounds = m_shared.m_config.current().m_limits;
     const double rate = static_cast<double>(bounds.m_probes_fleet) /
                         static_cast<double>(members);
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -76,9 +76,8 @@
 }
 
 std::uint32_t router::connection_limit() const {
-    const auto members = static_cast<std::uint32_t>(
-        std::max<std::size_t>(m_shared.m_fleet.members().view().size(),
-                              m_shared.m_settings.m_seeds.size() + 1));
+    const auto members = static_cast<std::uint32_t>(std::max<std::size_t>(
+        m_shared.m_fleet.size(), m_shared.m_settings.m_seeds.size() + 1));
     const auto whole =
         m_shared.m_config.current().m_limits.m_connections_per_upstream;
     return std::max<std::uint32_t>(1, whole / members);
@@ -220,7 +219,7 @@
                                            request_class wanted) {
     const auto* of = m_shared.m_config.current().find_service(service);
     const auto& keys = m_shared.m_upstreams.of_service(service);
-    const auto& peers = m_shared.m_fleet.members().peers();
+    const auto& peers = m_shared.m_fleet.peers();
     const time_point now = io::event_loop::now();
     constexpr int tries = 8;
     for (int i = 0; i < tries; ++i) {
@@ -231,8 +230,8 @@
             !item->m_zone_active)
             continue;
         const std::uint32_t slot = m_random(limit_of(*of, *share));
-        const auto owner = peers.find(
-            m_shared.m_fleet.shares().owner(item->m_id, *share, slot));
+        const auto id = m_shared.m_fleet.owner(item->m_id, *share, slot);
+        const auto owner = id ? peers.find(*id) : peers.end();
         if (owner != peers.end() &&
             owner->second.m_state == member_state::active)
             return owner->second.m_record.m_contact.m_callers;
--- a/src/member/table.cpp
+++ b/src/member/table.cpp
@@ -4,12 +4,16 @@
 #include <algorithm>
 #include <functional>
 
+#include <skylark/core/hash.hpp>
+
 namespace skylark {
 
 namespace {
 // Departed members are remembered, and reported silent, this many hold-downs.
 constexpr int departed_memory = 5;
 constexpr std::size_t sent_memory = 64; // own heartbeats that may be answered
+// Others take the place of a member that was silent for so many periods.
+constexpr int silent_heartbeats = 4;
 } // namespace
 
 member_table::member_table(const member_record& self,
@@ -287,6 +291,25 @@
     return out;
 }
 
+std::vector<entry_id> member_table::first_of_zone(std::size_t count,
+                                                  time_point now) const {
+    const auto score = [](entry_id of) {
+        return rendezvous(hash("store watcher"), of.value());
+    };
+    const duration silent = silent_heartbeats * m_timing.m_period;
+    std::vector<entry_id> out{m_self.m_name.m_id};
+    for (const auto& [id, peer] : m_peers)
+        if (peer.m_record.m_contact.m_zone == m_self.m_contact.m_zone &&
+            peer.m_state != member_state::leaving &&
+            now - peer.m_heard <= silent)
+            out.push_back(id);
+    std::sort(out.begin(), out.end(), [&](entry_id left, entry_id right) {
+        return score(left) > score(right);
+    });
+    out.resize(std::min(out.size(), count));
+    return out;
+}
+
 bool member_table::agreed(time_point now) const {
     if (m_state != member_state::active || !has_majority(now))
         return false;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -109,6 +109,38 @@
     return member_state::joining;
 }
 
+wire::member_report to_wire(const member_report& from) {
+    wire::member_report out;
+    out.id = to_wire(from.m_name.m_id.value());
+    out.incarnation = to_wire(from.m_name.m_incarnation);
+    out.age_us = from.m_age.count();
+    out.missed = from.m_missed;
+    out.state = static_cast<std::int32_t>(from.m_state);
+    out.revision = to_wire(from.m_revision);
+    out.requests = static_cast<std::int32_t>(from.m_requests);
+    return out;
+}
+
+member_report from_wire(const wire::member_report& from) {
+    member_report out;
+    out.m_name = {entry_id{from_wire(from.id)}, from_wire(from.incarnation)};
+    out.m_age = duration{std::max<std::int64_t>(0, from.age_us)};
+    out.m_missed = from.missed;
+    out.m_state = member_state_from_wire(from.state);
+    out.m_revision = from_wire(from.revision);
+    out.m_requests = static_cast<std::uint32_t>(from.requests);
+    return out;
+}
+
+// An unknown wish is read as none: the sender will ask somebody else.
+subscription subscription_from_wire(std::int32_t value) {
+    if (value == static_cast<std::int32_t>(subscription::zone))
+        return subscription::zone;
+    if (value == static_cast<std::int32_t>(subscription::fleet))
+        return subscription::fleet;
+    return subscription::nothing;
+}
+
 wire::heartbeat to_wire(const heartbeat& from) {
     wire::heartbeat out;
     out.sender = to_wire(from.m_sender);
@@ -129,6 +161,9 @@
         out.members.push_back(to_wire(item));
     for (const load_digest& item : from.m_loads)
         out.loads.push_back(to_wire(item));
+    out.wants = static_cast<std::int32_t>(from.m_wants);
+    for (const member_report& item : from.m_reports)
+        out.reports.push_back(to_wire(item));
     return out;
 }
 
@@ -152,6 +187,9 @@
         out.m_members.push_back(from_wire(item));
     for (const wire::load_digest& item : from.loads)
         out.m_loads.push_back(from_wire(item));
+    out.m_wants = subscription_from_wire(from.wants);
+    for (const wire::member_report& item : from.reports)
+        out.m_reports.push_back(from_wire(item));
     return out;
 }
 
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -702,6 +702,218 @@
 }
 
 
+member_report::~member_report() noexcept {
+}
+
+
+void member_report::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void member_report::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void member_report::__set_age_us(const int64_t val) {
+  this->age_us = val;
+}
+
+void member_report::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void member_report::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void member_report::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void member_report::__set_missed(const bool val) {
+  this->missed = val;
+}
+std::ostream& operator<<(std::ostream& out, const member_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t member_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->missed);
+          this->__isset.missed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t member_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("member_report");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("missed", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->missed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(member_report &a, member_report &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.incarnation, b.incarnation);
+  swap(a.age_us, b.age_us);
+  swap(a.state, b.state);
+  swap(a.revision, b.revision);
+  swap(a.requests, b.requests);
+  swap(a.missed, b.missed);
+  swap(a.__isset, b.__isset);
+}
+
+member_report::member_report(const member_report& other8) noexcept {
+  id = other8.id;
+  incarnation = other8.incarnation;
+  age_us = other8.age_us;
+  state = other8.state;
+  revision = other8.revision;
+  requests = other8.requests;
+  missed = other8.missed;
+  __isset = other8.__isset;
+}
+member_report& member_report::operator=(const member_report& other9) noexcept {
+  id = other9.id;
+  incarnation = other9.incarnation;
+  age_us = other9.age_us;
+  state = other9.state;
+  revision = other9.revision;
+  requests = other9.requests;
+  missed = other9.missed;
+  __isset = other9.__isset;
+  return *this;
+}
+void member_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "member_report(";
+  out << "id=" << to_string(id);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "age_us=" << to_string(age_us);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "missed=" << to_string(missed);
+  out << ")";
+}
+
+
 heartbeat::~heartbeat() noexcept {
 }
 
@@ -765,6 +977,14 @@
 void heartbeat::__set_clock(const int64_t val) {
   this->clock = val;
 }
+
+void heartbeat::__set_wants(const int32_t val) {
+  this->wants = val;
+}
+
+void heartbeat::__set_reports(const std::vector<member_report> & val) {
+  this->reports = val;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -885,14 +1105,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->silent.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->silent.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->silent.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
             {
-              xfer += this->silent[_i12].read(iprot);
+              xfer += this->silent[_i14].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -905,14 +1125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->members.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size15;
+            ::apache::thrift::protocol::TType _etype18;
+            xfer += iprot->readListBegin(_etype18, _size15);
+            this->members.resize(_size15);
+            uint32_t _i19;
+            for (_i19 = 0; _i19 < _size15; ++_i19)
             {
-              xfer += this->members[_i17].read(iprot);
+              xfer += this->members[_i19].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -925,14 +1145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->loads.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->loads.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->loads[_i22].read(iprot);
+              xfer += this->loads[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -949,6 +1169,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wants);
+          this->__isset.wants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->reports.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
+            {
+              xfer += this->reports[_i29].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1013,10 +1261,10 @@
   xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->silent.size()));
-    std::vector<silence> ::const_iterator _iter23;
-    for (_iter23 = this->silent.begin(); _iter23 != this->silent.end(); ++_iter23)
+    std::vector<silence> ::const_iterator _iter30;
+    for (_iter30 = this->silent.begin(); _iter30 != this->silent.end(); ++_iter30)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter30).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1025,10 +1273,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<member_record> ::const_iterator _iter24;
-    for (_iter24 = this->members.begin(); _iter24 != this->members.end(); ++_iter24)
+    std::vector<member_record> ::const_iterator _iter31;
+    for (_iter31 = this->members.begin(); _iter31 != this->members.end(); ++_iter31)
     {
-      xfer += (*_iter24).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1037,10 +1285,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<load_digest> ::const_iterator _iter25;
-    for (_iter25 = this->loads.begin(); _iter25 != this->loads.end(); ++_iter25)
+    std::vector<load_digest> ::const_iterator _iter32;
+    for (_iter32 = this->loads.begin(); _iter32 != this->loads.end(); ++_iter32)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter32).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1050,6 +1298,22 @@
   xfer += oprot->writeI64(this->clock);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wants", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->wants);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<member_report> ::const_iterator _iter33;
+    for (_iter33 = this->reports.begin(); _iter33 != this->reports.end(); ++_iter33)
+    {
+      xfer += (*_iter33).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1072,44 +1336,50 @@
   swap(a.members, b.members);
   swap(a.loads, b.loads);
   swap(a.clock, b.clock);
+  swap(a.wants, b.wants);
+  swap(a.reports, b.reports);
   swap(a.__isset, b.__isset);
 }
 
-heartbeat::heartbeat(const heartbeat& other26) {
-  sender = other26.sender;
-  state = other26.state;
-  sequence = other26.sequence;
-  acknowledged = other26.acknowledged;
-  acknowledged_incarnation = other26.acknowledged_incarnation;
-  view_hash = other26.view_hash;
-  settled_hash = other26.settled_hash;
-  config_revision = other26.config_revision;
-  instances_index = other26.instances_index;
-  confirmed_age_us = other26.confirmed_age_us;
-  requests = other26.requests;
-  silent = other26.silent;
-  members = other26.members;
-  loads = other26.loads;
-  clock = other26.clock;
-  __isset = other26.__isset;
-}
-heartbeat& heartbeat::operator=(const heartbeat& other27) {
-  sender = other27.sender;
-  state = other27.state;
-  sequence = other27.sequence;
-  acknowledged = other27.acknowledged;
-  acknowledged_incarnation = other27.acknowledged_incarnation;
-  view_hash = other27.view_hash;
-  settled_hash = other27.settled_hash;
-  config_revision = other27.config_revision;
-  instances_index = other27.instances_index;
-  confirmed_age_us = other27.confirmed_age_us;
-  requests = other27.requests;
-  silent = other27.silent;
-  members = other27.members;
-  loads = other27.loads;
-  clock = other27.clock;
-  __isset = other27.__isset;
+heartbeat::heartbeat(const heartbeat& other34) {
+  sender = other34.sender;
+  state = other34.state;
+  sequence = other34.sequence;
+  acknowledged = other34.acknowledged;
+  acknowledged_incarnation = other34.acknowledged_incarnation;
+  view_hash = other34.view_hash;
+  settled_hash = other34.settled_hash;
+  config_revision = other34.config_revision;
+  instances_index = other34.instances_index;
+  confirmed_age_us = other34.confirmed_age_us;
+  requests = other34.requests;
+  silent = other34.silent;
+  members = other34.members;
+  loads = other34.loads;
+  clock = other34.clock;
+  wants = other34.wants;
+  reports = other34.reports;
+  __isset = other34.__isset;
+}
+heartbeat& heartbeat::operator=(const heartbeat& other35) {
+  sender = other35.sender;
+  state = other35.state;
+  sequence = other35.sequence;
+  acknowledged = other35.acknowledged;
+  acknowledged_incarnation = other35.acknowledged_incarnation;
+  view_hash = other35.view_hash;
+  settled_hash = other35.settled_hash;
+  config_revision = other35.config_revision;
+  instances_index = other35.instances_index;
+  confirmed_age_us = other35.confirmed_age_us;
+  requests = other35.requests;
+  silent = other35.silent;
+  members = other35.members;
+  loads = other35.loads;
+  clock = other35.clock;
+  wants = other35.wants;
+  reports = other35.reports;
+  __isset = other35.__isset;
   return *this;
 }
 void heartbeat::printTo(std::ostream& out) const {
@@ -1130,6 +1400,8 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "clock=" << to_string(clock);
+  out << ", " << "wants=" << to_string(wants);
+  out << ", " << "reports=" << to_string(reports);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -29,6 +29,8 @@
 
 class load_digest;
 
+class member_report;
+
 class heartbeat;
 
 typedef struct _contact__isset {
@@ -314,8 +316,93 @@
 
 std::ostream& operator<<(std::ostream& out, const load_digest& obj);
 
+typedef struct _member_report__isset {
+  _member_report__isset() : id(false), incarnation(false), age_us(false), state(false), revision(false), requests(false), missed(false) {}
+  bool id :1;
+  bool incarnation :1;
+  bool age_us :1;
+  bool state :1;
+  bool revision :1;
+  bool requests :1;
+  bool missed :1;
+} _member_report__isset;
+
+class member_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  member_report(const member_report&) noexcept;
+  member_report& operator=(const member_report&) noexcept;
+  member_report() noexcept
+                : id(0),
+                  incarnation(0),
+                  age_us(0),
+                  state(0),
+                  revision(0),
+                  requests(0),
+                  missed(0) {
+  }
+
+  virtual ~member_report() noexcept;
+  int64_t id;
+  int64_t incarnation;
+  int64_t age_us;
+  int32_t state;
+  int64_t revision;
+  int32_t requests;
+  bool missed;
+
+  _member_report__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_age_us(const int64_t val);
+
+  void __set_state(const int32_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_requests(const int32_t val);
+
+  void __set_missed(const bool val);
+
+  bool operator == (const member_report & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(age_us == rhs.age_us))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(missed == rhs.missed))
+      return false;
+    return true;
+  }
+  bool operator != (const member_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const member_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(member_report &a, member_report &b);
+
+std::ostream& operator<<(std::ostream& out, const member_report& obj);
+
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : sender(false), state(false), sequence(false), acknowledged(false), acknowledged_incarnation(false), view_hash(false), settled_hash(false), config_revision(false), instances_index(false), confirmed_age_us(false), requests(false), silent(false), members(false), loads(false), clock(false) {}
+  _heartbeat__isset() : sender(false), state(false), sequence(false), acknowledged(false), acknowledged_incarnation(false), view_hash(false), settled_hash(false), config_revision(false), instances_index(false), confirmed_age_us(false), requests(false), silent(false), members(false), loads(false), clock(false), wants(false), reports(false) {}
   bool sender :1;
   bool state :1;
   bool sequence :1;
@@ -331,6 +418,8 @@
   bool members :1;
   bool loads :1;
   bool clock :1;
+  bool wants :1;
+  bool reports :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -349,7 +438,8 @@
               instances_index(0),
               confirmed_age_us(0),
               requests(0),
-              clock(0) {
+              clock(0),
+              wants(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -368,6 +458,8 @@
   std::vector<member_record>  members;
   std::vector<load_digest>  loads;
   int64_t clock;
+  int32_t wants;
+  std::vector<member_report>  reports;
 
   _heartbeat__isset __isset;
 
@@ -401,6 +493,10 @@
 
   void __set_clock(const int64_t val);
 
+  void __set_wants(const int32_t val);
+
+  void __set_reports(const std::vector<member_report> & val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -433,6 +529,10 @@
       return false;
     if (!(clock == rhs.clock))
       return false;
+    if (!(wants == rhs.wants))
+      return false;
+    if (!(reports == rhs.reports))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -33,6 +33,16 @@
     7: i64 age_us
 }
 
+struct member_report {
+    1: i64 id
+    2: i64 incarnation
+    3: i64 age_us
+    4: i32 state
+    5: i64 revision
+    6: i32 requests
+    7: bool missed
+}
+
 struct heartbeat {
     1: member_record sender
     2: i32 state
@@ -49,4 +59,6 @@
     13: list<member_record> members
     14: list<load_digest> loads
     15: i64 clock
+    16: i32 wants
+    17: list<member_report> reports
 }
