Log each decision on a request in one structured line

Cause: only changes of state were logged, so a late request could not be traced to what it was decided on. Change: send, attempt-failed, refuse and end lines with the request's id, the upstream, its load and the load's age, versions of configuration and instance list. Lines go to standard output through an appender that never waits; at most 200 decisions and 100 changes a second, the rest is counted and told. Ruled out: log4cplus' console appender (waits for its reader), its asynchronous one (a second thread).

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -17,7 +17,8 @@
 
 # The entry as a library, so that tests can use its parts.
 add_library(skylark_entry STATIC
-    src/entry/settings.cpp src/entry/journal.cpp src/entry/metrics.cpp
+    src/entry/settings.cpp src/entry/journal.cpp src/entry/log_line.cpp src/entry/log_sink.cpp
+    src/entry/forwarder_log.cpp src/entry/metrics.cpp
     src/entry/fleet.cpp src/entry/upstream_table.cpp src/entry/router.cpp
     src/entry/request_head.cpp src/entry/connection_pool.cpp
     src/entry/native_dialect.cpp platform/dialect.cpp src/entry/asker.cpp
--- a/include/skylark/config/config.hpp
+++ b/include/skylark/config/config.hpp
@@ -33,6 +33,10 @@
 inline constexpr std::size_t document_bytes = std::size_t{1} << 20U;
 inline constexpr std::size_t body_bytes = std::size_t{1} << 20U;
 inline constexpr std::size_t event_ring = 4096; //!< events kept in memory
+//! Log lines a second, about three for each request that an entry of a tenth
+//! of a core serves; more are counted and left out.
+inline constexpr double decision_lines_per_s = 200.0;
+inline constexpr double change_lines_per_s = 100.0;
 
 } // namespace defaults
 
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -63,9 +63,11 @@
 
 private:
     // Admission.
-    void refuse_at_once(exchange_id key, int status, std::string_view reason,
-                        request_class of, duration come_back,
+    void refuse_at_once(exchange_id key, const io::request_view& from,
+                        int status, std::string_view reason, request_class of,
+                        duration come_back,
                         std::optional<address> elsewhere = std::nullopt);
+    [[nodiscard]] std::string request_name(const io::request_view& from) const;
     const std::string& service_of(const rule& under);
     void admit(exchange_id key, const io::request_view& from, const rule& under,
                const std::string& service);
@@ -98,6 +100,15 @@
     void hedge(request_id key);
     bool may_retry(const request& of, const verdict& how);
 
+    // Log lines: one for each decision on a request.
+    void log_send(const request& of, const attempt& made,
+                  const upstream& target, time_point now);
+    void log_failed_attempt(const request& of, const upstream& target,
+                            const verdict& how, time_point now);
+    void log_refusal(std::string_view id, std::string_view rule, int status,
+                     std::string_view reason, duration come_back);
+    void log_end(const request& of, outcome how, duration took);
+
     // Answers.
     void apply(request_id key, const actions& list);
     void cancel(request& of, attempt_id which);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -31,8 +31,9 @@
 
 void forwarder::accept(exchange_id key, const io::request_view& from) {
     if (!m_shared.m_config.ready()) {
-        refuse_at_once(key, io::status::unavailable, "no configuration yet",
-                       request_class::normal, usual_come_back);
+        refuse_at_once(key, from, io::status::unavailable,
+                       "no configuration yet", request_class::normal,
+                       usual_come_back);
         return;
     }
     const document& config = m_shared.m_config.current();
@@ -42,7 +43,7 @@
                      return io::find_header(from.m_headers, name);
                  });
     if (!under) {
-        refuse_at_once(key, io::status::not_found,
+        refuse_at_once(key, from, io::status::not_found,
                        "no rule matches " + std::string{from.m_method} + ' ' +
                            std::string{from.m_path},
                        request_class::normal, usual_come_back);
@@ -50,11 +51,11 @@
     }
     const std::string& service = service_of(*under);
     if (m_shared.m_isolated)
-        refuse_at_once(key, io::status::unavailable,
+        refuse_at_once(key, from, io::status::unavailable,
                        "this entry reaches neither store nor majority",
                        under->m_class, usual_come_back);
     else if (!m_router.serves(service))
-        refuse_at_once(key, io::status::unavailable,
+        refuse_at_once(key, from, io::status::unavailable,
                        "service " + service + " has no upstream",
                        under->m_class, come_back(service));
     else
@@ -82,9 +83,15 @@
     return out;
 }
 
-void forwarder::refuse_at_once(exchange_id key, int status,
-                               std::string_view reason, request_class of,
-                               duration come_back,
+std::string forwarder::request_name(const io::request_view& from) const {
+    return std::visit(
+        [&](const auto& kind) { return std::string{kind.request_name(from)}; },
+        m_shared.m_dialect);
+}
+
+void forwarder::refuse_at_once(exchange_id key, const io::request_view& from,
+                               int status, std::string_view reason,
+                               request_class of, duration come_back,
                                std::optional<address> elsewhere) {
     const auto headers = std::visit(
         [&](const auto& kind) {
@@ -93,13 +100,14 @@
         },
         m_shared.m_dialect);
     m_shared.m_metrics.finished(of, outcome::not_run, duration{0});
+    log_refusal(request_name(from), {}, status, reason, come_back);
     m_callers.answer(key, status, headers, std::string{reason} + "\n");
 }
 
 void forwarder::admit(exchange_id key, const io::request_view& from,
                       const rule& under, const std::string& service) {
     if (!m_router.may_serve(service, under.m_class)) {
-        refuse_at_once(key, io::status::unavailable,
+        refuse_at_once(key, from, io::status::unavailable,
                        "this entry owns no slot of service " + service,
                        under.m_class, usual_come_back,
                        m_router.other_owner(service, under.m_class));
@@ -108,7 +116,7 @@
     const limits& bounds = m_shared.m_config.current().m_limits;
     auto& line = m_queues[service];
     if (line.queue(under.m_class).size() >= bounds.m_queue_length) {
-        refuse_at_once(key, io::status::unavailable, "queue is full",
+        refuse_at_once(key, from, io::status::unavailable, "queue is full",
                        under.m_class, come_back(service));
         return;
     }
@@ -134,9 +142,7 @@
     of.m_rank = under.m_rank;
     of.m_target =
         now + (under.m_target > duration{0} ? under.m_target - waited : wait);
-    of.m_name = std::visit(
-        [&](const auto& kind) { return std::string{kind.request_name(from)}; },
-        m_shared.m_dialect);
+    of.m_name = request_name(from);
     m_by_exchange[key] = made;
     of.m_deadline_timer = m_shared.m_loop.after(wait, [this, made] {
         if (request* found = m_requests.find(made))
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -61,6 +61,7 @@
     m_shared.m_journal.note(event_kind::request, of.m_rule,
                             std::string{verdict_text(why.m_verdict)} + ": " +
                                 reason);
+    log_refusal(of.m_name, of.m_rule, status, reason, come_back(of.m_service));
     const auto headers = std::visit(
         [&](const auto& kind) {
             return kind.refusal(why.m_verdict, come_back(of.m_service),
@@ -154,6 +155,7 @@
     const time_point end =
         of.m_answering ? of.m_progress : io::event_loop::now();
     m_shared.m_metrics.finished(of.m_class, how, end - of.m_arrived);
+    log_end(of, how, end - of.m_arrived);
     const std::string service = of.m_service;
     m_requests.erase(key);
     pump_service(service);
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -32,6 +32,8 @@
     const time_point now = io::event_loop::now();
     if (target.m_load.report_age(now) <= recent_report)
         made.m_report = target.m_load.last_report();
+    made.m_questions = static_cast<std::uint32_t>(of.m_asked.size());
+    made.m_unanswered = static_cast<std::uint32_t>(of.m_unanswered.size());
     if (made.m_share)
         ++target.share_use(*made.m_share);
     target.m_load.sent();
@@ -71,6 +73,7 @@
     }
     made.m_sent = true;
     made.m_sent_at = now;
+    log_send(of, made, target, now);
     m_client.send(made.m_connection, std::move(bytes), of.m_head_only);
 }
 
@@ -190,6 +193,8 @@
     }
     const bool lost = std::holds_alternative<may_have_run>(how);
     const auto* refused = std::get_if<not_run>(&how);
+    if (lost || refused)
+        log_failed_attempt(*of, target, how, io::event_loop::now());
     if (lost ||
         (refused && refused->m_proof == not_run_proof::connect_failed)) {
         target.m_load.failed();
--- a/src/entry/journal.cpp
+++ b/src/entry/journal.cpp
@@ -1,15 +1,19 @@
-// Events of this process: into the ring, and one log line each.
+// Events and decisions of this process: into the ring and the log.
 #include "entry/journal.hpp"
 
 #include <chrono>
 #include <utility>
 
-#include <log4cplus/consoleappender.h>
+#include <unistd.h>
+
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include "entry/log_sink.hpp"
+#include "io/event_loop.hpp"
+
 namespace skylark::entry {
 
 struct journal::log {
@@ -28,10 +32,7 @@
 journal::journal(const std::string& name, const std::string& level)
     : m_log{std::make_unique<log>()} {
     start_logging();
-    constexpr bool to_stderr = true;
-    constexpr bool flush = true;
-    log4cplus::SharedAppenderPtr appender{
-        new log4cplus::ConsoleAppender{to_stderr, flush}};
+    log4cplus::SharedAppenderPtr appender{new log_sink{STDOUT_FILENO}};
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "%D{%Y-%m-%dT%H:%M:%S.%q} %p %c %m%n"));
     m_log->m_logger = log4cplus::Logger::getInstance(name);
@@ -53,16 +54,37 @@
 }
 
 void journal::note(event_kind kind, std::string subject, std::string detail) {
+    const time_point now = io::event_loop::now();
     const event& kept =
         m_ring.add(wall_ms(), kind, std::move(subject), std::move(detail));
-    // Verdicts of single requests are counted, and logged only for debugging.
-    const auto line = std::string{name_of(kept.m_kind)} +
-                      " subject=" + kept.m_subject + " detail=\"" +
-                      kept.m_detail + '"';
-    if (kept.m_kind == event_kind::request)
-        LOG4CPLUS_DEBUG(m_log->m_logger, line);
-    else
-        LOG4CPLUS_INFO(m_log->m_logger, line);
+    // Verdicts of single requests have lines of their own, see decided().
+    if (kept.m_kind == event_kind::request ||
+        !may_write(m_changes, "changes", now))
+        return;
+    log_line line{name_of(kept.m_kind)};
+    line.add("subject", kept.m_subject).add("detail", kept.m_detail);
+    LOG4CPLUS_INFO(m_log->m_logger, line.text());
+}
+
+void journal::decided(const log_line& line, time_point now) {
+    if (may_write(m_decisions, "decisions", now))
+        LOG4CPLUS_INFO(m_log->m_logger, line.text());
+}
+
+bool journal::may_write(line_budget& of, std::string_view kind,
+                        time_point now) {
+    if (!of.m_bucket.take(now)) {
+        ++of.m_left_out;
+        return false;
+    }
+    if (of.m_left_out > 0) {
+        log_line line{"log"};
+        line.add("left_out", std::exchange(of.m_left_out, 0))
+            .add("kind", kind)
+            .add("reason", "more lines a second than are written");
+        LOG4CPLUS_INFO(m_log->m_logger, line.text());
+    }
+    return true;
 }
 
 std::uint64_t journal::stamp() {
--- a/src/entry/journal.hpp
+++ b/src/entry/journal.hpp
@@ -1,4 +1,4 @@
-// Events of this process: into the ring, and one log line each.
+// Events and decisions of this process: into the ring and the log.
 #ifndef SKYLARK_ENTRY_JOURNAL_HPP
 #define SKYLARK_ENTRY_JOURNAL_HPP
 
@@ -7,10 +7,14 @@
 
 #include <skylark/config/config.hpp>
 #include <skylark/event/ring.hpp>
+#include <skylark/limit/token_bucket.hpp>
+
+#include "entry/log_line.hpp"
 
 namespace skylark::entry {
 
-/*! @brief Keeps and logs changes of state. */
+/*! @brief Keeps and logs changes of state, and logs decisions on requests.
+ *  Both are bounded; what is left out is counted and told. */
 class journal {
 public:
     /*! @param name of this process, for the log
@@ -23,6 +27,11 @@
     /*! @brief Records a change of state. */
     void note(event_kind kind, std::string subject, std::string detail);
 
+    /*! @brief Logs a decision on a request.
+     *  @param line what was decided, on what grounds
+     *  @param now the present */
+    void decided(const log_line& line, time_point now);
+
     /*! @brief A stamp of the present, for messages. */
     std::uint64_t stamp();
 
@@ -36,7 +45,22 @@
 
 private:
     struct log;
+
+    // Lines of one kind that may be written, and those that were left out.
+    struct line_budget {
+        explicit line_budget(double lines_per_s)
+            : m_bucket{lines_per_s, 2 * lines_per_s, 2 * lines_per_s} {}
+
+        token_bucket m_bucket;
+        std::uint64_t m_left_out{};
+    };
+
+    [[nodiscard]] bool may_write(line_budget& of, std::string_view kind,
+                                 time_point now);
+
     std::unique_ptr<log> m_log;
+    line_budget m_decisions{defaults::decision_lines_per_s};
+    line_budget m_changes{defaults::change_lines_per_s};
     event_ring m_ring{defaults::event_ring};
 };
 
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -30,6 +30,8 @@
     bool m_hedge{};
     //! What the upstream said just before the request was sent.
     std::optional<load_report> m_report;
+    std::uint32_t m_questions{};  //!< asked before it was chosen
+    std::uint32_t m_unanswered{}; //!< of those, still open then
 };
 
 /*! @brief One request. */
