Ask the store less at the start; longer leases

Every entry without a configuration watched the store, and each registration of another one was an event for all of them; leases were renewed every 1.6 s. Change: also without a configuration only the zone's watchers ask, the others when nobody has confirmed anything for 3 s; at the first start of a deployment (setting bootstrap) entries meet for 1 s before. Leases last 15 s, as heartbeats say who lives. Ruled out: no listing at the start of single entries (a restart must be quick). Tests: the lease test now plays two lives of 1.5 s; settings.

--- a/include/skylark/config/adoption.hpp
+++ b/include/skylark/config/adoption.hpp
@@ -44,7 +44,8 @@
     adoption_result offer(std::uint64_t revision, const std::string& text);
 
     /*! @brief The store, or a peer's chain to it, confirmed a revision.
-     *  @param revision what was confirmed; a lower one confirms nothing
+     *  @param revision what was confirmed, 0 while there is none; a lower one
+     *  than the present confirms nothing
      *  @param at when the store said so, at the latest */
     void confirmed(std::uint64_t revision, time_point at);
 
--- a/src/config/adoption.cpp
+++ b/src/config/adoption.cpp
@@ -23,7 +23,7 @@
 }
 
 void config_adoption::confirmed(std::uint64_t revision, time_point at) {
-    if (revision < m_revision || revision == 0)
+    if (revision < m_revision)
         return;
     m_confirmed = std::max(m_confirmed.value_or(at), at);
 }
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -22,6 +22,9 @@
 // first of them tells the rest.
 constexpr std::uint32_t trust_steps = 16;
 constexpr auto trust_step = milliseconds{150};
+// When all entries start together they know each other after this time, and
+// which of them watch the store.
+constexpr duration meeting_time = seconds{1};
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 } // namespace
 
@@ -33,8 +36,13 @@
                           (hash(shared.m_settings.m_name) % trust_steps)} {}
 
 void configurator::start() {
-    watch_document();
-    watch_instances();
+    const duration wait =
+        m_shared.m_settings.m_bootstrap ? meeting_time : duration{0};
+    m_shared.m_loop.after(wait, [this] {
+        m_started = io::event_loop::now();
+        watch_document();
+        watch_instances();
+    });
 }
 
 store::client configurator::open_store() {
@@ -52,14 +60,12 @@
                          m_shared.m_loop, from.m_platform, terms, note};
 }
 
-// Whoever lacks something, or whose knowledge nobody has confirmed for long,
-// does not wait for others.
+// Whoever has heard no confirmation for long does not wait for others.
 bool configurator::is_watcher() const {
-    if (!m_shared.m_config.ready() || m_shared.m_instances.m_index == 0)
-        return true;
     const time_point now = io::event_loop::now();
-    return m_shared.m_fleet.is_watcher(now) ||
-           m_shared.m_config.age(now) > m_longest_trust;
+    const duration unconfirmed =
+        std::min(m_shared.m_config.age(now), now - m_started);
+    return m_shared.m_fleet.is_watcher(now) || unconfirmed > m_longest_trust;
 }
 
 void configurator::watch_document() {
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -61,6 +61,7 @@
     list_guard m_guard;
     instance_log m_log;       //!< of the list in use, for peers
     duration m_longest_trust; //!< in what nobody has confirmed
+    time_point m_started;
     bool m_fetching_document{};
     bool m_fetching_instances{};
     std::uint64_t m_noted_revert{}; // store revision that was told last
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 constexpr auto isolation_check = milliseconds{100};
+// Until then others may try the address of an entry that died; heartbeats tell
+// them whether it lives.
+constexpr auto place_life = seconds{15};
 constexpr auto gauge_period = milliseconds{500};
 constexpr auto drain_check = milliseconds{20};
 // No request for this long, once no answer names this entry any more.
@@ -79,7 +82,7 @@
         return;
     m_place.emplace(m_shared.m_loop, from.m_platform,
                     std::string{platform::entry_prefix} + from.m_name,
-                    from.m_peer.text(),
+                    from.m_peer.text(), place_life,
                     [this](store::lease_event what) { note_place(what); });
     m_place->start();
 }
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -85,6 +85,16 @@
             fail(*node, key, "a whole number from 0 up");
     }
 
+    void flag(std::string_view key, bool& out) {
+        const toml::node* node = take(key, false);
+        if (!node)
+            return;
+        if (const auto value = node->value_exact<bool>())
+            out = *value;
+        else
+            fail(*node, key, "true or false");
+    }
+
     void addresses(std::string_view key, std::vector<address>& out) {
         const toml::node* node = take(key, false);
         if (!node)
@@ -196,6 +206,7 @@
     reader.where("peer", out.m_peer, true);
     reader.where("platform", out.m_platform, true);
     reader.addresses("seeds", out.m_seeds);
+    reader.flag("bootstrap", out.m_bootstrap);
     reader.one_of("log_level", out.m_log_level, log_levels);
     std::int64_t seed = 0;
     reader.whole("seed", seed);
--- a/src/store/lease_holder.cpp
+++ b/src/store/lease_holder.cpp
@@ -8,20 +8,18 @@
 namespace skylark::store {
 
 namespace {
-// An entry that died is out of the list after this time.
-constexpr auto lease_life = seconds{5};
 // Two renewals may be lost before the lease ends.
-constexpr auto renewal_period = milliseconds{1600};
+constexpr int renewals_in_life = 3;
 constexpr auto retry_wait = milliseconds{700};
 constexpr std::size_t answer_limit = 4096; // bytes
 } // namespace
 
 lease_holder::lease_holder(io::event_loop& loop, address where, std::string key,
-                           std::string value,
+                           std::string value, duration life,
                            std::function<void(lease_event)> told)
     : m_loop{loop}, m_fetcher{loop, answer_limit}, m_where{where},
-      m_key{std::move(key)}, m_value{std::move(value)}, m_told{
-                                                            std::move(told)} {}
+      m_key{std::move(key)}, m_value{std::move(value)}, m_life{life},
+      m_told{std::move(told)} {}
 
 void lease_holder::start() {
     step();
@@ -80,7 +78,7 @@
 }
 
 void lease_holder::ask() {
-    call(m_protocol.lease(lease_life), [this](const auto& answer) {
+    call(m_protocol.lease(m_life), [this](const auto& answer) {
         const auto granted = m_protocol.read_lease(answer);
         m_lease = granted ? granted.value().m_id : 0;
         if (m_lease == 0)
@@ -90,17 +88,21 @@
     });
 }
 
+// A little early, so that the last one in a life still counts.
+void lease_holder::renew_later() {
+    again(m_life / renewals_in_life - m_life / 100);
+}
+
 void lease_holder::write() {
     call(m_protocol.put(m_key, m_value, m_lease), [this](const auto&) {
         m_held = true;
         m_told(lease_event::held);
-        again(renewal_period);
+        renew_later();
     });
 }
 
 void lease_holder::renew() {
-    call(m_protocol.renew(m_lease),
-         [this](const auto&) { again(renewal_period); });
+    call(m_protocol.renew(m_lease), [this](const auto&) { renew_later(); });
 }
 
 } // namespace skylark::store
--- a/src/store/lease_holder.hpp
+++ b/src/store/lease_holder.hpp
@@ -28,9 +28,11 @@
      *  @param where the store
      *  @param key to hold
      *  @param value that it has
+     *  @param life of the lease after its last renewal
      *  @param told is called for each change */
     lease_holder(io::event_loop& loop, address where, std::string key,
-                 std::string value, std::function<void(lease_event)> told);
+                 std::string value, duration life,
+                 std::function<void(lease_event)> told);
 
     void start();
 
@@ -48,6 +50,7 @@
     void write();
     void renew();
     void lose();
+    void renew_later();
     void again(duration wait);
 
     io::event_loop& m_loop;
@@ -55,6 +58,7 @@
     address m_where;
     std::string m_key;
     std::string m_value;
+    duration m_life;
     std::function<void(lease_event)> m_told;
     platform::kv_protocol m_protocol;
     // Invariant: 0 while there is no lease; then m_held is false.
--- a/test/entry/settings.cpp
+++ b/test/entry/settings.cpp
@@ -45,6 +45,7 @@
     expect_error(good + "lookup = \"\"\n", "e.toml:7: got \"\"");
     expect_error(good + "deployment = \"plaform\"\n", "\"platform\" perhaps");
     expect_error(good + "zones = [1]\n", "array of strings");
+    expect_error(good + "bootstrap = 1\n", "true or false");
 }
 
 TEST(settings, refuses_an_empty_address) {
--- a/test/store/lease_holder.cpp
+++ b/test/store/lease_holder.cpp
@@ -11,10 +11,16 @@
 
 class lease_holder_test : public testing::Test {
 protected:
+    static constexpr duration life{milliseconds{1500}};
+
     lease_holder_test()
         : m_store{m_loop}, m_where{m_store.listen({0x7f000001U, 0}).value()},
           m_holder{
-              m_loop, m_where, "skylark/entries/e1", "127.0.0.1:1",
+              m_loop,
+              m_where,
+              "skylark/entries/e1",
+              "127.0.0.1:1",
+              life,
               [this](store::lease_event what) { m_events.push_back(what); }} {}
 
     void turn_until(const std::function<bool()>& reached) {
@@ -37,7 +43,7 @@
 TEST_F(lease_holder_test, holds_its_key_beyond_one_life_of_the_lease) {
     m_holder.start();
     turn_until([this] { return listed(); });
-    const time_point end = io::event_loop::now() + milliseconds{5600};
+    const time_point end = io::event_loop::now() + 2 * life;
     turn_until([&] { return io::event_loop::now() >= end; });
     EXPECT_TRUE(listed());
     EXPECT_EQ(m_events, std::vector{store::lease_event::held});
