--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -24,7 +24,7 @@
 constexpr auto removal_hold = milliseconds{2200};
 constexpr auto shortest_wait = milliseconds{100};
 // Changes come in bursts; one call takes what gathered meanwhile.
-constexpr auto gathering_time = milliseconds{100};
+constexpr auto gathering_time = milliseconds{250};
 constexpr std::size_t answer_limit = std::size_t{8} << 20U; // bytes
 // More pages than any store holds: such a listing never ends.
 constexpr std::size_t most_pages = 1000;
