Do not bring removed upstreams back through peers

Traced with the new adoption lines: removed in list 99840, listed again in list 103936 from a peer. A watcher that had been cut off learnt of the removals late, took them for lapses around an outage, held them for 2.2 s and passed them on as listed; the end of the hold never reached the others. A second cause, found on the way by reading and shown by a test: a listing of several pages claimed the revision of its newest page, so changes between the pages had no version of their own and were never fetched. Ruled out: records going back in the store (old beats), the delta's base. Change: a lapsed instance carries the time from which it is gone, is out of use then at every entry without a further message, and is not taken back by an entry that knows its removal. Versions cover what the oldest page showed. Each use or loss of an upstream is logged with its list and source. Tests: mirror.a_version_covers_only_what_the_oldest_page_showed, instance_log.a_lapsed_instance_does_not_come_back_through_peers, both failed first.

--- a/include/skylark/discovery/instance.hpp
+++ b/include/skylark/discovery/instance.hpp
@@ -4,6 +4,7 @@
 #define SKYLARK_DISCOVERY_INSTANCE_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
     std::uint64_t m_incarnation{};
     //! End of its cold start; the epoch when it is not cold.
     time_point m_cold_until;
+    //! Its record lapsed around an outage of the store: not to be used from
+    //! then on, unless it is listed again.
+    std::optional<time_point> m_gone_from;
 
     bool operator==(const instance&) const = default;
 };
--- a/include/skylark/discovery/instance_log.hpp
+++ b/include/skylark/discovery/instance_log.hpp
@@ -63,6 +63,13 @@
 std::optional<instance_list> apply(const instance_list& base,
                                    const instance_changes& changes);
 
+/*! @brief Takes lapsed instances out of a list that the one before it no
+ *  longer had: a removal that is known is not taken back by somebody who
+ *  learns of it late.
+ *  @param list the later list
+ *  @param before the list in use */
+void drop_returning(instance_list& list, const instance_list& before);
+
 } // namespace skylark
 
 #endif
--- a/src/discovery/instance_log.cpp
+++ b/src/discovery/instance_log.cpp
@@ -1,6 +1,7 @@
 // Instance log: which instances changed since an index.
 #include <skylark/discovery/instance_log.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace skylark {
@@ -81,4 +82,18 @@
     return out;
 }
 
+void drop_returning(instance_list& list, const instance_list& before) {
+    const auto lapsed = [](const instance& of) {
+        return of.m_gone_from.has_value();
+    };
+    if (std::none_of(list.m_instances.begin(), list.m_instances.end(), lapsed))
+        return;
+    std::set<instance_name> known;
+    for (const instance& item : before.m_instances)
+        known.insert(name_of(item));
+    std::erase_if(list.m_instances, [&](const instance& item) {
+        return lapsed(item) && !known.contains(name_of(item));
+    });
+}
+
 } // namespace skylark
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -157,7 +157,7 @@
 void configurator::take_instances(const store::list_result& result) {
     duration wait{0};
     if (const auto* list = std::get_if<instance_list>(&result)) {
-        offer_instances(*list);
+        offer_instances(*list, "store");
         if (list->m_index < m_shared.m_instances.m_index || m_guard.doubts())
             wait = retry_wait; // an old list, or one that is held back
     } else {
@@ -167,7 +167,8 @@
     m_shared.m_loop.after(wait, [this] { watch_instances(); });
 }
 
-void configurator::offer_instances(const instance_list& list) {
+void configurator::offer_instances(instance_list list,
+                                   std::string_view source) {
     if (list.m_index <= m_shared.m_instances.m_index)
         return;
     const bool doubted = m_guard.doubts();
@@ -180,11 +181,35 @@
                 "held back: it drops most upstreams at once");
         return;
     }
-    m_shared.m_instances = list;
-    m_log.take(list);
+    const std::uint64_t before = m_shared.m_instances.m_index;
+    drop_returning(list, m_shared.m_instances);
+    m_shared.m_instances = std::move(list);
+    m_log.take(m_shared.m_instances);
+    note_instances(m_log.since(before), source);
     m_changed();
 }
 
+// One line for each upstream whose use changes; the first list is counted.
+void configurator::note_instances(const instance_changes& changes,
+                                  std::string_view source) {
+    const std::string grounds = " in list " + std::to_string(changes.m_index) +
+                                " from " + std::string{source};
+    const auto note = [&](const std::string& subject, std::string_view what) {
+        m_shared.m_journal.note(event_kind::upstream, subject,
+                                std::string{what} + grounds);
+    };
+    if (changes.m_base == 0) {
+        note(std::to_string(changes.m_present.size()) + " instances", "listed");
+        return;
+    }
+    for (const instance& item : changes.m_present)
+        if (item.m_role == instance_role::upstream)
+            note(item.m_id, item.m_leaving ? "leaving" : "listed");
+    for (const auto& [role, id] : changes.m_removed)
+        if (role == instance_role::upstream)
+            note(id, "removed");
+}
+
 config_mark configurator::mark() const {
     constexpr duration unknown = std::chrono::hours{24};
     const duration age = m_shared.m_config.age(io::event_loop::now());
@@ -256,7 +281,7 @@
     }
     // Without the base of the changes, the next heartbeat leads to a new try.
     if (const auto list = apply(m_shared.m_instances, changes.value()))
-        offer_instances(*list);
+        offer_instances(*list, "peer");
 }
 
 } // namespace skylark::entry
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -48,7 +48,9 @@
     void watch_instances();
     void take_document(const store::read_result& result, time_point asked);
     void take_instances(const store::list_result& result);
-    void offer_instances(const instance_list& list);
+    void offer_instances(instance_list list, std::string_view source);
+    void note_instances(const instance_changes& changes,
+                        std::string_view source);
     void fetch_document(const member& from);
     void fetch_instances(const member& from);
     void take_changes(std::string_view body);
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -86,7 +86,7 @@
 exclusion router::excluded(const upstream& candidate, const service& of,
                            request_class wanted, time_point now,
                            std::optional<share_kind>& share) const {
-    if (!candidate.m_listed)
+    if (!candidate.listed(now))
         return exclusion::unlisted;
     if (candidate.m_leaving)
         return exclusion::leaving;
@@ -195,9 +195,10 @@
 
 bool router::serves(std::string_view service) {
     const auto& keys = m_shared.m_upstreams.of_service(service);
+    const time_point now = io::event_loop::now();
     return std::any_of(keys.begin(), keys.end(), [&](upstream_id key) {
         const upstream* item = m_shared.m_upstreams.find(key);
-        return item->m_listed && !item->m_leaving && item->m_zone_active;
+        return item->listed(now) && !item->m_leaving && item->m_zone_active;
     });
 }
 
@@ -207,7 +208,7 @@
     const time_point now = io::event_loop::now();
     return std::any_of(keys.begin(), keys.end(), [&](upstream_id key) {
         const upstream* item = m_shared.m_upstreams.find(key);
-        if (!item->m_listed || item->m_leaving || !item->m_zone_active)
+        if (!item->listed(now) || item->m_leaving || !item->m_zone_active)
             return false;
         const auto share = share_for(*of, item->m_load.state(now), wanted);
         return !share ||
@@ -226,7 +227,7 @@
         const auto index = m_random(static_cast<std::uint32_t>(keys.size()));
         const upstream* item = m_shared.m_upstreams.find(keys[index]);
         const auto share = share_for(*of, item->m_load.state(now), wanted);
-        if (!share || !item->m_listed || item->m_leaving ||
+        if (!share || !item->listed(now) || item->m_leaving ||
             !item->m_zone_active)
             continue;
         const std::uint32_t slot = m_random(limit_of(*of, *share));
--- a/src/entry/upstream.hpp
+++ b/src/entry/upstream.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_ENTRY_UPSTREAM_HPP
 
 #include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
     std::string m_zone;
     bool m_leaving{}; //!< the platform's list or its own report says so
     bool m_listed{true};
+    std::optional<time_point> m_gone_from; //!< see instance
     bool m_zone_active{true};
     std::uint32_t m_preference{}; //!< position in this entry's own order
     upstream_load m_load;
@@ -46,6 +48,11 @@
     std::array<std::uint32_t, share_kind_count> m_share_use{};
     upstream_state m_last_state{upstream_state::cold}; // for events
 
+    /*! @brief Whether the platform's list names it for use. */
+    [[nodiscard]] bool listed(time_point now) const {
+        return m_listed && (!m_gone_from || now < *m_gone_from);
+    }
+
     std::uint32_t& share_use(share_kind kind) {
         return m_share_use[static_cast<std::size_t>(kind)];
     }
--- a/src/entry/upstream_table.cpp
+++ b/src/entry/upstream_table.cpp
@@ -48,6 +48,7 @@
     item.m_zone = from.m_zone;
     item.m_leaving = from.m_leaving;
     item.m_listed = true;
+    item.m_gone_from = from.m_gone_from;
     const zone* declared = config.find_zone(from.m_zone);
     const bool active =
         declared != nullptr && declared->m_state == zone_state::active;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -158,6 +158,8 @@
     out.leaving = from.m_leaving;
     out.incarnation = to_wire(from.m_incarnation);
     out.cold_us = std::max(duration{0}, from.m_cold_until - now).count();
+    if (from.m_gone_from)
+        out.__set_gone_in_us((*from.m_gone_from - now).count());
     return out;
 }
 
@@ -172,6 +174,8 @@
     out.m_incarnation = from_wire(from.incarnation);
     if (from.cold_us > 0)
         out.m_cold_until = now + duration{from.cold_us};
+    if (from.__isset.gone_in_us)
+        out.m_gone_from = now + duration{from.gone_in_us};
     return out;
 }
 
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -953,6 +953,11 @@
 void instance::__set_cold_us(const int64_t val) {
   this->cold_us = val;
 }
+
+void instance::__set_gone_in_us(const int64_t val) {
+  this->gone_in_us = val;
+__isset.gone_in_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const instance& obj)
 {
   obj.printTo(out);
@@ -1053,6 +1058,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->gone_in_us);
+          this->__isset.gone_in_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1106,6 +1119,11 @@
   xfer += oprot->writeI64(this->cold_us);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.gone_in_us) {
+    xfer += oprot->writeFieldBegin("gone_in_us", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->gone_in_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1122,6 +1140,7 @@
   swap(a.leaving, b.leaving);
   swap(a.incarnation, b.incarnation);
   swap(a.cold_us, b.cold_us);
+  swap(a.gone_in_us, b.gone_in_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -1135,6 +1154,7 @@
   leaving = other10.leaving;
   incarnation = other10.incarnation;
   cold_us = other10.cold_us;
+  gone_in_us = other10.gone_in_us;
   __isset = other10.__isset;
 }
 instance& instance::operator=(const instance& other11) {
@@ -1147,6 +1167,7 @@
   leaving = other11.leaving;
   incarnation = other11.incarnation;
   cold_us = other11.cold_us;
+  gone_in_us = other11.gone_in_us;
   __isset = other11.__isset;
   return *this;
 }
@@ -1162,6 +1183,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "cold_us=" << to_string(cold_us);
+  out << ", " << "gone_in_us="; (__isset.gone_in_us ? (out << to_string(gone_in_us)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -408,7 +408,7 @@
 std::ostream& operator<<(std::ostream& out, const member_report& obj);
 
 typedef struct _instance__isset {
-  _instance__isset() : id(false), role(false), ip(false), port(false), serves(false), zone(false), leaving(false), incarnation(false), cold_us(false) {}
+  _instance__isset() : id(false), role(false), ip(false), port(false), serves(false), zone(false), leaving(false), incarnation(false), cold_us(false), gone_in_us(false) {}
   bool id :1;
   bool role :1;
   bool ip :1;
@@ -418,6 +418,7 @@
   bool leaving :1;
   bool incarnation :1;
   bool cold_us :1;
+  bool gone_in_us :1;
 } _instance__isset;
 
 class instance : public virtual ::apache::thrift::TBase {
@@ -434,7 +435,8 @@
              zone(),
              leaving(0),
              incarnation(0),
-             cold_us(0) {
+             cold_us(0),
+             gone_in_us(0) {
   }
 
   virtual ~instance() noexcept;
@@ -447,6 +449,7 @@
   bool leaving;
   int64_t incarnation;
   int64_t cold_us;
+  int64_t gone_in_us;
 
   _instance__isset __isset;
 
@@ -468,6 +471,8 @@
 
   void __set_cold_us(const int64_t val);
 
+  void __set_gone_in_us(const int64_t val);
+
   bool operator == (const instance & rhs) const
   {
     if (!(id == rhs.id))
@@ -488,6 +493,10 @@
       return false;
     if (!(cold_us == rhs.cold_us))
       return false;
+    if (__isset.gone_in_us != rhs.__isset.gone_in_us)
+      return false;
+    else if (__isset.gone_in_us && !(gone_in_us == rhs.gone_in_us))
+      return false;
     return true;
   }
   bool operator != (const instance &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -53,6 +53,7 @@
     7: bool leaving
     8: i64 incarnation
     9: i64 cold_us
+    10: optional i64 gone_in_us
 }
 
 struct instance_name {
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -35,7 +35,7 @@
 
 void mirror::end_listing(time_point now) {
     for (const auto& [key, item] : m_listing)
-        take(item);
+        take(item, m_listing_revision);
     std::vector<std::string> gone;
     for (const auto& [key, item] : m_records)
         if (!m_listing.contains(key))
@@ -55,22 +55,22 @@
         // A listing may already have shown a later state.
         if (known != m_records.end() &&
             item.m_revision <= known->second.m_revision)
-            continue;
-        if (item.m_deleted)
+            touch(prefix_of(item.m_key), item.m_revision);
+        else if (item.m_deleted)
             remove(item.m_key, item.m_revision, now);
         else
-            take(item);
+            take(item, item.m_revision);
     }
     m_revision = std::max(m_revision, changes.m_revision);
 }
 
-void mirror::take(const record& item) {
+void mirror::take(const record& item, std::uint64_t complete) {
     m_removals.erase(item.m_key);
     record& kept = m_records[item.m_key];
     if (item.m_revision <= kept.m_revision)
         return;
     kept = item;
-    touch(prefix_of(item.m_key), item.m_revision);
+    touch(prefix_of(item.m_key), std::min(item.m_revision, complete));
 }
 
 void mirror::remove(const std::string& key, std::uint64_t revision,
@@ -78,7 +78,8 @@
     if (!m_records.contains(key))
         return;
     if (key.starts_with(m_held) && now < m_hold_until) {
-        m_removals.emplace(key, m_hold_until);
+        if (m_removals.emplace(key, m_hold_until).second)
+            touch(prefix_of(key), revision);
         return;
     }
     m_removals.erase(key);
@@ -102,6 +103,13 @@
     }
 }
 
+std::optional<time_point> mirror::removal_due(const std::string& key) const {
+    const auto found = m_removals.find(key);
+    if (found == m_removals.end())
+        return std::nullopt;
+    return found->second;
+}
+
 std::optional<time_point> mirror::next_due() const {
     std::optional<time_point> out;
     for (const auto& [key, due] : m_removals)
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -55,6 +55,10 @@
     /*! @brief Carries out removals whose hold has passed. */
     void settle(time_point now);
 
+    /*! @brief When a held removal is due; none for a key that stays. */
+    [[nodiscard]] std::optional<time_point>
+    removal_due(const std::string& key) const;
+
     /*! @brief When the next held removal is due; none without one. */
     [[nodiscard]] std::optional<time_point> next_due() const;
 
@@ -73,7 +77,8 @@
     [[nodiscard]] std::uint64_t version(std::string_view prefix) const;
 
 private:
-    void take(const record& item);
+    // complete: revision up to which every change is known.
+    void take(const record& item, std::uint64_t complete);
     void remove(const std::string& key, std::uint64_t revision, time_point now);
     void touch(std::string_view prefix, std::uint64_t revision);
 
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -291,8 +291,11 @@
     });
     for (auto it = records.lower_bound(prefix);
          it != records.end() && it->first.starts_with(prefix); ++it)
-        if (const auto& found = decode(it->second))
+        if (const auto& found = decode(it->second)) {
             m_list.m_instances.push_back(*found);
+            m_list.m_instances.back().m_gone_from =
+                m_mirror.removal_due(it->first);
+        }
     add_entries();
     return m_list;
 }
--- a/test/discovery/instance_log.cpp
+++ b/test/discovery/instance_log.cpp
@@ -87,10 +87,32 @@
     }
 }
 
+// Only who still uses an instance may go on for a while; it must not come back
+// where its removal is known already.
+TEST(instance_log, a_lapsed_instance_does_not_come_back_through_peers) {
+    instance lapsed = made("a");
+    lapsed.m_gone_from = time_point{seconds{12}};
+    const instance_changes delta{5, 7, {lapsed, made("b")}, {}};
+    const instance_changes whole{0, 7, {lapsed, made("b")}, {}};
+    const instance_list using_it{5, {made("a")}};
+    const instance_list without_it{5, {made("c")}};
+    const auto next = [](const instance_list& base,
+                         const instance_changes& changes) {
+        instance_list out = apply(base, changes).value();
+        drop_returning(out, base);
+        return out.m_instances;
+    };
+    EXPECT_EQ(next(without_it, delta), (std::vector{made("b"), made("c")}));
+    EXPECT_EQ(next(without_it, whole), std::vector{made("b")});
+    EXPECT_EQ(next(using_it, delta), (std::vector{lapsed, made("b")}));
+    EXPECT_EQ(next(using_it, whole), (std::vector{lapsed, made("b")}));
+}
+
 TEST(instance_log, changes_survive_the_wire) {
     instance cold = made("a", true);
     cold.m_incarnation = 7;
     cold.m_cold_until = time_point{seconds{12}};
+    cold.m_gone_from = time_point{seconds{11}};
     instance entry = made("e");
     entry.m_role = instance_role::entry;
     const instance_changes sent{
--- a/test/store/mirror.cpp
+++ b/test/store/mirror.cpp
@@ -55,6 +55,26 @@
     EXPECT_EQ(subject.all().at("op/b").m_value, "v12");
 }
 
+// A later page must not make the version cover changes that are not in yet:
+// whoever compares versions would never ask for them.
+TEST(mirror, a_version_covers_only_what_the_oldest_page_showed) {
+    store::mirror subject{"servers/", hold};
+    subject.begin_listing();
+    subject.list({{put("servers/a", 3)}, false, 10});
+    subject.list({{put("skylark/e", 15)}, false, 15});
+    subject.end_listing(start);
+    const auto newest = [&] {
+        return std::max(subject.version("servers/"),
+                        subject.version("skylark/"));
+    };
+    const auto before = newest();
+    subject.apply({{put("servers/a", 12)}, 13}, start);
+    const auto after = newest();
+    EXPECT_GT(after, before);
+    subject.apply({{put("skylark/e", 15)}, 15}, start);
+    EXPECT_GT(newest(), after) << "others call the same state revision 15";
+}
+
 TEST(mirror, a_listing_after_lost_history_removes_what_is_gone) {
     auto subject = listed({put("op/a", 3), put("op/b", 4)}, 5);
     subject.begin_listing();
