Ask a store that does not answer less often

Every entry that missed a confirmation tried twice a second, and every lease that was due 1.4 times a second; refused calls are paid for too. Tests: test/config/trust.cpp, lease_holder_test.an_outage_costs_few_calls.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -1,7 +1,7 @@
 # Tests mirror the module tree, one file for each header.
 add_executable(skylark_test
     test/core/address.cpp test/core/histogram.cpp test/core/suggest.cpp
-    test/config/document.cpp test/config/adoption.cpp
+    test/config/document.cpp test/config/adoption.cpp test/config/trust.cpp
     test/attempt/machine.cpp test/rule/classify.cpp
     test/load/report.cpp test/load/upstream_load.cpp
     test/load/work_estimate.cpp
--- a/include/skylark/config/fwd.hpp
+++ b/include/skylark/config/fwd.hpp
@@ -10,6 +10,7 @@
 struct rule;
 struct limits;
 struct document;
+class trust;
 
 } // namespace skylark
 
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -26,20 +26,24 @@
 // which of them watch the store.
 constexpr duration meeting_time = seconds{1};
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
+
+duration longest_trust(const settings& from) {
+    return shortest_trust + trust_step * (hash(from.m_name) % trust_steps);
+}
 } // namespace
 
 configurator::configurator(context& shared, std::function<void()> changed)
     : m_shared{shared}, m_changed{std::move(changed)}, m_store{open_store()},
       m_peers{shared.m_loop, answer_limit}, m_guard{list_patience},
-      m_longest_trust{shortest_trust +
-                      trust_step *
-                          (hash(shared.m_settings.m_name) % trust_steps)} {}
+      m_document_trust{longest_trust(shared.m_settings)},
+      m_list_trust{longest_trust(shared.m_settings)} {}
 
 void configurator::start() {
     const duration wait =
         m_shared.m_settings.m_bootstrap ? meeting_time : duration{0};
     m_shared.m_loop.after(wait, [this] {
-        m_started = io::event_loop::now();
+        m_document_trust.start(io::event_loop::now());
+        m_list_trust.start(io::event_loop::now());
         watch_document();
         watch_instances();
     });
@@ -61,15 +65,14 @@
 }
 
 // Whoever has heard no confirmation for long does not wait for others.
-bool configurator::is_watcher() const {
+bool configurator::is_turn(trust& in_others) const {
     const time_point now = io::event_loop::now();
-    const duration unconfirmed =
-        std::min(m_shared.m_config.age(now), now - m_started);
-    return m_shared.m_fleet.is_watcher(now) || unconfirmed > m_longest_trust;
+    return m_shared.m_fleet.is_watcher(now) ||
+           in_others.ask(now, m_shared.m_config.age(now));
 }
 
 void configurator::watch_document() {
-    if (!is_watcher()) {
+    if (!is_turn(m_document_trust)) {
         m_shared.m_loop.after(turn_check, [this] { watch_document(); });
         return;
     }
@@ -144,7 +147,7 @@
 }
 
 void configurator::watch_instances() {
-    if (!is_watcher()) {
+    if (!is_turn(m_list_trust)) {
         m_shared.m_loop.after(turn_check, [this] { watch_instances(); });
         return;
     }
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 
+#include <skylark/config/trust.hpp>
 #include <skylark/discovery/instance_log.hpp>
 #include <skylark/discovery/list_guard.hpp>
 
@@ -43,7 +44,7 @@
 
 private:
     store::client open_store();
-    [[nodiscard]] bool is_watcher() const;
+    [[nodiscard]] bool is_turn(trust& in_others) const;
     void watch_document();
     void watch_instances();
     void take_document(const store::read_result& result, time_point asked);
@@ -61,9 +62,9 @@
     store::client m_store;
     io::fetcher m_peers;
     list_guard m_guard;
-    instance_log m_log;       //!< of the list in use, for peers
-    duration m_longest_trust; //!< in what nobody has confirmed
-    time_point m_started;
+    instance_log m_log;     //!< of the list in use, for peers
+    trust m_document_trust; //!< in what others confirm
+    trust m_list_trust;
     bool m_fetching_document{};
     bool m_fetching_instances{};
     std::uint64_t m_noted_revert{}; // store revision that was told last
--- a/src/store/lease_holder.cpp
+++ b/src/store/lease_holder.cpp
@@ -10,7 +10,8 @@
 namespace {
 // Two renewals may be lost before the lease ends.
 constexpr int renewals_in_life = 3;
-constexpr auto retry_wait = milliseconds{700};
+// Each refused call counts at the store, from every entry at once.
+constexpr auto retry_wait = seconds{2};
 constexpr std::size_t answer_limit = 4096; // bytes
 } // namespace
 
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -17,8 +17,7 @@
 constexpr std::array prefixes{platform::operator_prefix,
                               platform::upstream_prefix,
                               platform::entry_prefix};
-// First segment of the entries' own keys.
-constexpr std::string_view own_segment = "skylark/";
+constexpr std::string_view own_segment = "skylark/"; // of the entries' keys
 constexpr std::string_view all_keys;
 // Living upstreams are back in the store this long after its return.
 constexpr auto removal_hold = milliseconds{2200};
@@ -55,8 +54,7 @@
 void mirror_client::write(
     std::uint64_t, const std::string&,
     const std::function<void(const write_result&)>& done) {
-    const store_failure failure{
-        false, "operators write this store's configuration themselves"};
+    const store_failure failure{false, "operators write this configuration"};
     m_loop.after(duration{0}, [done, failure] { done(failure); });
 }
 
@@ -206,9 +204,8 @@
     const auto due = m_mirror.next_due();
     if (!due)
         return;
-    const duration wait =
-        std::max<duration>(duration{0}, *due - io::event_loop::now());
-    m_loop.after(wait, [this] {
+    const duration left = *due - io::event_loop::now();
+    m_loop.after(std::max(duration{0}, left), [this] {
         const auto before = list_version();
         m_mirror.settle(io::event_loop::now());
         if (list_version() != before)
@@ -244,8 +241,8 @@
     if (kept.m_revision == from.m_revision)
         return kept.m_instance;
     kept = {from.m_revision, std::nullopt};
-    const auto id =
-        std::string_view{from.m_key}.substr(platform::upstream_prefix.size());
+    auto id = std::string_view{from.m_key};
+    id.remove_prefix(platform::upstream_prefix.size());
     auto read =
         platform::read_upstream(id, from.m_value, io::event_loop::now());
     if (read)
--- a/test/store/lease_holder.cpp
+++ b/test/store/lease_holder.cpp
@@ -66,6 +66,21 @@
     EXPECT_EQ(m_events[1], store::lease_event::lost);
 }
 
+TEST_F(lease_holder_test, an_outage_costs_few_calls) {
+    m_holder.start();
+    turn_until([this] { return m_holder.held(); });
+    standin::kv_faults refusing;
+    refusing.m_refusing = true;
+    m_store.set_faults(refusing);
+    const auto before = m_store.calls();
+    const time_point end = io::event_loop::now() + seconds{5};
+    turn_until([&] { return io::event_loop::now() >= end; });
+    // One renewal, and a try every two seconds.
+    EXPECT_LE(m_store.calls() - before, 4U);
+    m_store.set_faults({});
+    turn_until([this] { return listed(); });
+}
+
 TEST_F(lease_holder_test, goes_on_after_refused_and_lost_calls) {
     standin::kv_faults refusing;
     refusing.m_refusing = true;
