--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -12,7 +12,7 @@
     platform/base64.cpp platform/kv_protocol.cpp platform/records.cpp)
 target_include_directories(skylark_store PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(skylark_store PUBLIC skylark_io)
-add_library(skylark_peer STATIC src/peer/codec.cpp)
+add_library(skylark_peer STATIC src/peer/codec.cpp src/peer/instance_codec.cpp)
 target_link_libraries(skylark_peer PUBLIC skylark_decide skylark_wire)
 
 # The entry as a library, so that tests can use its parts.
--- a/include/skylark/member/heartbeat.hpp
+++ b/include/skylark/member/heartbeat.hpp
@@ -43,6 +43,8 @@
     address m_callers;      //!< HTTP for callers
     address m_control;      //!< HTTP for operators and peers
     std::uint64_t m_zone{}; //!< hash of the availability zone's name
+    //! Processor time that the entry may use, in percent of a core.
+    std::uint32_t m_capacity{};
 
     bool operator==(const member_contact&) const = default;
 };
--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -4,9 +4,9 @@
  *  Each member sends heartbeats to the two relays of its availability zone,
  *  which report on all members in return; relays of different zones report on
  *  their own zone to each other. Relays are the first members of a zone by
- *  rendezvous score, and whoever is taken for one acts as one, so that nothing
- *  has to be agreed on. With n members in z zones a round takes about 4n + z^2
- *  messages instead of n^2.
+ *  capacity and rendezvous score, and whoever is taken for one acts as one, so
+ * that nothing has to be agreed on. With n members in z zones a round takes
+ * about 4n + z^2 messages instead of n^2.
  *
  *  Nothing may depend on two members having the same roster. */
 #ifndef SKYLARK_MEMBER_ROSTER_HPP
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -18,6 +18,7 @@
 constexpr int missed_heartbeats = 3;
 // A waiting watch counts as a call to the store, so few entries watch.
 constexpr std::size_t watchers_per_zone = 1;
+constexpr double percent = 100.0;
 // Without another zone to stand in, one watcher more.
 constexpr std::size_t watchers_of_single_zone = 2;
 
@@ -25,7 +26,8 @@
     member_record out;
     out.m_name = {id_of(from.m_name), journal::wall_ms()};
     out.m_contact = {from.m_peer, from.m_callers, from.m_control,
-                     hash(from.m_zone)};
+                     hash(from.m_zone),
+                     static_cast<std::uint32_t>(from.m_cores * percent)};
     return out;
 }
 
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr double most_cores = 1024.0; // far above any instance
+
 // Reads one table; keeps the first error and the keys that were asked for.
 class toml_reader {
 public:
@@ -95,6 +97,17 @@
             fail(*node, key, "true or false");
     }
 
+    void cores(std::string_view key, double& out) {
+        const toml::node* node = take(key, false);
+        if (!node)
+            return;
+        const auto value = node->value<double>();
+        if (value && *value > 0.0 && *value <= most_cores)
+            out = *value;
+        else
+            fail(*node, key, "a number of cores above 0, up to 1024");
+    }
+
     void addresses(std::string_view key, std::vector<address>& out) {
         const toml::node* node = take(key, false);
         if (!node)
@@ -206,6 +219,7 @@
     reader.where("peer", out.m_peer, true);
     reader.where("platform", out.m_platform, true);
     reader.addresses("seeds", out.m_seeds);
+    reader.cores("cores", out.m_cores);
     reader.flag("bootstrap", out.m_bootstrap);
     reader.one_of("log_level", out.m_log_level, log_levels);
     std::int64_t seed = 0;
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -39,6 +39,8 @@
     address m_peer;               //!< UDP for heartbeats
     address m_platform;           //!< the platform's store
     std::vector<address> m_seeds; //!< other entries' heartbeat addresses
+    //! Processor time that this instance may use, in cores.
+    double m_cores{1.0};
     bool m_bootstrap{}; //!< the whole deployment starts for the first time
     std::string m_log_level{"info"};
     std::uint64_t m_seed{0}; //!< of random numbers; 0 takes one from the name
--- /dev/null
+++ b/src/member/roster_round.cpp
@@ -0,0 +1,182 @@
+// Roster: relays of each zone, and what is sent to whom in a round.
+#include <skylark/member/roster.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+#include <skylark/core/hash.hpp>
+#include <skylark/member/view.hpp>
+
+namespace skylark {
+
+namespace {
+
+// Whoever asked for reports gets them for this many rounds without asking.
+constexpr int subscriber_rounds = 5;
+
+// The same order in every process.
+std::uint64_t relay_score(entry_id of) {
+    static const std::uint64_t key = hash("relay");
+    return rendezvous(key, of.value());
+}
+
+} // namespace
+
+std::vector<entry_id> roster::first_of(std::uint64_t zone, std::size_t count,
+                                       time_point now) const {
+    // Relaying takes processor time, so the strong go first.
+    std::vector<std::tuple<bool, bool, std::uint32_t, std::uint64_t, entry_id>>
+        ranked;
+    const entry_id own = m_self.m_name.m_id;
+    if (m_self.m_contact.m_zone == zone && m_state != member_state::leaving)
+        ranked.emplace_back(false, false, ~m_self.m_contact.m_capacity,
+                            ~relay_score(own), own);
+    for (const auto& [id, peer] : m_peers)
+        if (peer.m_record.m_contact.m_zone == zone &&
+            peer.m_state != member_state::leaving)
+            ranked.emplace_back(avoided(id, now), !live(peer, now),
+                                ~peer.m_record.m_contact.m_capacity,
+                                ~relay_score(id), id);
+    count = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end());
+    std::vector<entry_id> out;
+    for (std::size_t i = 0; i < count; ++i)
+        out.push_back(std::get<entry_id>(ranked[i]));
+    return out;
+}
+
+void roster::choose_relays(time_point now) {
+    m_relays.clear();
+    const entry_id own = m_self.m_name.m_id;
+    const std::uint64_t own_zone = m_self.m_contact.m_zone;
+    const auto near = first_of(own_zone, m_timing.m_relays, now);
+    m_is_relay = std::find(near.begin(), near.end(), own) != near.end();
+    for (const entry_id id : near)
+        if (id != own)
+            m_relays[id] = subscription::fleet;
+    if (m_is_relay)
+        for (const std::uint64_t zone : other_zones())
+            for (const entry_id id : first_of(zone, 1, now))
+                m_relays[id] = subscription::zone;
+    for (const auto& [id, wanted] : m_relays) {
+        link& to = m_links[id];
+        if (!to.m_asked)
+            to.m_asked = now;
+        else if (now - *to.m_asked > m_timing.m_relay_patience) {
+            to.m_asked.reset();
+            to.m_avoid_until = now + m_timing.m_relay_rest;
+        }
+    }
+}
+
+std::uint64_t roster::hash_of(subscription scope, std::uint64_t zone) const {
+    const auto covers = [&](const member_record& of) {
+        return scope == subscription::fleet || of.m_contact.m_zone == zone;
+    };
+    std::vector<member_name> names;
+    if (covers(m_self))
+        names.push_back(m_self.m_name);
+    for (const auto& [id, peer] : m_peers)
+        if (covers(peer.m_record))
+            names.push_back(peer.m_record.m_name);
+    return member_view{std::move(names)}.hash();
+}
+
+// Invariant of the exchange: a subscriber's hash covers what it wants, and the
+// relay compares it with its own over the same members.
+heartbeat roster::message_for(const addressees& group, const config_mark& mark,
+                              time_point now) const {
+    heartbeat out;
+    out.m_sender = m_self;
+    out.m_state = m_state;
+    out.m_sequence = m_round;
+    out.m_config = mark;
+    out.m_requests = m_requests;
+    out.m_wants = group.m_wanted;
+    if (group.m_wanted != subscription::nothing)
+        out.m_view_hash = hash_of(group.m_wanted, group.m_zone);
+    if (group.m_reports == subscription::nothing)
+        return out;
+    for (const auto& [id, peer] : m_peers) {
+        if (group.m_reports == subscription::zone &&
+            peer.m_record.m_contact.m_zone != m_self.m_contact.m_zone)
+            continue;
+        out.m_reports.push_back({peer.m_record.m_name, now - peer.m_heard,
+                                 m_links.at(id).m_missed, peer.m_state,
+                                 peer.m_config.m_revision, peer.m_requests});
+        if (group.m_records)
+            out.m_members.push_back(peer.m_record);
+    }
+    return out;
+}
+
+// New members are found at the seeds and the addresses that the platform
+// lists. A relay looks for its zone, and whoever has no relay for itself.
+std::vector<address> roster::next_unknown() {
+    std::set<address> unknown = m_listed;
+    unknown.insert(m_seeds.begin(), m_seeds.end());
+    for (const auto& [id, peer] : m_peers)
+        unknown.erase(peer.m_record.m_contact.m_peer);
+    auto next = unknown.upper_bound(m_next_try);
+    std::vector<address> out;
+    while (out.size() < std::min(unknown.size(), m_timing.m_tries)) {
+        if (next == unknown.end())
+            next = unknown.begin();
+        m_next_try = *next++;
+        out.push_back(m_next_try);
+    }
+    return out;
+}
+
+std::vector<outgoing_heartbeat> roster::tick(time_point now,
+                                             const config_mark& mark) {
+    ++m_round;
+    forget_silent(now);
+    miss_silent(now);
+    choose_relays(now);
+    m_live_count =
+        1 + static_cast<std::size_t>(std::count_if(
+                m_peers.begin(), m_peers.end(),
+                [&](const auto& item) { return live(item.second, now); }));
+    const bool reports =
+        std::exchange(m_news, false) || m_round % m_timing.m_report_rounds == 0;
+    // Most receivers get the same, which is then encoded only once.
+    std::map<addressees, std::vector<address>> groups;
+    const std::uint64_t fleet_hash = hash_of(subscription::fleet, 0);
+    const std::uint64_t zone_hash =
+        hash_of(subscription::zone, m_self.m_contact.m_zone);
+    for (const auto& [id, peer] : m_peers) {
+        const link& to = m_links.at(id);
+        const auto wanted = m_relays.find(id);
+        const bool subscribed =
+            to.m_subscribed &&
+            now - *to.m_subscribed <= subscriber_rounds * m_timing.m_period;
+        if (wanted == m_relays.end() && !subscribed)
+            continue;
+        const member_contact& reach = peer.m_record.m_contact;
+        addressees group;
+        if (wanted != m_relays.end()) {
+            group.m_wanted = wanted->second;
+            group.m_zone = reach.m_zone;
+        }
+        if (subscribed && reports) {
+            group.m_reports = to.m_wants;
+            group.m_records =
+                to.m_view_hash !=
+                (to.m_wants == subscription::fleet ? fleet_hash : zone_hash);
+        }
+        groups[group].push_back(reach.m_peer);
+    }
+    if (m_is_relay)
+        for (const address& unknown : next_unknown())
+            groups[{subscription::fleet}].push_back(unknown);
+    std::vector<outgoing_heartbeat> out;
+    out.reserve(groups.size());
+    for (auto& [group, to] : groups)
+        out.push_back({std::move(to), message_for(group, mark, now)});
+    return out;
+}
+
+} // namespace skylark
--- a/src/member/table.cpp
+++ b/src/member/table.cpp
@@ -3,17 +3,12 @@
 
 #include <algorithm>
 #include <functional>
-
-#include <skylark/core/hash.hpp>
-
 namespace skylark {
 
 namespace {
 // Departed members are remembered, and reported silent, this many hold-downs.
 constexpr int departed_memory = 5;
 constexpr std::size_t sent_memory = 64; // own heartbeats that may be answered
-// Others take the place of a member that was silent for so many periods.
-constexpr int silent_heartbeats = 4;
 } // namespace
 
 member_table::member_table(const member_record& self,
@@ -234,82 +229,6 @@
         m_sent.pop_front();
 }
 
-std::vector<silence> member_table::own_silences(time_point now) const {
-    std::vector<silence> out;
-    const duration worth_saying = m_timing.m_hold_down / 2;
-    for (const auto& [id, peer] : m_peers)
-        if (now - peer.m_heard >= worth_saying)
-            out.push_back({peer.m_record.m_name, now - peer.m_heard});
-    for (const auto& [id, gone] : m_departed)
-        out.push_back({{id, gone.m_incarnation}, now - gone.m_heard});
-    return out;
-}
-
-heartbeat member_table::message_for(const member* to, bool settled,
-                                    const config_mark& mark,
-                                    time_point now) const {
-    heartbeat out;
-    out.m_sender = m_self;
-    out.m_state = m_state;
-    out.m_sequence = m_sequence;
-    out.m_view_hash = m_view.hash();
-    out.m_settled_hash = settled ? m_view.hash() : 0;
-    out.m_config = mark;
-    out.m_requests = m_requests;
-    out.m_silent = own_silences(now);
-    if (!to)
-        return out;
-    out.m_acknowledged = to->m_last_sequence;
-    out.m_acknowledged_incarnation = to->m_record.m_name.m_incarnation;
-    if (to->m_view_hash != m_view.hash())
-        for (const auto& [id, peer] : m_peers)
-            out.m_members.push_back(peer.m_record);
-    return out;
-}
-
-std::vector<outgoing_heartbeat> member_table::tick(time_point now, bool settled,
-                                                   const config_mark& mark) {
-    if (m_had_majority && !has_majority(now))
-        lapse();
-    m_released = m_state == member_state::leaving && settled;
-    remove_silent(now);
-    forget_old(now);
-    rebuild_view(now);
-    become_active(now);
-    ++m_sequence;
-    m_sent.push_back({m_sequence, now});
-    std::vector<outgoing_heartbeat> out;
-    std::set<address> unknown = m_seeds;
-    unknown.insert(m_listed.begin(), m_listed.end());
-    for (const auto& [id, peer] : m_peers) {
-        out.push_back({{peer.m_record.m_contact.m_peer},
-                       message_for(&peer, settled, mark, now)});
-        unknown.erase(peer.m_record.m_contact.m_peer);
-    }
-    for (const address& seed : unknown)
-        out.push_back({{seed}, message_for(nullptr, settled, mark, now)});
-    return out;
-}
-
-std::vector<entry_id> member_table::first_of_zone(std::size_t count,
-                                                  time_point now) const {
-    const auto score = [](entry_id of) {
-        return rendezvous(hash("store watcher"), of.value());
-    };
-    const duration silent = silent_heartbeats * m_timing.m_period;
-    std::vector<entry_id> out{m_self.m_name.m_id};
-    for (const auto& [id, peer] : m_peers)
-        if (peer.m_record.m_contact.m_zone == m_self.m_contact.m_zone &&
-            peer.m_state != member_state::leaving &&
-            now - peer.m_heard <= silent)
-            out.push_back(id);
-    std::sort(out.begin(), out.end(), [&](entry_id left, entry_id right) {
-        return score(left) > score(right);
-    });
-    out.resize(std::min(out.size(), count));
-    return out;
-}
-
 bool member_table::agreed(time_point now) const {
     if (m_state != member_state::active || !has_majority(now))
         return false;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -1,27 +1,18 @@
-// Heartbeats and instance lists to bytes and back.
+// Heartbeats to bytes and back.
 #include "peer/codec.hpp"
 
-#include <memory>
-
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
+#include "peer/compact.hpp"
 #include "peer/gen/peer_types.h"
 
 namespace skylark::peer {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
-std::int64_t to_wire(std::uint64_t value) {
-    return static_cast<std::int64_t>(value);
-}
-
-std::uint64_t from_wire(std::int64_t value) {
-    return static_cast<std::uint64_t>(value);
-}
+using internal::address_of;
+using internal::from_wire;
+using internal::read;
+using internal::to_wire;
+using internal::write;
 
 wire::member_record to_wire(const member_record& from) {
     wire::member_record out;
@@ -35,13 +26,10 @@
     out.reach.control_ip = static_cast<std::int32_t>(reach.m_control.m_ip);
     out.reach.control_port = reach.m_control.m_port;
     out.reach.zone = to_wire(reach.m_zone);
+    out.reach.capacity = static_cast<std::int32_t>(reach.m_capacity);
     return out;
 }
 
-address address_of(std::int32_t ip, std::int32_t port) {
-    return {static_cast<std::uint32_t>(ip), static_cast<std::uint16_t>(port)};
-}
-
 member_record from_wire(const wire::member_record& from) {
     member_record out;
     out.m_name.m_id = entry_id{from_wire(from.id)};
@@ -51,6 +39,7 @@
     out.m_contact.m_callers = address_of(reach.callers_ip, reach.callers_port);
     out.m_contact.m_control = address_of(reach.control_ip, reach.control_port);
     out.m_contact.m_zone = from_wire(reach.zone);
+    out.m_contact.m_capacity = static_cast<std::uint32_t>(reach.capacity);
     return out;
 }
 
@@ -141,44 +130,6 @@
     return subscription::nothing;
 }
 
-instance_role role_from_wire(std::int32_t value) {
-    return value == static_cast<std::int32_t>(instance_role::entry)
-               ? instance_role::entry
-               : instance_role::upstream;
-}
-
-wire::instance to_wire(const instance& from, time_point now) {
-    wire::instance out;
-    out.id = from.m_id;
-    out.role = static_cast<std::int32_t>(from.m_role);
-    out.ip = static_cast<std::int32_t>(from.m_address.m_ip);
-    out.port = from.m_address.m_port;
-    out.serves = from.m_service;
-    out.zone = from.m_zone;
-    out.leaving = from.m_leaving;
-    out.incarnation = to_wire(from.m_incarnation);
-    out.cold_us = std::max(duration{0}, from.m_cold_until - now).count();
-    if (from.m_gone_from)
-        out.__set_gone_in_us((*from.m_gone_from - now).count());
-    return out;
-}
-
-instance from_wire(const wire::instance& from, time_point now) {
-    instance out;
-    out.m_id = from.id;
-    out.m_role = role_from_wire(from.role);
-    out.m_address = address_of(from.ip, from.port);
-    out.m_service = from.serves;
-    out.m_zone = from.zone;
-    out.m_leaving = from.leaving;
-    out.m_incarnation = from_wire(from.incarnation);
-    if (from.cold_us > 0)
-        out.m_cold_until = now + duration{from.cold_us};
-    if (from.__isset.gone_in_us)
-        out.m_gone_from = now + duration{from.gone_in_us};
-    return out;
-}
-
 wire::heartbeat to_wire(const heartbeat& from) {
     wire::heartbeat out;
     out.sender = to_wire(from.m_sender);
@@ -231,35 +182,6 @@
     return out;
 }
 
-template <class Message>
-std::vector<std::uint8_t> write(const Message& message) {
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol{buffer};
-    message.write(&protocol);
-    std::uint8_t* bytes = nullptr;
-    std::uint32_t size = 0;
-    buffer->getBuffer(&bytes, &size);
-    return {bytes, bytes + size};
-}
-
-template <class Message>
-parsed<Message> read(std::span<const std::uint8_t> bytes,
-                     std::string_view what) {
-    const auto size = static_cast<std::uint32_t>(bytes.size());
-    // The buffer only observes the bytes; Thrift's signature lacks the const.
-    const auto buffer = std::make_shared<TMemoryBuffer>(
-        const_cast<std::uint8_t*>(bytes.data()), size);
-    TCompactProtocol protocol{buffer};
-    Message out;
-    try {
-        out.read(&protocol);
-    } catch (const apache::thrift::TException& error) {
-        return input_error{std::string{what}, std::to_string(size) + " bytes",
-                           std::string{"a Thrift message: "} + error.what()};
-    }
-    return out;
-}
-
 } // namespace
 
 std::vector<std::uint8_t> encode(const heartbeat& message) {
@@ -273,35 +195,4 @@
     return from_wire(out);
 }
 
-std::vector<std::uint8_t> encode(const instance_changes& changes,
-                                 time_point now) {
-    wire::instance_changes out;
-    out.base = to_wire(changes.m_base);
-    out.index = to_wire(changes.m_index);
-    for (const instance& item : changes.m_present)
-        out.present.push_back(to_wire(item, now));
-    for (const auto& [role, id] : changes.m_removed) {
-        out.removed.emplace_back();
-        out.removed.back().role = static_cast<std::int32_t>(role);
-        out.removed.back().id = id;
-    }
-    return write(out);
-}
-
-parsed<instance_changes> decode_changes(std::span<const std::uint8_t> bytes,
-                                        time_point now) {
-    BOOST_OUTCOME_TRY(from,
-                      read<wire::instance_changes>(bytes, "instance list"));
-    instance_changes out;
-    out.m_base = from_wire(from.base);
-    out.m_index = from_wire(from.index);
-    if (out.m_index == 0)
-        return input_error{"instance list", "index 0", "the list's index"};
-    for (const wire::instance& item : from.present)
-        out.m_present.push_back(from_wire(item, now));
-    for (const wire::instance_name& item : from.removed)
-        out.m_removed.emplace_back(role_from_wire(item.role), item.id);
-    return out;
-}
-
 } // namespace skylark::peer
--- /dev/null
+++ b/src/peer/compact.hpp
@@ -0,0 +1,65 @@
+// Thrift's compact protocol over memory, and numbers in its signed types.
+#ifndef SKYLARK_PEER_COMPACT_HPP
+#define SKYLARK_PEER_COMPACT_HPP
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <skylark/core/address.hpp>
+#include <skylark/core/error.hpp>
+
+namespace skylark::peer::internal {
+
+inline std::int64_t to_wire(std::uint64_t value) {
+    return static_cast<std::int64_t>(value);
+}
+
+inline std::uint64_t from_wire(std::int64_t value) {
+    return static_cast<std::uint64_t>(value);
+}
+
+inline address address_of(std::int32_t ip, std::int32_t port) {
+    return {static_cast<std::uint32_t>(ip), static_cast<std::uint16_t>(port)};
+}
+
+template <class Message>
+std::vector<std::uint8_t> write(const Message& message) {
+    const auto buffer =
+        std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol{buffer};
+    message.write(&protocol);
+    std::uint8_t* bytes = nullptr;
+    std::uint32_t size = 0;
+    buffer->getBuffer(&bytes, &size);
+    return {bytes, bytes + size};
+}
+
+template <class Message>
+parsed<Message> read(std::span<const std::uint8_t> bytes,
+                     std::string_view what) {
+    const auto size = static_cast<std::uint32_t>(bytes.size());
+    // The buffer only observes the bytes; Thrift's signature lacks the const.
+    const auto buffer =
+        std::make_shared<apache::thrift::transport::TMemoryBuffer>(
+            const_cast<std::uint8_t*>(bytes.data()), size);
+    apache::thrift::protocol::TCompactProtocol protocol{buffer};
+    Message out;
+    try {
+        out.read(&protocol);
+    } catch (const apache::thrift::TException& error) {
+        return input_error{std::string{what}, std::to_string(size) + " bytes",
+                           std::string{"a Thrift message: "} + error.what()};
+    }
+    return out;
+}
+
+} // namespace skylark::peer::internal
+
+#endif
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -45,6 +45,10 @@
 void contact::__set_control_ip(const int32_t val) {
   this->control_ip = val;
 }
+
+void contact::__set_capacity(const int32_t val) {
+  this->capacity = val;
+}
 std::ostream& operator<<(std::ostream& out, const contact& obj)
 {
   obj.printTo(out);
@@ -129,6 +133,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->capacity);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -174,6 +186,10 @@
   xfer += oprot->writeI32(this->control_ip);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->capacity);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -188,6 +204,7 @@
   swap(a.zone, b.zone);
   swap(a.callers_ip, b.callers_ip);
   swap(a.control_ip, b.control_ip);
+  swap(a.capacity, b.capacity);
   swap(a.__isset, b.__isset);
 }
 
@@ -199,6 +216,7 @@
   zone = other0.zone;
   callers_ip = other0.callers_ip;
   control_ip = other0.control_ip;
+  capacity = other0.capacity;
   __isset = other0.__isset;
 }
 contact& contact::operator=(const contact& other1) noexcept {
@@ -209,6 +227,7 @@
   zone = other1.zone;
   callers_ip = other1.callers_ip;
   control_ip = other1.control_ip;
+  capacity = other1.capacity;
   __isset = other1.__isset;
   return *this;
 }
@@ -222,6 +241,7 @@
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "callers_ip=" << to_string(callers_ip);
   out << ", " << "control_ip=" << to_string(control_ip);
+  out << ", " << "capacity=" << to_string(capacity);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -40,7 +40,7 @@
 class heartbeat;
 
 typedef struct _contact__isset {
-  _contact__isset() : peer_ip(false), peer_port(false), callers_port(false), control_port(false), zone(false), callers_ip(false), control_ip(false) {}
+  _contact__isset() : peer_ip(false), peer_port(false), callers_port(false), control_port(false), zone(false), callers_ip(false), control_ip(false), capacity(false) {}
   bool peer_ip :1;
   bool peer_port :1;
   bool callers_port :1;
@@ -48,6 +48,7 @@
   bool zone :1;
   bool callers_ip :1;
   bool control_ip :1;
+  bool capacity :1;
 } _contact__isset;
 
 class contact : public virtual ::apache::thrift::TBase {
@@ -62,7 +63,8 @@
             control_port(0),
             zone(0),
             callers_ip(0),
-            control_ip(0) {
+            control_ip(0),
+            capacity(0) {
   }
 
   virtual ~contact() noexcept;
@@ -73,6 +75,7 @@
   int64_t zone;
   int32_t callers_ip;
   int32_t control_ip;
+  int32_t capacity;
 
   _contact__isset __isset;
 
@@ -90,6 +93,8 @@
 
   void __set_control_ip(const int32_t val);
 
+  void __set_capacity(const int32_t val);
+
   bool operator == (const contact & rhs) const
   {
     if (!(peer_ip == rhs.peer_ip))
@@ -106,6 +111,8 @@
       return false;
     if (!(control_ip == rhs.control_ip))
       return false;
+    if (!(capacity == rhs.capacity))
+      return false;
     return true;
   }
   bool operator != (const contact &rhs) const {
--- /dev/null
+++ b/src/peer/instance_codec.cpp
@@ -0,0 +1,89 @@
+// Changes of the instance list to bytes and back.
+#include <algorithm>
+
+#include "peer/codec.hpp"
+#include "peer/compact.hpp"
+#include "peer/gen/peer_types.h"
+
+namespace skylark::peer {
+
+namespace {
+
+using internal::address_of;
+using internal::from_wire;
+using internal::read;
+using internal::to_wire;
+using internal::write;
+
+instance_role role_from_wire(std::int32_t value) {
+    return value == static_cast<std::int32_t>(instance_role::entry)
+               ? instance_role::entry
+               : instance_role::upstream;
+}
+
+wire::instance to_wire(const instance& from, time_point now) {
+    wire::instance out;
+    out.id = from.m_id;
+    out.role = static_cast<std::int32_t>(from.m_role);
+    out.ip = static_cast<std::int32_t>(from.m_address.m_ip);
+    out.port = from.m_address.m_port;
+    out.serves = from.m_service;
+    out.zone = from.m_zone;
+    out.leaving = from.m_leaving;
+    out.incarnation = to_wire(from.m_incarnation);
+    out.cold_us = std::max(duration{0}, from.m_cold_until - now).count();
+    if (from.m_gone_from)
+        out.__set_gone_in_us((*from.m_gone_from - now).count());
+    return out;
+}
+
+instance from_wire(const wire::instance& from, time_point now) {
+    instance out;
+    out.m_id = from.id;
+    out.m_role = role_from_wire(from.role);
+    out.m_address = address_of(from.ip, from.port);
+    out.m_service = from.serves;
+    out.m_zone = from.zone;
+    out.m_leaving = from.leaving;
+    out.m_incarnation = from_wire(from.incarnation);
+    if (from.cold_us > 0)
+        out.m_cold_until = now + duration{from.cold_us};
+    if (from.__isset.gone_in_us)
+        out.m_gone_from = now + duration{from.gone_in_us};
+    return out;
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const instance_changes& changes,
+                                 time_point now) {
+    wire::instance_changes out;
+    out.base = to_wire(changes.m_base);
+    out.index = to_wire(changes.m_index);
+    for (const instance& item : changes.m_present)
+        out.present.push_back(to_wire(item, now));
+    for (const auto& [role, id] : changes.m_removed) {
+        out.removed.emplace_back();
+        out.removed.back().role = static_cast<std::int32_t>(role);
+        out.removed.back().id = id;
+    }
+    return write(out);
+}
+
+parsed<instance_changes> decode_changes(std::span<const std::uint8_t> bytes,
+                                        time_point now) {
+    BOOST_OUTCOME_TRY(from,
+                      read<wire::instance_changes>(bytes, "instance list"));
+    instance_changes out;
+    out.m_base = from_wire(from.base);
+    out.m_index = from_wire(from.index);
+    if (out.m_index == 0)
+        return input_error{"instance list", "index 0", "the list's index"};
+    for (const wire::instance& item : from.present)
+        out.m_present.push_back(from_wire(item, now));
+    for (const wire::instance_name& item : from.removed)
+        out.m_removed.emplace_back(role_from_wire(item.role), item.id);
+    return out;
+}
+
+} // namespace skylark::peer
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -9,6 +9,7 @@
     5: i64 zone
     6: i32 callers_ip
     7: i32 control_ip
+    8: i32 capacity
 }
 
 struct member_record {
--- a/test/entry/settings.cpp
+++ b/test/entry/settings.cpp
@@ -46,6 +46,8 @@
     expect_error(good + "deployment = \"plaform\"\n", "\"platform\" perhaps");
     expect_error(good + "zones = [1]\n", "array of strings");
     expect_error(good + "bootstrap = 1\n", "true or false");
+    expect_error(good + "cores = 0\n", "got cores = 0");
+    expect_error(good + "cores = \"x\"\n", "number of cores");
 }
 
 TEST(settings, refuses_an_empty_address) {
--- a/test/member/fake_rosters.hpp
+++ b/test/member/fake_rosters.hpp
@@ -28,6 +28,7 @@
         self.m_name = {entry_id{index}, incarnation};
         self.m_contact.m_peer = where(index);
         self.m_contact.m_zone = zone_of(index);
+        self.m_contact.m_capacity = m_strong.contains(index) ? 50 : 10;
         const std::vector<address> seeds{where(1), where(2), where(3)};
         m_tables[index] =
             std::make_unique<roster>(self, seeds, roster_timing{});
@@ -35,6 +36,12 @@
         m_dead.erase(index);
     }
 
+    /*! @brief Gives an entry more capacity; before anything runs. */
+    void strengthen(std::size_t index) {
+        m_strong.insert(index);
+        start(index, 1000);
+    }
+
     void kill(std::size_t index) { m_dead.insert(index); }
     bool dead(std::size_t index) const { return m_dead.contains(index); }
     void cut(std::size_t from, std::size_t to) { m_cuts.insert({from, to}); }
@@ -112,6 +119,7 @@
     std::map<std::size_t, std::unique_ptr<roster>> m_tables;
     std::map<std::size_t, time_point> m_next;
     std::set<std::size_t> m_dead;
+    std::set<std::size_t> m_strong;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::deque<datagram> m_flying;
     std::size_t m_sent{};
--- a/test/member/roster.cpp
+++ b/test/member/roster.cpp
@@ -101,6 +101,21 @@
     EXPECT_EQ(fleet.errors(), 0U);
 }
 
+TEST(roster, the_strong_relay) {
+    fake_rosters fleet{grown, zones, 11};
+    const std::set<entry_id> strong{entry_id{40}, entry_id{45}};
+    for (const entry_id id : strong)
+        fleet.strengthen(id.value());
+    fleet.run(seconds{3});
+    for (std::size_t i = 1; i <= grown; ++i) {
+        if (fleet.zone_of(i) != fleet.zone_of(40))
+            continue;
+        const auto chosen = relays(fleet, i);
+        EXPECT_EQ(std::set<entry_id>(chosen.begin(), chosen.end()), strong)
+            << i;
+    }
+}
+
 TEST(roster, a_leaving_member_is_known_within_a_second) {
     fake_rosters fleet{grown, zones, 6};
     fleet.run(seconds{5});
--- a/test/peer/codec.cpp
+++ b/test/peer/codec.cpp
@@ -12,7 +12,7 @@
 heartbeat sample() {
     heartbeat out;
     out.m_sender.m_name = {entry_id{~std::uint64_t{5}}, 12};
-    out.m_sender.m_contact = {{1, 65535}, {0xfffffffeU, 2}, {3, 4}, 99};
+    out.m_sender.m_contact = {{1, 65535}, {0xfffffffeU, 2}, {3, 4}, 99, 20};
     out.m_state = member_state::leaving;
     out.m_sequence = 7;
     out.m_view_hash = ~std::uint64_t{0};
