--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -56,6 +56,8 @@
                                : io::status::bad_gateway;
     of.m_outcome = ran ? outcome::unknown : outcome::not_run;
     std::string reason = why.m_expired ? "deadline passed" : "no upstream";
+    if (ran && !why.m_expired)
+        reason = "the upstream broke off, it may have run";
     if (const auto* proof = std::get_if<not_run>(&why.m_verdict))
         reason += " (" + std::string{name_of(proof->m_proof)} + ")";
     m_shared.m_journal.note(event_kind::request, of.m_rule,
--- a/test/entry/log.cpp
+++ b/test/entry/log.cpp
@@ -88,8 +88,7 @@
             journal.decided(log_line{"send"}, start + milliseconds{ms});
         all += output.read();
     }
-    const double bound =
-        defaults::decision_lines_per_s * (seconds_played + 2);
+    const double bound = defaults::decision_lines_per_s * (seconds_played + 2);
     EXPECT_LE(static_cast<double>(count(all, " send")), bound);
     EXPECT_GE(static_cast<double>(count(all, " send")),
               defaults::decision_lines_per_s * seconds_played / 2);
