Prefer open connections for questions; explore with one request in four

Ruled out: no exploring at all (upstreams that join would get nothing). Change: with eight open connections in the zone only one request in four looks at another upstream. Test: ask_plan_test.open_connections_are_used_and_others_still_found, 1443 new connections in 2000 rounds before, at most 500 now.

--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -24,6 +24,10 @@
 constexpr double uncrowded = 0.7;
 // Less than this is no reason to leave a slot free.
 constexpr double harmless_crowding = 0.2;
+// With a third of the upstreams slow, all of eight are once in 6,500 requests.
+constexpr std::ptrdiff_t enough_connected = 8;
+// With so many connected, one request in this many looks at another one.
+constexpr std::uint32_t explore_one_in = 4;
 
 double cost(const ask_candidate& of, const ask_terms& terms) {
     const double penalty = of.m_near ? 0.0 : far_penalty;
@@ -56,8 +60,9 @@
     return of.m_recent && !has_room(*of.m_recent, terms);
 }
 
-// Those that failed lately go last. The first is taken by chance, so that a
-// new upstream is found soon; the others preferably on open connections.
+// Those that failed lately go last. Open connections are preferred; while there
+// are few, and now and then, the first is taken by chance, so that a new
+// upstream is found soon.
 std::vector<upstream_id> pick(std::span<const ask_candidate> from, bool near,
                               const ask_terms& terms, random_source& random) {
     struct ranked {
@@ -85,9 +90,16 @@
         std::min({list.size(), terms.m_questions, most_questions});
     if (count == 0)
         return out;
-    std::iter_swap(list.begin(),
-                   std::min_element(list.begin(), list.end(), by_chance));
-    std::sort(list.begin() + 1, list.end(), by_cost);
+    const auto connected =
+        std::count_if(list.begin(), list.end(), [](const ranked& item) {
+            return !item.m_suspect && !item.m_unconnected;
+        });
+    const bool explores =
+        connected < enough_connected || random(explore_one_in) == 0;
+    if (explores)
+        std::iter_swap(list.begin(),
+                       std::min_element(list.begin(), list.end(), by_chance));
+    std::sort(list.begin() + (explores ? 1 : 0), list.end(), by_cost);
     for (std::size_t i = 0; i < count; ++i)
         out.push_back(list[i].m_upstream);
     return out;
--- a/test/route/ask_plan.cpp
+++ b/test/route/ask_plan.cpp
@@ -2,6 +2,7 @@
 #include <skylark/route/ask_plan.hpp>
 
 #include <map>
+#include <set>
 
 #include <gtest/gtest.h>
 
@@ -73,6 +74,26 @@
     EXPECT_GT(seen, 3); // of 100 rounds; its fair part is 100 / 8
 }
 
+// A new connection costs the upstream as much as many questions on an old one.
+TEST_F(ask_plan_test, open_connections_are_used_and_others_still_found) {
+    std::vector<ask_candidate> from;
+    for (std::uint64_t key = 1; key <= 40; ++key) {
+        from.push_back(near(key));
+        from.back().m_connected = key <= 12;
+    }
+    constexpr int rounds = 2000;
+    int new_connections = 0;
+    std::set<upstream_id> found;
+    for (int i = 0; i < rounds; ++i)
+        for (const upstream_id whom : asked(from))
+            if (whom.value() > 12) {
+                ++new_connections;
+                found.insert(whom);
+            }
+    EXPECT_LE(new_connections, rounds / 4);
+    EXPECT_EQ(found.size(), 28U);
+}
+
 TEST_F(ask_plan_test, the_fastest_of_those_that_answered_takes_it) {
     EXPECT_EQ(chosen({near(1, with(2, 0, 700)), near(2, with(3, 0, 100)),
                       near(3, with(6, 3, 100))}),
