Let another entry watch the store as soon as it turns the watcher away

The store turned away the watcher of every zone at once; nobody else asked before three seconds had passed without a confirmation, and the bound is two. Ruled out: slow relays and fetches; with one zone's watcher left, the news is everywhere within half a second (tests one_that_is_turned_away_is_replaced and those_of_two_zones_are_replaced pass before and after). Change: an entry whose call fails, or stays unanswered 0.15 s beyond its wait, says so in its heartbeats; the next of its zone watches. The wait follows from the bound (apply_limit_ms). Whom the store turns away looks again after 15 s. Tests in virtual time, 14 and 134 entries, calls refused, reset, unanswered or slow: with the old decision three of six fail (all first watchers, small and grown; 1098 calls in an outage of 20 s against at most 468), now none.

--- a/include/skylark/config/fwd.hpp
+++ b/include/skylark/config/fwd.hpp
@@ -11,6 +11,9 @@
 struct limits;
 struct document;
 class trust;
+class store_reach;
+struct watch_state;
+class watch_turn;
 
 } // namespace skylark
 
--- a/include/skylark/member/heartbeat.hpp
+++ b/include/skylark/member/heartbeat.hpp
@@ -77,6 +77,7 @@
     member_state m_state{};
     std::uint64_t m_revision{}; //!< of its configuration; 0: none yet
     std::uint32_t m_requests{}; //!< that it is serving
+    bool m_store_lost{};        //!< see config_mark
 };
 
 /*! @brief A load report passed on. */
@@ -92,6 +93,8 @@
     std::uint64_t m_instances{}; //!< index of the instance list
     //! Time since the store, or a chain of peers to it, confirmed this.
     duration m_confirmed_age{};
+    //! The store does not answer this entry, so another one should watch it.
+    bool m_store_lost{};
 };
 
 /*! @brief The message. */
--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -73,6 +73,17 @@
     [[nodiscard]] std::vector<entry_id>
     first_of(std::uint64_t zone, std::size_t count, time_point now) const;
 
+    /*! @brief Members of a zone that should watch the store for it, best first:
+     *  its relays, and others in place of those that the store does not answer.
+     *  @param zone hash of its name
+     *  @param count how many
+     *  @param now the present */
+    [[nodiscard]] std::vector<entry_id>
+    watchers_of(std::uint64_t zone, std::size_t count, time_point now) const;
+
+    /*! @brief Whether the store does not answer this entry. */
+    [[nodiscard]] bool store_lost() const { return m_store_lost; }
+
     /*! @brief Whether only one zone is known. */
     [[nodiscard]] bool single_zone() const;
 
@@ -110,6 +121,12 @@
         auto operator<=>(const addressees&) const = default;
     };
 
+    // What members of a zone are ranked for.
+    enum class duty : std::uint8_t { relay, watch };
+
+    [[nodiscard]] std::vector<entry_id> ranked(std::uint64_t zone,
+                                               std::size_t count, duty wanted,
+                                               time_point now) const;
     void forget_silent(time_point now);
     void choose_relays(time_point now);
     void learn(const member_record& record, const member_report& said,
@@ -136,6 +153,7 @@
     // Whom this entry wants reports from, and on what.
     std::map<entry_id, subscription> m_relays;
     bool m_is_relay{true};
+    bool m_store_lost{};
     std::uint64_t m_round{};
     std::size_t m_live_count{1};
     bool m_news{};      // a member came, changed or went since the last round
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 constexpr auto retry_wait = milliseconds{500};
-constexpr auto turn_check = milliseconds{500};
+constexpr auto turn_check = milliseconds{200};
 constexpr auto list_patience = seconds{30};
-// A watcher confirms what it has at least every 1.5 s; twice that is late.
+// A watcher confirms what it has at least every 1.8 s; more is late.
 constexpr duration shortest_trust = seconds{3};
 // Entries that miss the confirmation together ask one after the other, and the
 // first of them tells the rest.
@@ -30,20 +30,32 @@
 duration longest_trust(const settings& from) {
     return shortest_trust + trust_step * (hash(from.m_name) % trust_steps);
 }
+
+// From a call that stays unanswered until its successor's news is everywhere:
+// lateness, a heartbeat, a check of the turn, a listing, two heartbeats over
+// relays, a fetch.
+constexpr duration hand_over_time = milliseconds{1200};
+constexpr duration least_wait = milliseconds{300};
+constexpr duration most_wait = milliseconds{1800};
+
+duration watch_wait(const settings& from) {
+    return std::clamp<duration>(from.m_apply_limit - hand_over_time, least_wait,
+                                most_wait);
+}
 } // namespace
 
 configurator::configurator(context& shared, std::function<void()> changed)
     : m_shared{shared}, m_changed{std::move(changed)}, m_store{open_store()},
       m_peers{shared.m_loop, answer_limit}, m_guard{list_patience},
-      m_document_trust{longest_trust(shared.m_settings)},
-      m_list_trust{longest_trust(shared.m_settings)} {}
+      m_document_turn{longest_trust(shared.m_settings)},
+      m_list_turn{longest_trust(shared.m_settings)} {}
 
 void configurator::start() {
     const duration wait =
         m_shared.m_settings.m_bootstrap ? meeting_time : duration{0};
     m_shared.m_loop.after(wait, [this] {
-        m_document_trust.start(io::event_loop::now());
-        m_list_trust.start(io::event_loop::now());
+        m_document_turn.start(io::event_loop::now());
+        m_list_turn.start(io::event_loop::now());
         watch_document();
         watch_instances();
     });
@@ -61,18 +73,31 @@
                                 "cannot be used: " + why.text());
     };
     return store::client{std::in_place_type<store::mirror_client>,
-                         m_shared.m_loop, from.m_platform, terms, note};
+                         m_shared.m_loop,
+                         from.m_platform,
+                         terms,
+                         watch_wait(from),
+                         note};
 }
 
-// Whoever has heard no confirmation for long does not wait for others.
-bool configurator::is_turn(trust& in_others) const {
+bool configurator::is_turn(watch_turn& of) const {
     const time_point now = io::event_loop::now();
-    return m_shared.m_fleet.is_watcher(now) ||
-           in_others.ask(now, m_shared.m_config.age(now));
+    return of.due(now, {m_shared.m_fleet.is_watcher(now), m_store.lost(now),
+                        m_shared.m_config.age(now)});
+}
+
+// The peers learn at once that another entry has to watch.
+void configurator::note_store() {
+    const bool lost = m_store.lost(io::event_loop::now());
+    if (std::exchange(m_noted_lost, lost) == lost)
+        return;
+    m_shared.m_journal.note(event_kind::configuration, "store",
+                            lost ? "does not answer" : "answers again");
+    m_shared.m_fleet.beat();
 }
 
 void configurator::watch_document() {
-    if (!is_turn(m_document_trust)) {
+    if (!is_turn(m_document_turn)) {
         m_shared.m_loop.after(turn_check, [this] { watch_document(); });
         return;
     }
@@ -107,6 +132,7 @@
                      wait = retry_wait;
                  }},
         result);
+    note_store();
     m_shared.m_loop.after(wait, [this] { watch_document(); });
 }
 
@@ -147,7 +173,7 @@
 }
 
 void configurator::watch_instances() {
-    if (!is_turn(m_list_trust)) {
+    if (!is_turn(m_list_turn)) {
         m_shared.m_loop.after(turn_check, [this] { watch_instances(); });
         return;
     }
@@ -167,6 +193,7 @@
         m_shared.m_metrics.count(counter::store_failures);
         wait = retry_wait;
     }
+    note_store();
     m_shared.m_loop.after(wait, [this] { watch_instances(); });
 }
 
@@ -215,9 +242,9 @@
 
 config_mark configurator::mark() const {
     constexpr duration unknown = std::chrono::hours{24};
-    const duration age = m_shared.m_config.age(io::event_loop::now());
+    const time_point now = io::event_loop::now();
     return {m_shared.m_config.revision(), m_shared.m_instances.m_index,
-            std::min(age, unknown)};
+            std::min(m_shared.m_config.age(now), unknown), m_store.lost(now)};
 }
 
 void configurator::peer_mark(const member& peer) {
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -6,7 +6,7 @@
 #include <functional>
 #include <string>
 
-#include <skylark/config/trust.hpp>
+#include <skylark/config/watch_turn.hpp>
 #include <skylark/discovery/instance_log.hpp>
 #include <skylark/discovery/list_guard.hpp>
 
@@ -44,7 +44,8 @@
 
 private:
     store::client open_store();
-    [[nodiscard]] bool is_turn(trust& in_others) const;
+    [[nodiscard]] bool is_turn(watch_turn& of) const;
+    void note_store();
     void watch_document();
     void watch_instances();
     void take_document(const store::read_result& result, time_point asked);
@@ -63,8 +64,9 @@
     io::fetcher m_peers;
     list_guard m_guard;
     instance_log m_log;     //!< of the list in use, for peers
-    trust m_document_trust; //!< in what others confirm
-    trust m_list_trust;
+    watch_turn m_document_turn;
+    watch_turn m_list_turn;
+    bool m_noted_lost{}; // what was last noted of the store
     bool m_fetching_document{};
     bool m_fetching_instances{};
     std::uint64_t m_noted_revert{}; // store revision that was told last
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -208,11 +208,11 @@
                      return of.m_members.first_of_zone(watchers_per_zone, now);
                  },
                  [&](const roster& of) {
-                     return of.first_of(self_record().m_contact.m_zone,
-                                        of.single_zone()
-                                            ? watchers_of_single_zone
-                                            : watchers_per_zone,
-                                        now);
+                     return of.watchers_of(self_record().m_contact.m_zone,
+                                           of.single_zone()
+                                               ? watchers_of_single_zone
+                                               : watchers_per_zone,
+                                           now);
                  }},
         m_members);
     return std::find(first.begin(), first.end(), self()) != first.end();
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -231,6 +231,7 @@
     reader.ms("isolation_limit_ms", out.m_isolation_limit);
     reader.ms("entries_ttl_ms", out.m_entries_ttl);
     reader.ms("drain_limit_ms", out.m_drain_limit);
+    reader.ms("apply_limit_ms", out.m_apply_limit);
     if (auto error = reader.finish())
         return *std::move(error);
     if (auto error = check_timing(out, file))
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -31,6 +31,8 @@
     //! Load questions a second that one upstream bears from all entries;
     //! used where the store's configuration does not say.
     std::uint32_t m_questions_per_upstream{60};
+    //! A change in the store must be in force everywhere within this time.
+    duration m_apply_limit{seconds{2}};
     address m_callers; //!< HTTP for callers
     //! HTTP for lookups and readiness on addresses of their own, if set.
     std::optional<address> m_lookup;
--- a/src/member/roster.cpp
+++ b/src/member/roster.cpp
@@ -111,13 +111,15 @@
                                       heard + m_timing.m_period > peer.m_heard);
         return;
     }
-    m_news =
-        m_news || peer.m_state != said.m_state || to.m_missed != said.m_missed;
+    m_news = m_news || peer.m_state != said.m_state ||
+             to.m_missed != said.m_missed ||
+             peer.m_config.m_store_lost != said.m_store_lost;
     to.m_missed = said.m_missed;
     peer.m_heard = heard;
     peer.m_state = said.m_state;
     peer.m_requests = said.m_requests;
     peer.m_config.m_revision = said.m_revision;
+    peer.m_config.m_store_lost = said.m_store_lost;
 }
 
 void roster::received(const heartbeat& message, time_point now) {
@@ -126,7 +128,8 @@
         return;
     learn(message.m_sender,
           {name, duration{0}, false, message.m_state,
-           message.m_config.m_revision, message.m_requests},
+           message.m_config.m_revision, message.m_requests,
+           message.m_config.m_store_lost},
           now);
     const auto sender = m_peers.find(name.m_id);
     if (sender->second.m_record.m_name != name)
--- a/src/member/roster_round.cpp
+++ b/src/member/roster_round.cpp
@@ -24,26 +24,40 @@
 
 std::vector<entry_id> roster::first_of(std::uint64_t zone, std::size_t count,
                                        time_point now) const {
+    return ranked(zone, count, duty::relay, now);
+}
+
+std::vector<entry_id> roster::watchers_of(std::uint64_t zone, std::size_t count,
+                                          time_point now) const {
+    return ranked(zone, count, duty::watch, now);
+}
+
+std::vector<entry_id> roster::ranked(std::uint64_t zone, std::size_t count,
+                                     duty wanted, time_point now) const {
     // Relaying takes processor time, so the strong go first.
-    std::vector<std::tuple<bool, bool, std::uint32_t, std::uint64_t, entry_id>>
-        ranked;
+    std::vector<
+        std::tuple<bool, bool, bool, std::uint32_t, std::uint64_t, entry_id>>
+        order;
+    const bool watch = wanted == duty::watch;
     const entry_id own = m_self.m_name.m_id;
     if (m_self.m_contact.m_zone == zone && m_state != member_state::leaving)
-        ranked.emplace_back(false, false, ~m_self.m_contact.m_capacity,
-                            ~relay_score(own), own);
+        order.emplace_back(false, false, watch && m_store_lost,
+                           ~m_self.m_contact.m_capacity, ~relay_score(own),
+                           own);
     for (const auto& [id, peer] : m_peers)
         if (peer.m_record.m_contact.m_zone == zone &&
             peer.m_state != member_state::leaving)
-            ranked.emplace_back(avoided(id, now), !live(peer, now),
-                                ~peer.m_record.m_contact.m_capacity,
-                                ~relay_score(id), id);
-    count = std::min(count, ranked.size());
-    std::partial_sort(ranked.begin(),
-                      ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                      ranked.end());
+            order.emplace_back(avoided(id, now), !live(peer, now),
+                               watch && peer.m_config.m_store_lost,
+                               ~peer.m_record.m_contact.m_capacity,
+                               ~relay_score(id), id);
+    count = std::min(count, order.size());
+    std::partial_sort(order.begin(),
+                      order.begin() + static_cast<std::ptrdiff_t>(count),
+                      order.end());
     std::vector<entry_id> out;
     for (std::size_t i = 0; i < count; ++i)
-        out.push_back(std::get<entry_id>(ranked[i]));
+        out.push_back(std::get<entry_id>(order[i]));
     return out;
 }
 
@@ -105,7 +119,8 @@
             continue;
         out.m_reports.push_back({peer.m_record.m_name, now - peer.m_heard,
                                  m_links.at(id).m_missed, peer.m_state,
-                                 peer.m_config.m_revision, peer.m_requests});
+                                 peer.m_config.m_revision, peer.m_requests,
+                                 peer.m_config.m_store_lost});
         if (group.m_records)
             out.m_members.push_back(peer.m_record);
     }
@@ -133,6 +148,8 @@
 std::vector<outgoing_heartbeat> roster::tick(time_point now,
                                              const config_mark& mark) {
     ++m_round;
+    m_news = m_news || m_store_lost != mark.m_store_lost;
+    m_store_lost = mark.m_store_lost;
     forget_silent(now);
     miss_silent(now);
     choose_relays(now);
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -104,6 +104,7 @@
     out.incarnation = to_wire(from.m_name.m_incarnation);
     out.age_us = from.m_age.count();
     out.missed = from.m_missed;
+    out.store_lost = from.m_store_lost;
     out.state = static_cast<std::int32_t>(from.m_state);
     out.revision = to_wire(from.m_revision);
     out.requests = static_cast<std::int32_t>(from.m_requests);
@@ -115,6 +116,7 @@
     out.m_name = {entry_id{from_wire(from.id)}, from_wire(from.incarnation)};
     out.m_age = duration{std::max<std::int64_t>(0, from.age_us)};
     out.m_missed = from.missed;
+    out.m_store_lost = from.store_lost;
     out.m_state = member_state_from_wire(from.state);
     out.m_revision = from_wire(from.revision);
     out.m_requests = static_cast<std::uint32_t>(from.requests);
@@ -142,6 +144,7 @@
     out.config_revision = to_wire(from.m_config.m_revision);
     out.instances_index = to_wire(from.m_config.m_instances);
     out.confirmed_age_us = from.m_config.m_confirmed_age.count();
+    out.store_lost = from.m_config.m_store_lost;
     out.requests = static_cast<std::int32_t>(from.m_requests);
     out.clock = to_wire(from.m_clock);
     for (const silence& item : from.m_silent)
@@ -168,6 +171,7 @@
     out.m_config.m_revision = from_wire(from.config_revision);
     out.m_config.m_instances = from_wire(from.instances_index);
     out.m_config.m_confirmed_age = duration{from.confirmed_age_us};
+    out.m_config.m_store_lost = from.store_lost;
     out.m_requests = static_cast<std::uint32_t>(from.requests);
     out.m_clock = from_wire(from.clock);
     for (const wire::silence& item : from.silent)
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -753,6 +753,10 @@
 void member_report::__set_missed(const bool val) {
   this->missed = val;
 }
+
+void member_report::__set_store_lost(const bool val) {
+  this->store_lost = val;
+}
 std::ostream& operator<<(std::ostream& out, const member_report& obj)
 {
   obj.printTo(out);
@@ -837,6 +841,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->store_lost);
+          this->__isset.store_lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -882,6 +894,10 @@
   xfer += oprot->writeBool(this->missed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_lost", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->store_lost);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -896,6 +912,7 @@
   swap(a.revision, b.revision);
   swap(a.requests, b.requests);
   swap(a.missed, b.missed);
+  swap(a.store_lost, b.store_lost);
   swap(a.__isset, b.__isset);
 }
 
@@ -907,6 +924,7 @@
   revision = other8.revision;
   requests = other8.requests;
   missed = other8.missed;
+  store_lost = other8.store_lost;
   __isset = other8.__isset;
 }
 member_report& member_report::operator=(const member_report& other9) noexcept {
@@ -917,6 +935,7 @@
   revision = other9.revision;
   requests = other9.requests;
   missed = other9.missed;
+  store_lost = other9.store_lost;
   __isset = other9.__isset;
   return *this;
 }
@@ -930,6 +949,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "requests=" << to_string(requests);
   out << ", " << "missed=" << to_string(missed);
+  out << ", " << "store_lost=" << to_string(store_lost);
   out << ")";
 }
 
@@ -1583,6 +1603,10 @@
 void heartbeat::__set_reports(const std::vector<member_report> & val) {
   this->reports = val;
 }
+
+void heartbeat::__set_store_lost(const bool val) {
+  this->store_lost = val;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -1795,6 +1819,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->store_lost);
+          this->__isset.store_lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1912,6 +1944,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_lost", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->store_lost);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1936,6 +1972,7 @@
   swap(a.clock, b.clock);
   swap(a.wants, b.wants);
   swap(a.reports, b.reports);
+  swap(a.store_lost, b.store_lost);
   swap(a.__isset, b.__isset);
 }
 
@@ -1957,6 +1994,7 @@
   clock = other52.clock;
   wants = other52.wants;
   reports = other52.reports;
+  store_lost = other52.store_lost;
   __isset = other52.__isset;
 }
 heartbeat& heartbeat::operator=(const heartbeat& other53) {
@@ -1977,6 +2015,7 @@
   clock = other53.clock;
   wants = other53.wants;
   reports = other53.reports;
+  store_lost = other53.store_lost;
   __isset = other53.__isset;
   return *this;
 }
@@ -2000,6 +2039,7 @@
   out << ", " << "clock=" << to_string(clock);
   out << ", " << "wants=" << to_string(wants);
   out << ", " << "reports=" << to_string(reports);
+  out << ", " << "store_lost=" << to_string(store_lost);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -330,7 +330,7 @@
 std::ostream& operator<<(std::ostream& out, const load_digest& obj);
 
 typedef struct _member_report__isset {
-  _member_report__isset() : id(false), incarnation(false), age_us(false), state(false), revision(false), requests(false), missed(false) {}
+  _member_report__isset() : id(false), incarnation(false), age_us(false), state(false), revision(false), requests(false), missed(false), store_lost(false) {}
   bool id :1;
   bool incarnation :1;
   bool age_us :1;
@@ -338,6 +338,7 @@
   bool revision :1;
   bool requests :1;
   bool missed :1;
+  bool store_lost :1;
 } _member_report__isset;
 
 class member_report : public virtual ::apache::thrift::TBase {
@@ -352,7 +353,8 @@
                   state(0),
                   revision(0),
                   requests(0),
-                  missed(0) {
+                  missed(0),
+                  store_lost(0) {
   }
 
   virtual ~member_report() noexcept;
@@ -363,6 +365,7 @@
   int64_t revision;
   int32_t requests;
   bool missed;
+  bool store_lost;
 
   _member_report__isset __isset;
 
@@ -380,6 +383,8 @@
 
   void __set_missed(const bool val);
 
+  void __set_store_lost(const bool val);
+
   bool operator == (const member_report & rhs) const
   {
     if (!(id == rhs.id))
@@ -396,6 +401,8 @@
       return false;
     if (!(missed == rhs.missed))
       return false;
+    if (!(store_lost == rhs.store_lost))
+      return false;
     return true;
   }
   bool operator != (const member_report &rhs) const {
@@ -635,7 +642,7 @@
 std::ostream& operator<<(std::ostream& out, const instance_changes& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : sender(false), state(false), sequence(false), acknowledged(false), acknowledged_incarnation(false), view_hash(false), settled_hash(false), config_revision(false), instances_index(false), confirmed_age_us(false), requests(false), silent(false), members(false), loads(false), clock(false), wants(false), reports(false) {}
+  _heartbeat__isset() : sender(false), state(false), sequence(false), acknowledged(false), acknowledged_incarnation(false), view_hash(false), settled_hash(false), config_revision(false), instances_index(false), confirmed_age_us(false), requests(false), silent(false), members(false), loads(false), clock(false), wants(false), reports(false), store_lost(false) {}
   bool sender :1;
   bool state :1;
   bool sequence :1;
@@ -653,6 +660,7 @@
   bool clock :1;
   bool wants :1;
   bool reports :1;
+  bool store_lost :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -672,7 +680,8 @@
               confirmed_age_us(0),
               requests(0),
               clock(0),
-              wants(0) {
+              wants(0),
+              store_lost(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -693,6 +702,7 @@
   int64_t clock;
   int32_t wants;
   std::vector<member_report>  reports;
+  bool store_lost;
 
   _heartbeat__isset __isset;
 
@@ -730,6 +740,8 @@
 
   void __set_reports(const std::vector<member_report> & val);
 
+  void __set_store_lost(const bool val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -766,6 +778,8 @@
       return false;
     if (!(reports == rhs.reports))
       return false;
+    if (!(store_lost == rhs.store_lost))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -42,6 +42,7 @@
     5: i64 revision
     6: i32 requests
     7: bool missed
+    8: bool store_lost
 }
 
 struct instance {
@@ -87,4 +88,5 @@
     15: i64 clock
     16: i32 wants
     17: list<member_report> reports
+    18: bool store_lost
 }
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -63,7 +63,14 @@
 
     /*! @brief Longest wait that a read should ask for. */
     [[nodiscard]] duration longest_read() const {
-        return std::visit([](const auto& to) { return to.longest_read; },
+        return std::visit([](const auto& to) { return to.longest_read(); },
+                          m_kind);
+    }
+
+    /*! @brief Whether the store does not answer this entry, so that another
+     *  one should watch it in its place. */
+    [[nodiscard]] bool lost(time_point now) const {
+        return std::visit([now](const auto& to) { return to.lost(now); },
                           m_kind);
     }
 
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -32,10 +32,13 @@
 
 mirror_client::mirror_client(io::event_loop& loop, address where,
                              platform::deployment_terms terms,
+                             duration longest_read,
                              std::function<void(const input_error&)> note)
     : m_loop{loop}, m_fetcher{loop, answer_limit}, m_where{where},
       m_terms{std::move(terms)}, m_note{std::move(note)},
-      m_mirror{std::string{platform::upstream_prefix}, removal_hold} {}
+      m_longest_read{longest_read}, m_mirror{
+                                        std::string{platform::upstream_prefix},
+                                        removal_hold} {}
 
 void mirror_client::read(std::uint64_t index, duration wait,
                          std::function<void(const read_result&)> done) {
@@ -79,6 +82,7 @@
 void mirror_client::list(std::size_t prefix, const std::string& after) {
     auto request = m_protocol.range(prefixes.at(prefix), after);
     request.m_to = m_where;
+    m_reach.asked(io::event_loop::now(), duration{0});
     m_fetcher.run(request, [this, prefix](const io::fetch_result& got) {
         take_page(prefix, got);
     });
@@ -95,6 +99,7 @@
         failed(page ? "a listing without an end" : page.error().text());
         return;
     }
+    m_reach.answered();
     m_mirror.list(page.value());
     const auto& records = page.value().m_records;
     if (page.value().m_more && !records.empty()) {
@@ -123,9 +128,11 @@
 }
 
 void mirror_client::watch() {
-    auto request = m_protocol.watch(all_keys, m_mirror.revision(),
-                                    longest_wait(io::event_loop::now()));
+    const time_point now = io::event_loop::now();
+    const duration wait = longest_wait(now);
+    auto request = m_protocol.watch(all_keys, m_mirror.revision(), wait);
     request.m_to = m_where;
+    m_reach.asked(now, wait);
     m_fetcher.run(request,
                   [this](const io::fetch_result& got) { take_changes(got); });
 }
@@ -142,6 +149,7 @@
         return;
     }
     const time_point now = io::event_loop::now();
+    m_reach.answered();
     m_mirror.reached(now);
     m_calling = false;
     std::visit(
@@ -163,6 +171,7 @@
 // Each reader is told; whoever asks again later starts the next call.
 void mirror_client::failed(const std::string& cause) {
     m_mirror.lost();
+    m_reach.failed();
     m_calling = false;
     const auto documents = std::exchange(m_document_readers, {});
     const auto lists = std::exchange(m_list_readers, {});
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -9,6 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include <skylark/config/store_reach.hpp>
+
 #include "io/event_loop.hpp"
 #include "io/fetcher.hpp"
 #include "platform/kv_protocol.hpp"
@@ -25,9 +27,11 @@
     /*! @param loop event loop
      *  @param where the store
      *  @param terms what the settings say besides the store
+     *  @param longest_read wait of one call; a silent connection is noticed
+     *  about this late, and each call that ends costs one of the store's reads
      *  @param note gets a line for each record that cannot be used */
     mirror_client(io::event_loop& loop, address where,
-                  platform::deployment_terms terms,
+                  platform::deployment_terms terms, duration longest_read,
                   std::function<void(const input_error&)> note);
 
     /*! @brief See client::read. */
@@ -45,9 +49,11 @@
 
     static constexpr bool exact_instances = true;
 
-    //! A silent connection is noticed about this late; each waiting call
-    //! that ends costs one of the store's reads.
-    static constexpr duration longest_read{milliseconds{1500}};
+    /*! @brief See client::longest_read. */
+    [[nodiscard]] duration longest_read() const { return m_longest_read; }
+
+    /*! @brief See client::lost. */
+    [[nodiscard]] bool lost(time_point now) const { return m_reach.lost(now); }
 
 private:
     // Someone who waits for something newer than he has.
@@ -80,6 +86,8 @@
     platform::kv_protocol m_protocol;
     platform::deployment_terms m_terms;
     std::function<void(const input_error&)> m_note;
+    duration m_longest_read;
+    store_reach m_reach;
     mirror m_mirror;
     std::vector<reader<read_result>> m_document_readers;
     std::vector<reader<list_result>> m_list_readers;
--- a/src/store/polling_client.hpp
+++ b/src/store/polling_client.hpp
@@ -32,7 +32,11 @@
     /*! @brief The catalogue lags behind the instances. */
     static constexpr bool exact_instances = false;
 
-    static constexpr duration longest_read{seconds{1}};
+    /*! @brief See client::longest_read. */
+    static constexpr duration longest_read() { return seconds{1}; }
+
+    /*! @brief See client::lost; here every entry asks for itself. */
+    static constexpr bool lost(time_point) { return false; }
 
 private:
     io::fetcher m_fetcher;
--- a/test/member/fake_rosters.hpp
+++ b/test/member/fake_rosters.hpp
@@ -4,6 +4,7 @@
 #define TEST_MEMBER_FAKE_ROSTERS_HPP
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -47,15 +48,27 @@
     void cut(std::size_t from, std::size_t to) { m_cuts.insert({from, to}); }
     void lose(std::uint32_t percent) { m_loss = percent; }
 
+    //! What an entry says of its configuration.
+    std::function<config_mark(std::size_t)> m_mark;
+    //! An entry has heard a heartbeat.
+    std::function<void(std::size_t, const heartbeat&)> m_heard;
+    //! Time has moved.
+    std::function<void()> m_turn;
+
     void run(duration length) {
         const time_point end = m_now + length;
         while (m_now < end) {
             m_now += step;
+            if (m_turn)
+                m_turn();
             while (!m_flying.empty() && m_flying.front().m_at <= m_now) {
                 const auto item = std::move(m_flying.front());
                 m_flying.pop_front();
-                if (!m_dead.contains(item.m_to))
-                    at(item.m_to).received(item.m_message, m_now);
+                if (m_dead.contains(item.m_to))
+                    continue;
+                at(item.m_to).received(item.m_message, m_now);
+                if (m_heard)
+                    m_heard(item.m_to, item.m_message);
             }
             for (auto& [index, table] : m_tables)
                 if (!m_dead.contains(index) && m_next[index] <= m_now)
@@ -63,6 +76,9 @@
         }
     }
 
+    /*! @brief An entry sends its heartbeats now. */
+    void beat(std::size_t index) { round(index, at(index)); }
+
     roster& at(std::size_t index) { return *m_tables.at(index); }
     time_point now() const { return m_now; }
     std::size_t sent() const { return m_sent; }
@@ -104,7 +120,8 @@
 
     void round(std::size_t index, roster& table) {
         m_next[index] = m_now + roster_timing{}.m_period;
-        for (const auto& out : table.tick(m_now, {}))
+        const config_mark mark = m_mark ? m_mark(index) : config_mark{};
+        for (const auto& out : table.tick(m_now, mark))
             for (const address& where : out.m_to) {
                 ++m_sent;
                 const std::size_t to = where.m_ip;
--- a/test/store/mirror_client.cpp
+++ b/test/store/mirror_client.cpp
@@ -25,7 +25,7 @@
 protected:
     mirror_client_test()
         : m_store{m_loop}, m_where{m_store.listen({0x7f000001U, 0}).value()},
-          m_client{m_loop, m_where, {{"a"}, 60}, [this](const input_error&) {
+          m_client{m_loop, m_where, {{"a"}, 60}, milliseconds{1500}, [this](const input_error&) {
                        ++m_notes;
                    }} {}
 
