End answers without an end, and broken answers without bytes of our own

A chunked answer that its upstream breaks off made h2o write an empty chunk size and '1' before it closed the connection; callers took that for a malformed answer. Seen byte by byte in a_broken_chunked_answer_ends_with_what_was_sent, which failed first. Now the socket is shut down before h2o is told. Cause 2: a head, interim answers, a chunk extension or a trailer without an end were read for as long as the upstream sent. Each case of endless_answers failed first (264 kB taken, no end); now a response ends after 64 KiB without body. Also: a request's body can be sent without a copy, a connection that is closed while its request is still being written is reset, and requests that are still coming in lose their connections when all together exceed a limit.

--- a/include/skylark/config/config.hpp
+++ b/include/skylark/config/config.hpp
@@ -32,6 +32,9 @@
 inline constexpr duration idle_connection_limit = seconds{20};
 inline constexpr std::size_t document_bytes = std::size_t{1} << 20U;
 inline constexpr std::size_t body_bytes = std::size_t{1} << 20U;
+//! Received bytes of all requests of one entry: a fifth of the memory of the
+//! smallest instances known, 160 MB.
+inline constexpr std::size_t input_bytes = std::size_t{32} << 20U;
 inline constexpr std::size_t event_ring = 4096; //!< events kept in memory
 //! Log lines a second, about three for each request that an entry of a tenth
 //! of a core serves; more are counted and left out.
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,6 +1,7 @@
 // HTTP/1 client connections on h2o sockets.
 #include "io/http_client.hpp"
 
+#include <array>
 #include <cerrno>
 #include <utility>
 
@@ -48,6 +49,11 @@
 }
 
 void http_client::send(connection_id key, std::string bytes, bool head_only) {
+    send(key, std::move(bytes), {}, head_only);
+}
+
+void http_client::send(connection_id key, std::string head,
+                       std::string_view body, bool head_only) {
     connection* found = m_native->m_connections.find(key);
     if (!found || found->m_phase != phase::idle)
         return;
@@ -55,10 +61,17 @@
     found->m_head_only = head_only;
     found->m_bytes_sent = true;
     found->m_writing = true;
-    found->m_output = std::move(bytes);
-    auto buffer =
-        h2o_iovec_init(found->m_output.data(), found->m_output.size());
-    h2o_socket_write(found->m_socket, &buffer, 1, &native::on_write);
+    found->m_output = std::move(head);
+    std::array buffers{
+        h2o_iovec_init(found->m_output.data(), found->m_output.size()),
+        h2o_iovec_init(body.data(), body.size())};
+    h2o_socket_write(found->m_socket, buffers.data(), body.empty() ? 1 : 2,
+                     &native::on_write);
+}
+
+bool http_client::writing(connection_id key) {
+    const connection* found = m_native->m_connections.find(key);
+    return found && found->m_writing;
 }
 
 void http_client::pause(connection_id key) {
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <skylark/core/address.hpp>
 #include <skylark/core/id.hpp>
@@ -29,6 +30,9 @@
     struct limits {
         duration m_unacknowledged{seconds{2}}; //!< TCP_USER_TIMEOUT
         int m_receive_buffer{};                //!< bytes, 0: kernel's choice
+        //! Bytes of a response that carry no body, each time before the next
+        //! piece of it; as much as servers commonly take of a request's head.
+        std::size_t m_head_bytes{std::size_t{64} << 10U};
     };
 
     http_client(event_loop& loop, const limits& bounds);
@@ -52,6 +56,18 @@
      *  @param head_only whether the answer has no body (method HEAD) */
     void send(connection_id key, std::string bytes, bool head_only);
 
+    /*! @brief As above, with a body that is not copied.
+     *  @param key connection that is connected and has no request
+     *  @param head bytes up to the blank line
+     *  @param body must stay in place until writing() is false or the
+     *  connection is closed
+     *  @param head_only whether the answer has no body (method HEAD) */
+    void send(connection_id key, std::string head, std::string_view body,
+              bool head_only);
+
+    /*! @brief Whether a part of the request still waits for the kernel. */
+    [[nodiscard]] bool writing(connection_id key);
+
     /*! @brief Stops reading until resume(). */
     void pause(connection_id key);
     void resume(connection_id key);
--- a/src/io/http_client_native.hpp
+++ b/src/io/http_client_native.hpp
@@ -34,6 +34,7 @@
     response_parser m_parser;
     std::string m_output; // stays until the kernel has all of it
     phase m_phase{phase::connecting};
+    std::size_t m_overhead{}; // bytes without body, since its last piece
     bool m_bytes_sent{};
     bool m_writing{}; // h2o has not yet reported the write
     bool m_head_only{};
@@ -58,6 +59,7 @@
     bool advance(internal::connection& from);
     bool advance_head(internal::connection& from);
     bool advance_body(internal::connection& from);
+    bool bounded(internal::connection& from);
     void finish(internal::connection& from, std::size_t rest, bool unchecked);
     void settle(connection_id key);
     void complete(internal::connection& from, bool reusable, bool unchecked);
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -27,6 +27,11 @@
     from.m_phase = phase::closed;
     if (auto* socket = std::exchange(from.m_socket, nullptr)) {
         socket->data = nullptr;
+        // Without a reset the kernel would go on sending the rest.
+        constexpr linger reset{1, 0};
+        if (from.m_writing)
+            setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset,
+                       sizeof reset);
         h2o_socket_close(socket);
     }
 }
@@ -109,14 +114,25 @@
     return false;
 }
 
+// Ends a response that goes on without leading to anything.
+bool http_client::native::bounded(connection& from) {
+    if (from.m_overhead <= m_limits.m_head_bytes)
+        return true;
+    fail(from, "response without an end");
+    return false;
+}
+
 bool http_client::native::advance_head(connection& from) {
     h2o_buffer_t** input = &from.m_socket->input;
     response_head head;
     std::size_t consumed = 0;
     const auto state = from.m_parser.read_head(
         {(*input)->bytes, (*input)->size}, head, consumed);
-    if (state == parse_state::more)
+    if (state == parse_state::more) {
+        if ((*input)->size > m_limits.m_head_bytes)
+            fail(from, "response head without an end");
         return false;
+    }
     if (state == parse_state::malformed) {
         fail(from, "malformed response head");
         return false;
@@ -124,8 +140,10 @@
     constexpr int first_final_status = 200;
     if (head.m_status < first_final_status) {
         h2o_buffer_consume(input, consumed);
-        return true;
+        from.m_overhead += consumed;
+        return bounded(from);
     }
+    from.m_overhead = 0;
     from.m_phase = phase::body;
     const connection_id key = from.m_key;
     report(from, head_received{head});
@@ -150,13 +168,16 @@
         return false;
     }
     const connection_id key = from.m_key;
+    from.m_overhead = size > 0 ? 0 : from.m_overhead + (*input)->size;
     if (size > 0)
         report(from, body_received{{(*input)->bytes, size}});
     if (!m_connections.find(key) || !from.m_socket)
         return false;
     h2o_buffer_consume(&from.m_socket->input, from.m_socket->input->size);
-    if (state != parse_state::found)
+    if (state != parse_state::found) {
+        bounded(from);
         return false;
+    }
     finish(from, rest, false);
     return false;
 }
@@ -186,6 +207,7 @@
                                    bool unchecked) {
     const connection_id key = from.m_key;
     from.m_phase = phase::idle;
+    from.m_overhead = 0;
     from.m_bytes_sent = false;
     if (!reusable)
         shut(from);
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,6 +1,7 @@
 // HTTP/1 server on h2o.
 #include "io/http_server.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -37,7 +38,10 @@
     h2o_context_init(&m_native->m_context, loop.native(), &config);
     bound(limits);
     auto* native = m_native.get();
-    loop.every(oversize_check, [native] { native->end_oversized(); });
+    loop.every(oversize_check, [native] {
+        native->end_oversized();
+        native->bound_input();
+    });
     m_native->m_accept.ctx = &m_native->m_context;
     m_native->m_accept.hosts = config.hosts;
 }
@@ -52,6 +56,9 @@
     m_native->m_config.max_request_entity_size = limits.m_body_bytes;
     m_native->m_head_limit = limits.m_head_bytes;
     m_native->m_input_limit = limits.m_body_bytes + limits.m_head_bytes;
+    // One request always fits.
+    m_native->m_total_limit =
+        std::max(limits.m_input_bytes, m_native->m_input_limit);
     // h2o reads the period when it arms a connection's timer.
     m_native->m_context.http1.req_timeout.timeout =
         static_cast<std::uint64_t>(to_ms(limits.m_idle));
@@ -119,10 +126,13 @@
     exchange* found = m_native->m_exchanges.find(key);
     if (!found || !found->m_started)
         return;
-    // h2o takes nothing while a piece is moving: end the connection instead.
-    if (found->m_moving)
+    // h2o would write a chunk size that cannot be read; with the socket shut
+    // down nothing more goes out. It takes no call while a piece is moving,
+    // and notices the end itself then.
+    const bool moving = found->m_moving;
+    if (moving || !found->m_complete)
         shutdown(found->m_socket, SHUT_RDWR);
-    else if (!found->m_complete)
+    if (!moving && !found->m_complete)
         h2o_send(found->m_request, nullptr, 0, H2O_SEND_STATE_ERROR);
 }
 
@@ -136,6 +146,14 @@
     send(key, body, true);
 }
 
+std::string_view http_server::body(exchange_id key) const {
+    const exchange* found = m_native->m_exchanges.find(key);
+    if (!found)
+        return {};
+    const h2o_iovec_t& entity = found->m_request->entity;
+    return {entity.base, entity.len};
+}
+
 bool http_server::caller_gone(exchange_id key) {
     const exchange* found = m_native->m_exchanges.find(key);
     if (!found || found->m_socket < 0)
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include <skylark/config/config.hpp>
 #include <skylark/core/address.hpp>
 #include <skylark/core/id.hpp>
 #include <skylark/core/time.hpp>
@@ -25,6 +26,9 @@
     std::size_t m_body_bytes{std::size_t{1} << 20U};
     duration m_idle{seconds{60}};
     std::size_t m_head_bytes{std::size_t{64} << 10U};
+    //! Received bytes of all requests that are not over. Beyond it, requests
+    //! that are still coming in lose their connections, largest first.
+    std::size_t m_input_bytes{defaults::input_bytes};
 };
 
 /*! @brief Serves HTTP/1 on one or more addresses.
@@ -85,6 +89,11 @@
     void answer(exchange_id key, int status, std::span<const header> headers,
                 std::string_view body);
 
+    /*! @brief Body of an exchange's request; its bytes stay in place until the
+     *  exchange is over, that is until m_closed has returned.
+     *  @return the bytes, none for an exchange that is over */
+    [[nodiscard]] std::string_view body(exchange_id key) const;
+
     /*! @brief Whether the caller has closed its side. */
     bool caller_gone(exchange_id key);
 
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -1,7 +1,11 @@
 // What h2o calls for the HTTP server.
+#include <algorithm>
 #include <cerrno>
 #include <memory>
 #include <netinet/tcp.h>
+#include <set>
+#include <utility>
+#include <vector>
 
 #include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
@@ -38,6 +42,32 @@
             shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
 }
 
+// Ends connections whose requests are still coming in, largest first, until
+// the rest fits: nobody has begun to work on those, so callers may try again.
+void http_server::native::bound_input() {
+    std::size_t sum = 0;
+    for (const auto& [peer, socket] : m_sockets)
+        sum += socket->input->size;
+    if (sum <= m_total_limit)
+        return;
+    std::set<int> at_work;
+    for (const auto& [key, item] : m_exchanges)
+        at_work.insert(item.m_socket);
+    std::vector<std::pair<std::size_t, int>> coming;
+    for (const auto& [peer, socket] : m_sockets) {
+        const int fd = h2o_socket_get_fd(socket);
+        if (socket->input->size > 0 && !at_work.contains(fd))
+            coming.emplace_back(socket->input->size, fd);
+    }
+    std::sort(coming.rbegin(), coming.rend());
+    for (const auto& [size, fd] : coming) {
+        if (sum <= m_total_limit)
+            return;
+        shutdown(fd, SHUT_RDWR);
+        sum -= size;
+    }
+}
+
 exchange_id http_server::native::open(h2o_req_t* request) {
     auto* self = static_cast<generator*>(h2o_mem_alloc_shared(
         &request->pool, sizeof(generator), &native::on_dispose));
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -59,10 +59,12 @@
     std::unordered_map<std::uint64_t, h2o_socket_t*> m_sockets; // by peer
     std::size_t m_head_limit{};         // bytes of all header fields
     std::size_t m_input_limit{};        // bytes of one request, head and body
+    std::size_t m_total_limit{};        // bytes of all requests
     std::vector<header_view> m_headers; // scratch
     time_point m_last_request;
 
     void end_oversized();
+    void bound_input();
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
     static void on_accept(h2o_socket_t* listener, const char* error);
     static void on_socket_close(void* data);
--- a/test/io/http_client.cpp
+++ b/test/io/http_client.cpp
@@ -252,3 +252,56 @@
     EXPECT_EQ(m_log.m_body, "ab");
     EXPECT_FALSE(m_log.m_reusable);
 }
+
+namespace {
+
+// Bytes that an upstream may send before they must have led to an answer.
+constexpr std::size_t head_limit = io::http_client::limits{}.m_head_bytes;
+
+} // namespace
+
+// An answer that goes on for as long as somebody reads.
+struct endless_answer {
+    std::string m_name;
+    std::string m_begin;
+    std::string m_repeated;
+};
+
+class endless_answers : public client_test,
+                        public testing::WithParamInterface<endless_answer> {};
+
+TEST_P(endless_answers, are_given_up_after_bounded_bytes) {
+    const endless_answer& answer = GetParam();
+    open();
+    m_client.send(m_connection, request_bytes, false);
+    m_server.read_request();
+    m_server.write(answer.m_begin);
+    std::size_t written = 0;
+    while (!m_log.m_failed && written < 4 * head_limit) {
+        m_server.write(answer.m_repeated);
+        written += answer.m_repeated.size();
+        for (int i = 0; i < 3; ++i)
+            m_loop.run_once(milliseconds{1});
+    }
+    EXPECT_TRUE(m_log.m_failed);
+    EXPECT_LE(written, 2 * head_limit);
+    EXPECT_EQ(m_log.m_body, "");
+}
+
+namespace {
+const std::string filler(8000, 'x');
+const std::string chunked_head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(
+    http_client, endless_answers,
+    testing::Values(
+        endless_answer{"header_field", "HTTP/1.1 200 OK\r\nX: ", filler},
+        endless_answer{"reason", "HTTP/1.1 200 O", filler},
+        endless_answer{"interim_answers", "",
+                       "HTTP/1.1 100 Continue\r\nX: " + filler + "\r\n\r\n"},
+        endless_answer{"chunk_extension", chunked_head + "5;e=", filler},
+        endless_answer{"trailer", chunked_head + "0\r\n",
+                       "X: " + filler + "\r\n"}),
+    [](const auto& tested) { return tested.param.m_name; });
--- a/test/io/http_server.cpp
+++ b/test/io/http_server.cpp
@@ -10,8 +10,10 @@
 #include "core/overload.hpp"
 #include "io/event_loop.hpp"
 #include "io/fetcher.hpp"
+#include "test/io/raw_caller.hpp"
 
 using namespace skylark;
+using skylark::test::raw_caller;
 
 namespace {
 
@@ -206,3 +208,20 @@
     turn_until([this] { return m_whole; });
     EXPECT_FALSE(m_reusable);
 }
+
+// Whatever the server added would be read as part of the upstream's answer.
+TEST_F(server_test, a_broken_chunked_answer_ends_with_what_was_sent) {
+    raw_caller caller{m_where};
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    turn_until([this] { return bool{m_exchange}; });
+    m_server.start(m_exchange, 200, {}, std::nullopt);
+    m_server.send(m_exchange, "abc", false);
+    turn_until([this] { return m_ready > 0; });
+    m_server.abort(m_exchange);
+    turn_until([&] { return !caller.read(); });
+    const auto body = caller.bytes().find("\r\n\r\n");
+    ASSERT_NE(body, std::string::npos);
+    EXPECT_EQ(caller.bytes().substr(body + 4), "3\r\nabc\r\n");
+    turn_until([this] { return m_closed == 1; });
+    EXPECT_FALSE(m_complete);
+}
