Hand request bodies to upstreams without copies

A body was gathered by h2o, copied into the request and copied again into the bytes of each attempt. Now attempts send it from where it was received; it stays there until the exchange is over. So an upstream that has a body in part when the caller leaves is cut off, also a non-idempotent one: its body can no longer be completed, and it is never sent again.

--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -63,7 +63,7 @@
     store::client m_store;
     io::fetcher m_peers;
     list_guard m_guard;
-    instance_log m_log;     //!< of the list in use, for peers
+    instance_log m_log; //!< of the list in use, for peers
     watch_turn m_document_turn;
     watch_turn m_list_turn;
     bool m_noted_lost{}; // what was last noted of the store
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -115,6 +115,7 @@
     void refuse_caller(request& of, const refuse& why);
     void take_body(request_id key, attempt_id which, std::string_view piece);
     void complete(request_id key, attempt_id which, bool reusable);
+    [[nodiscard]] bool may_cancel(const request& of);
     void finish(request_id key, outcome how);
     void sweep();
     [[nodiscard]] double hedge_percent(double utilization) const;
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -136,8 +136,7 @@
     const request_id made = m_requests.emplace(request{
         key, service, under.m_name, under.m_class,
         attempt_machine{{under.m_idempotent, now + wait, under.m_max_attempts}},
-        now, forward_head(from, m_shared.m_dialect), std::string{from.m_body},
-        from.m_method == "HEAD"});
+        now, forward_head(from, m_shared.m_dialect), from.m_method == "HEAD"});
     request& of = *m_requests.find(made);
     of.m_rank = under.m_rank;
     of.m_target =
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -119,6 +119,18 @@
         m_client.resume(running->second.m_connection);
 }
 
+// A non-idempotent request that an upstream has whole may be running. The body
+// goes with the exchange, so what an upstream has in part is cut.
+bool forwarder::may_cancel(const request& of) {
+    if (of.m_machine.terms().m_idempotent || of.m_machine.answer_has_begun())
+        return true;
+    return std::none_of(
+        of.m_attempts.begin(), of.m_attempts.end(), [this](const auto& item) {
+            const attempt& made = item.second;
+            return made.m_sent && !m_client.writing(made.m_connection);
+        });
+}
+
 void forwarder::closed(exchange_id key, bool complete) {
     const auto known = m_by_exchange.find(key);
     if (known == m_by_exchange.end())
@@ -131,14 +143,13 @@
         finish(which, of.m_outcome);
         return;
     }
-    const bool unsent = of.m_attempts.empty();
-    const bool cancellable =
-        of.m_machine.terms().m_idempotent || of.m_machine.answer_has_begun();
-    if (unsent || cancellable) {
+    if (may_cancel(of)) {
         apply(which, of.m_machine.abandoned());
         return;
     }
-    // A booking that may be running is not cut off; its answer is dropped.
+    // A booking that may be running is not cut off; its answer is dropped. No
+    // upstream gets it after this one.
+    of.m_machine.stop_attempts();
     if (of.m_machine.done())
         finish(which, outcome::abandoned);
 }
@@ -184,11 +195,8 @@
             continue;
         if (of.m_answering && now - of.m_progress > stalled_answer_limit)
             stalled.push_back(key);
-        const bool unsent = of.m_attempts.empty();
-        const bool may_cancel = unsent || of.m_machine.terms().m_idempotent;
-        if (!of.m_answering && may_cancel &&
-            now - of.m_arrived > caller_check_age &&
-            m_callers.caller_gone(of.m_exchange))
+        if (!of.m_answering && now - of.m_arrived > caller_check_age &&
+            may_cancel(of) && m_callers.caller_gone(of.m_exchange))
             left.push_back(key);
     }
     for (const request_id key : stalled)
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -63,8 +63,8 @@
     if (made.m_share == share_kind::cold)
         left = std::min(left, timing.m_hold_down - timing.m_self_stop);
     const upstream& target = *m_shared.m_upstreams.find(made.m_upstream);
-    std::string bytes = complete_request(of.m_head, of.m_body, left,
-                                         target.m_instance, m_shared.m_dialect);
+    std::string head =
+        complete_head(of.m_head, left, target.m_instance, m_shared.m_dialect);
     // The clock is read again: nothing may come between check and write.
     const time_point now = io::event_loop::now();
     if (!of.m_machine.sending(which, now)) {
@@ -74,7 +74,8 @@
     made.m_sent = true;
     made.m_sent_at = now;
     log_send(of, made, target, now);
-    m_client.send(made.m_connection, std::move(bytes), of.m_head_only);
+    m_client.send(made.m_connection, std::move(head),
+                  m_callers.body(of.m_exchange), of.m_head_only);
 }
 
 void forwarder::handle(request_id key, attempt_id which,
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -110,7 +110,8 @@
             entries.push_back(item.m_address);
     m_shared.m_fleet.set_listed(entries);
     const limits& bounds = m_shared.m_config.current().m_limits;
-    m_callers.bound({bounds.m_body_bytes, bounds.m_idle, bounds.m_head_bytes});
+    m_callers.bound({bounds.m_body_bytes, bounds.m_idle, bounds.m_head_bytes,
+                     m_shared.m_settings.m_input_bytes});
     m_forwarder.removed(m_shared.m_upstreams.adopt(m_shared.m_config.current(),
                                                    m_shared.m_instances));
     m_forwarder.pump();
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -44,7 +44,6 @@
     time_point m_arrived;
     // Head as it goes to the upstream, less the deadline and the blank line.
     std::string m_head;
-    std::string m_body;
     bool m_head_only{};
     std::map<attempt_id, attempt> m_attempts;
     std::vector<upstream_id> m_tried;
--- a/src/entry/request_head.cpp
+++ b/src/entry/request_head.cpp
@@ -68,15 +68,13 @@
     return out;
 }
 
-std::string complete_request(std::string_view head, std::string_view body,
-                             duration left, std::string_view instance,
-                             const dialect& speaks) {
+std::string complete_head(std::string_view head, duration left,
+                          std::string_view instance, const dialect& speaks) {
     std::string out{head};
     std::visit(
         [&](const auto& kind) { kind.write_attempt(out, left, instance); },
         speaks);
     out += "\r\n";
-    out.append(body);
     return out;
 }
 
--- a/src/entry/request_head.hpp
+++ b/src/entry/request_head.hpp
@@ -20,15 +20,14 @@
  *  @return request line and headers, hop-by-hop ones left out */
 std::string forward_head(const io::request_view& from, const dialect& speaks);
 
-/*! @brief Completes a request for one attempt.
+/*! @brief Completes the head of a request for one attempt; the caller's body
+ *  follows it.
  *  @param head from forward_head
- *  @param body the caller's body
  *  @param left time until the deadline
  *  @param instance id of the upstream
  *  @param speaks the interface towards upstreams */
-std::string complete_request(std::string_view head, std::string_view body,
-                             duration left, std::string_view instance,
-                             const dialect& speaks);
+std::string complete_head(std::string_view head, duration left,
+                          std::string_view instance, const dialect& speaks);
 
 /*! @brief Headers that a caller gets of an upstream's answer. */
 std::vector<io::header> answer_headers(const io::response_head& from,
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -232,6 +232,9 @@
     reader.ms("entries_ttl_ms", out.m_entries_ttl);
     reader.ms("drain_limit_ms", out.m_drain_limit);
     reader.ms("apply_limit_ms", out.m_apply_limit);
+    std::int64_t input = static_cast<std::int64_t>(out.m_input_bytes);
+    reader.whole("input_bytes", input);
+    out.m_input_bytes = static_cast<std::size_t>(input);
     if (auto error = reader.finish())
         return *std::move(error);
     if (auto error = check_timing(out, file))
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -50,6 +50,8 @@
     duration m_isolation_limit{defaults::isolation_limit};
     duration m_entries_ttl{defaults::entries_ttl};
     duration m_drain_limit{seconds{30}}; //!< longest graceful shutdown
+    //! Received bytes of all requests that are not over.
+    std::size_t m_input_bytes{defaults::input_bytes};
 };
 
 /*! @brief Reads settings.
--- a/test/entry/request_head.cpp
+++ b/test/entry/request_head.cpp
@@ -15,16 +15,15 @@
     const io::request_view from{"POST", "/b?x=1", "body", headers};
     const entry::dialect speaks;
     const auto bytes =
-        entry::complete_request(entry::forward_head(from, speaks), from.m_body,
-                                seconds{1}, "u1", speaks);
+        entry::complete_head(entry::forward_head(from, speaks), seconds{1},
+                             "u1", speaks);
     EXPECT_EQ(bytes, "POST /b?x=1 HTTP/1.1\r\nHost: upstream\r\nX-A: 1\r\n"
-                     "Content-Length: 4\r\nRequest-Timeout-Ms: 1000\r\n\r\n"
-                     "body");
+                     "Content-Length: 4\r\nRequest-Timeout-Ms: 1000\r\n\r\n");
 }
 
 TEST(request_head, the_deadline_is_never_zero) {
     const auto bytes =
-        entry::complete_request("", "", microseconds{10}, "", entry::dialect{});
+        entry::complete_head("", microseconds{10}, "", entry::dialect{});
     EXPECT_NE(bytes.find("Request-Timeout-Ms: 1\r\n"), std::string::npos);
 }
 
