Ask the store less at starts: peers first, one listing, places for relays only

An entry that had just started knew nobody, so it took itself for the watcher of its zone and listed the store prefix by prefix; and each of them took a lease and wrote its address. Change: an entry that starts waits 0.6 s for its peers before it asks the store; a listing asks for all keys at once; only relays keep a place in the store (member/place_duty: after 3 s as a relay, until 30 s after).

--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -81,6 +81,9 @@
     [[nodiscard]] std::vector<entry_id>
     watchers_of(std::uint64_t zone, std::size_t count, time_point now) const;
 
+    /*! @brief Whether this entry relays for its zone, as far as it knows. */
+    [[nodiscard]] bool is_relay() const { return m_is_relay; }
+
     /*! @brief Whether the store does not answer this entry. */
     [[nodiscard]] bool store_lost() const { return m_store_lost; }
 
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -25,6 +25,9 @@
 // When all entries start together they know each other after this time, and
 // which of them watch the store.
 constexpr duration meeting_time = seconds{1};
+// An entry that starts alone hears of its peers within three heartbeats, and
+// gets from them what they know.
+constexpr duration asking_peers_time = milliseconds{600};
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 
 duration longest_trust(const settings& from) {
@@ -52,7 +55,7 @@
 
 void configurator::start() {
     const duration wait =
-        m_shared.m_settings.m_bootstrap ? meeting_time : duration{0};
+        m_shared.m_settings.m_bootstrap ? meeting_time : asking_peers_time;
     m_shared.m_loop.after(wait, [this] {
         m_document_turn.start(io::event_loop::now());
         m_list_turn.start(io::event_loop::now());
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -218,6 +218,11 @@
     return std::find(first.begin(), first.end(), self()) != first.end();
 }
 
+bool fleet::is_relay() const {
+    const auto* of = std::get_if<roster>(&m_members);
+    return of && of->is_relay();
+}
+
 bool fleet::live(const member& peer, time_point now) const {
     const auto* of = std::get_if<roster>(&m_members);
     return of ? of->live(peer, now)
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -73,6 +73,9 @@
      */
     [[nodiscard]] bool is_watcher(time_point now) const;
 
+    /*! @brief Whether this entry passes on what it hears to others. */
+    [[nodiscard]] bool is_relay() const;
+
     /*! @brief Whether a peer is heard lately enough to name it to callers. */
     [[nodiscard]] bool live(const member& peer, time_point now) const;
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -13,6 +13,7 @@
 // them whether it lives.
 constexpr auto place_life = seconds{15};
 constexpr auto gauge_period = milliseconds{500};
+constexpr auto place_check = milliseconds{500};
 constexpr auto drain_check = milliseconds{20};
 // No request for this long, once no answer names this entry any more.
 constexpr auto drain_quiet = milliseconds{300};
@@ -55,7 +56,7 @@
     };
     BOOST_OUTCOME_TRYV(m_shared.m_fleet.start(std::move(hooks)));
     m_configurator.start();
-    take_place();
+    prepare_place();
     // Without shares nobody owns a probe; upstreams are asked before a send.
     if (m_shared.m_settings.m_deployment == deployment::native)
         m_prober.start();
@@ -75,8 +76,17 @@
         m_forwarder.accept(key, request);
 }
 
-// Where the store lists the entries, this one keeps its place in the list.
-void node::take_place() {
+// Where the store lists entries, relays keep a place in the list.
+void node::watch_place() {
+    if (m_shared.m_draining)
+        return;
+    if (m_place_duty.step(io::event_loop::now(), m_shared.m_fleet.is_relay()))
+        m_place->start();
+    else
+        m_place->stop();
+}
+
+void node::prepare_place() {
     const settings& from = m_shared.m_settings;
     if (from.m_deployment == deployment::native)
         return;
@@ -84,7 +94,7 @@
                     std::string{platform::entry_prefix} + from.m_name,
                     from.m_peer.text(), place_life,
                     [this](store::lease_event what) { note_place(what); });
-    m_place->start();
+    m_shared.m_loop.every(place_check, [this] { watch_place(); });
 }
 
 void node::note_place(store::lease_event what) {
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -2,6 +2,8 @@
 #ifndef SKYLARK_ENTRY_NODE_HPP
 #define SKYLARK_ENTRY_NODE_HPP
 
+#include <skylark/member/place_duty.hpp>
+
 #include "entry/configurator.hpp"
 #include "entry/context.hpp"
 #include "entry/control.hpp"
@@ -33,7 +35,8 @@
 private:
     void serve_caller(exchange_id key, const io::request_view& request);
     void adopt();
-    void take_place();
+    void prepare_place();
+    void watch_place();
     void note_place(store::lease_event what);
     void watch_isolation();
     void update_gauges();
@@ -48,6 +51,7 @@
     control m_control;
     lookup m_lookup;
     std::optional<store::lease_holder> m_place; //!< in the store's list
+    place_duty m_place_duty;
 };
 
 } // namespace skylark::entry
--- a/src/store/lease_holder.cpp
+++ b/src/store/lease_holder.cpp
@@ -23,13 +23,18 @@
       m_told{std::move(told)} {}
 
 void lease_holder::start() {
+    if (!std::exchange(m_stopped, false))
+        return;
+    ++m_run;
     step();
 }
 
 void lease_holder::stop() {
-    if (std::exchange(m_stopped, true) || m_lease == 0)
+    m_held = false;
+    const std::uint64_t lease = std::exchange(m_lease, 0);
+    if (std::exchange(m_stopped, true) || lease == 0)
         return;
-    auto request = m_protocol.end(m_lease);
+    auto request = m_protocol.end(lease);
     request.m_to = m_where;
     // Without an answer the lease ends by itself.
     m_fetcher.run(request, [](const io::fetch_result&) {});
@@ -47,14 +52,20 @@
 }
 
 void lease_holder::again(duration wait) {
-    m_loop.after(wait, [this] { step(); });
+    m_loop.after(wait, [this, run = m_run] {
+        if (run == m_run)
+            step();
+    });
 }
 
 // Runs a call; whatever is no answer is tried again.
 void lease_holder::call(io::fetch_request what, reader read) {
     what.m_to = m_where;
-    m_fetcher.run(what, [this,
+    m_fetcher.run(what, [this, run = m_run,
                          read = std::move(read)](const io::fetch_result& got) {
+        // A lease that is granted after a stop ends by itself.
+        if (m_stopped || run != m_run)
+            return;
         const auto* answer = std::get_if<io::fetch_answer>(&got);
         const bool ended = answer && answer->m_status == io::status::not_found;
         if (answer && (answer->m_status == io::status::ok || ended)) {
--- a/src/store/lease_holder.hpp
+++ b/src/store/lease_holder.hpp
@@ -34,6 +34,7 @@
                  std::string value, duration life,
                  std::function<void(lease_event)> told);
 
+    /*! @brief Begins, also after a stop. */
     void start();
 
     /*! @brief Ends the lease, and with it the key. */
@@ -65,7 +66,8 @@
     std::uint64_t m_lease{};
     bool m_held{};
     bool m_failing{}; // told once for each series of failures
-    bool m_stopped{};
+    bool m_stopped{true};
+    std::uint64_t m_run{}; // counts starts; calls of an earlier one are over
 };
 
 } // namespace skylark::store
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -2,7 +2,6 @@
 #include "store/mirror_client.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include <skylark/config/config.hpp>
@@ -13,12 +12,9 @@
 
 namespace {
 
-// A listing holds every prefix that is followed; changes come for all keys.
-constexpr std::array prefixes{platform::operator_prefix,
-                              platform::upstream_prefix,
-                              platform::entry_prefix};
-constexpr std::string_view own_segment = "skylark/"; // of the entries' keys
+// Listings and changes are asked for with one call for all keys.
 constexpr std::string_view all_keys;
+constexpr std::string_view own_segment = "skylark/"; // of the entries' keys
 // Living upstreams are back in the store this long after its return.
 constexpr auto removal_hold = milliseconds{2200};
 constexpr auto shortest_wait = milliseconds{100};
@@ -76,19 +72,18 @@
     }
     m_mirror.begin_listing();
     m_pages = 0;
-    list(0, {});
+    list({});
 }
 
-void mirror_client::list(std::size_t prefix, const std::string& after) {
-    auto request = m_protocol.range(prefixes.at(prefix), after);
+void mirror_client::list(const std::string& after) {
+    auto request = m_protocol.range(all_keys, after);
     request.m_to = m_where;
     m_reach.asked(io::event_loop::now(), duration{0});
-    m_fetcher.run(request, [this, prefix](const io::fetch_result& got) {
-        take_page(prefix, got);
-    });
+    m_fetcher.run(request,
+                  [this](const io::fetch_result& got) { take_page(got); });
 }
 
-void mirror_client::take_page(std::size_t prefix, const io::fetch_result& got) {
+void mirror_client::take_page(const io::fetch_result& got) {
     const auto* answer = std::get_if<io::fetch_answer>(&got);
     if (!answer) {
         failed(std::get<io::fetch_failure>(got).m_cause);
@@ -103,11 +98,7 @@
     m_mirror.list(page.value());
     const auto& records = page.value().m_records;
     if (page.value().m_more && !records.empty()) {
-        list(prefix, records.back().m_key);
-        return;
-    }
-    if (prefix + 1 < prefixes.size()) {
-        list(prefix + 1, {});
+        list(records.back().m_key);
         return;
     }
     const time_point now = io::event_loop::now();
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -65,9 +65,9 @@
     };
 
     void advance();
-    void list(std::size_t prefix, const std::string& after);
+    void list(const std::string& after);
     void watch();
-    void take_page(std::size_t prefix, const io::fetch_result& got);
+    void take_page(const io::fetch_result& got);
     void take_changes(const io::fetch_result& got);
     void failed(const std::string& cause);
     void serve(time_point confirmed);
--- /dev/null
+++ b/test/member/place_duty.cpp
@@ -0,0 +1,63 @@
+// Only lasting relays are listed in the store.
+#include <skylark/member/place_duty.hpp>
+
+#include <gtest/gtest.h>
+
+#include "test/member/fake_rosters.hpp"
+
+using namespace skylark;
+
+namespace {
+constexpr time_point start{seconds{100}};
+}
+
+TEST(place_duty, a_relay_is_listed_once_it_has_settled) {
+    place_duty subject;
+    EXPECT_FALSE(subject.step(start, true));
+    EXPECT_FALSE(subject.step(start + seconds{2}, true));
+    EXPECT_TRUE(subject.step(start + seconds{3}, true));
+}
+
+TEST(place_duty, a_short_interruption_begins_anew) {
+    place_duty subject;
+    subject.step(start, true);
+    subject.step(start + seconds{2}, false);
+    EXPECT_FALSE(subject.step(start + seconds{4}, true));
+    EXPECT_TRUE(subject.step(start + seconds{7}, true));
+}
+
+TEST(place_duty, a_former_relay_stays_listed_for_a_while) {
+    place_duty subject;
+    subject.step(start, true);
+    ASSERT_TRUE(subject.step(start + seconds{3}, true));
+    EXPECT_TRUE(subject.step(start + seconds{10}, false));
+    EXPECT_TRUE(subject.step(start + seconds{39}, false));
+    EXPECT_FALSE(subject.step(start + seconds{40}, false));
+}
+
+// A deployment of 300 that starts, and starts again as one, lists its relays.
+TEST(place_duty, a_mass_restart_lists_few) {
+    constexpr std::size_t members = 300;
+    constexpr std::size_t zones = 5;
+    test::fake_rosters fleet{members, zones, 21};
+    std::map<std::size_t, place_duty> duties;
+    std::set<std::size_t> listed;
+    const auto run = [&](int steps) {
+        for (int i = 0; i < steps; ++i) {
+            fleet.run(milliseconds{500});
+            for (std::size_t m = 1; m <= members; ++m)
+                if (duties[m].step(fleet.now(), fleet.at(m).is_relay()))
+                    listed.insert(m);
+        }
+    };
+    run(14);
+    EXPECT_GE(listed.size(), zones);
+    EXPECT_LE(listed.size(), 2 * zones);
+    listed.clear();
+    duties.clear();
+    for (std::size_t m = 1; m <= members; ++m)
+        fleet.start(m, 2000);
+    run(14);
+    EXPECT_GE(listed.size(), zones);
+    EXPECT_LE(listed.size(), 2 * zones);
+}
--- a/test/store/lease_holder.cpp
+++ b/test/store/lease_holder.cpp
@@ -96,3 +96,20 @@
     m_store.set_faults({});
     turn_until([this] { return listed(); });
 }
+
+TEST_F(lease_holder_test, begins_again_after_a_stop) {
+    m_holder.start();
+    turn_until([this] { return m_holder.held(); });
+    m_holder.stop();
+    EXPECT_FALSE(m_holder.held());
+    m_holder.start();
+    m_holder.start();
+    turn_until([this] { return m_holder.held() && listed(); });
+    // Let the first key end, if it was still there.
+    const auto before = m_store.calls();
+    const time_point end = io::event_loop::now() + life;
+    turn_until([&] { return io::event_loop::now() >= end; });
+    EXPECT_TRUE(listed());
+    // Renewals of one holder, not of two.
+    EXPECT_LE(m_store.calls() - before, 4U);
+}
--- a/test/store/mirror_client.cpp
+++ b/test/store/mirror_client.cpp
@@ -25,9 +25,11 @@
 protected:
     mirror_client_test()
         : m_store{m_loop}, m_where{m_store.listen({0x7f000001U, 0}).value()},
-          m_client{m_loop, m_where, {{"a"}, 60}, milliseconds{1500}, [this](const input_error&) {
-                       ++m_notes;
-                   }} {}
+          m_client{m_loop,
+                   m_where,
+                   {{"a"}, 60},
+                   milliseconds{1500},
+                   [this](const input_error&) { ++m_notes; }} {}
 
     void turn_until(const std::function<bool()>& reached) {
         for (int i = 0; i < 20000 && !reached(); ++i)
