--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -53,6 +53,14 @@
      *  @param now the present */
     void received(const heartbeat& message, time_point now);
 
+    /*! @brief Answer to a member that has no configuration yet, so that it
+     *  need not wait for the next round.
+     *  @param from its heartbeat
+     *  @param mark own configuration state
+     *  @return none when there is nothing to tell */
+    [[nodiscard]] std::optional<outgoing_heartbeat>
+    greeting(const heartbeat& from, const config_mark& mark) const;
+
     /*! @brief The process was paused: silence meanwhile proves nothing. */
     void paused(time_point now);
 
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -15,6 +15,7 @@
 namespace {
 constexpr auto retry_wait = milliseconds{500};
 constexpr auto turn_check = milliseconds{200};
+constexpr auto first_turn_check = milliseconds{20}; // until there is a list
 constexpr auto list_patience = seconds{30};
 // A watcher confirms what it has at least every 1.8 s; more is late.
 constexpr duration shortest_trust = seconds{3};
@@ -22,12 +23,6 @@
 // first of them tells the rest.
 constexpr std::uint32_t trust_steps = 16;
 constexpr auto trust_step = milliseconds{150};
-// When all entries start together they know each other after this time, and
-// which of them watch the store.
-constexpr duration meeting_time = seconds{1};
-// An entry that starts alone hears of its peers within three heartbeats, and
-// gets from them what they know.
-constexpr duration asking_peers_time = milliseconds{600};
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 
 duration longest_trust(const settings& from) {
@@ -54,14 +49,12 @@
       m_list_turn{longest_trust(shared.m_settings)} {}
 
 void configurator::start() {
-    const duration wait =
-        m_shared.m_settings.m_bootstrap ? meeting_time : asking_peers_time;
-    m_shared.m_loop.after(wait, [this] {
-        m_document_turn.start(io::event_loop::now());
-        m_list_turn.start(io::event_loop::now());
-        watch_document();
-        watch_instances();
-    });
+    const time_point now = io::event_loop::now();
+    const bool bootstrap = m_shared.m_settings.m_bootstrap;
+    m_document_turn.start(now, bootstrap);
+    m_list_turn.start(now, bootstrap);
+    watch_document();
+    watch_instances();
 }
 
 store::client configurator::open_store() {
@@ -85,8 +78,18 @@
 
 bool configurator::is_turn(watch_turn& of) const {
     const time_point now = io::event_loop::now();
-    return of.due(now, {m_shared.m_fleet.is_watcher(now), m_store.lost(now),
-                        m_shared.m_config.age(now)});
+    const watch_state state{m_shared.m_fleet.is_watcher(now), m_store.lost(now),
+                            m_shared.m_config.age(now), knows_all(),
+                            m_peer_knows};
+    return of.due(now, state);
+}
+
+bool configurator::knows_all() const {
+    return m_shared.m_config.ready() && m_shared.m_instances.m_index > 0;
+}
+
+duration configurator::next_check() const {
+    return knows_all() ? turn_check : first_turn_check;
 }
 
 // The peers learn at once that another entry has to watch.
@@ -101,7 +104,7 @@
 
 void configurator::watch_document() {
     if (!is_turn(m_document_turn)) {
-        m_shared.m_loop.after(turn_check, [this] { watch_document(); });
+        m_shared.m_loop.after(next_check(), [this] { watch_document(); });
         return;
     }
     m_shared.m_metrics.count(counter::store_reads);
@@ -177,7 +180,7 @@
 
 void configurator::watch_instances() {
     if (!is_turn(m_list_turn)) {
-        m_shared.m_loop.after(turn_check, [this] { watch_instances(); });
+        m_shared.m_loop.after(next_check(), [this] { watch_instances(); });
         return;
     }
     m_shared.m_metrics.count(counter::store_reads);
@@ -252,6 +255,7 @@
 
 void configurator::peer_mark(const member& peer) {
     const config_mark& theirs = peer.m_config;
+    m_peer_knows |= theirs.m_revision > 0 && theirs.m_instances > 0;
     m_shared.m_config.confirmed(theirs.m_revision,
                                 io::event_loop::now() - theirs.m_confirmed_age);
     const bool refused_before =
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -45,6 +45,8 @@
 private:
     store::client open_store();
     [[nodiscard]] bool is_turn(watch_turn& of) const;
+    [[nodiscard]] bool knows_all() const;
+    [[nodiscard]] duration next_check() const;
     void note_store();
     void watch_document();
     void watch_instances();
@@ -67,6 +69,7 @@
     watch_turn m_document_turn;
     watch_turn m_list_turn;
     bool m_noted_lost{}; // what was last noted of the store
+    bool m_peer_knows{}; // one with document and list was heard
     bool m_fetching_document{};
     bool m_fetching_instances{};
     std::uint64_t m_noted_revert{}; // store revision that was told last
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -104,18 +104,20 @@
 }
 
 void fleet::beat() {
-    auto out = round(io::event_loop::now());
+    const auto out = round(io::event_loop::now());
     note_changes();
-    const std::uint64_t stamp = m_events.stamp();
-    for (outgoing_heartbeat& item : out) {
-        item.m_message.m_clock = stamp;
-        const auto bytes = peer::encode(item.m_message);
-        for (const address& to : item.m_to)
-            m_socket.send(to, bytes);
-        m_counts.count(counter::heartbeats_sent, item.m_to.size());
-        m_counts.count(counter::heartbeat_bytes_sent,
-                       bytes.size() * item.m_to.size());
-    }
+    for (const outgoing_heartbeat& item : out)
+        send(item);
+}
+
+void fleet::send(outgoing_heartbeat item) {
+    item.m_message.m_clock = m_events.stamp();
+    const auto bytes = peer::encode(item.m_message);
+    for (const address& to : item.m_to)
+        m_socket.send(to, bytes);
+    m_counts.count(counter::heartbeats_sent, item.m_to.size());
+    m_counts.count(counter::heartbeat_bytes_sent,
+                   bytes.size() * item.m_to.size());
 }
 
 void fleet::receive(std::span<const std::uint8_t> bytes) {
@@ -133,6 +135,9 @@
                         },
                         [&](roster& of) { of.received(message.value(), now); }},
                m_members);
+    if (const auto* of = std::get_if<roster>(&m_members))
+        if (const auto out = of->greeting(message.value(), m_hooks.m_mark()))
+            send(*out);
     follow_view();
     for (const load_digest& digest : message.value().m_loads)
         m_hooks.m_digest(digest);
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -102,6 +102,7 @@
 
 private:
     std::vector<outgoing_heartbeat> round(time_point now);
+    void send(outgoing_heartbeat item);
     void receive(std::span<const std::uint8_t> bytes);
     void follow_view();
     void note_changes();
--- a/src/member/roster_round.cpp
+++ b/src/member/roster_round.cpp
@@ -127,6 +127,17 @@
     return out;
 }
 
+std::optional<outgoing_heartbeat>
+roster::greeting(const heartbeat& from, const config_mark& mark) const {
+    const bool lacks = from.m_config.m_revision == 0;
+    if (!lacks || mark.m_revision == 0 ||
+        from.m_sender.m_name.m_id == m_self.m_name.m_id)
+        return std::nullopt;
+    // Without reports, so that it needs no time.
+    return outgoing_heartbeat{{from.m_sender.m_contact.m_peer},
+                              message_for({}, mark, {})};
+}
+
 // New members are found at the seeds and the addresses that the platform
 // lists. A relay looks for its zone, and whoever has no relay for itself.
 std::vector<address> roster::next_unknown() {
--- a/test/member/fake_watchers.hpp
+++ b/test/member/fake_watchers.hpp
@@ -30,7 +30,7 @@
             m_entries.try_emplace(i);
             m_entries.at(i).m_next =
                 m_fleet.now() + seconds{1} + milliseconds{i % 7 * 30};
-            m_entries.at(i).m_turn.start(m_fleet.now());
+            m_entries.at(i).m_turn.start(m_fleet.now(), true);
         }
         m_fleet.m_mark = [this](std::size_t i) { return mark(i); };
         m_fleet.m_heard = [this](std::size_t i, const heartbeat& from) {
--- a/test/member/roster.cpp
+++ b/test/member/roster.cpp
@@ -187,3 +187,20 @@
     fleet.run(seconds{3});
     EXPECT_EQ(fleet.errors(), 0U);
 }
+
+TEST(roster, greets_who_has_no_configuration) {
+    fake_rosters fleet{4, 2, 12};
+    fleet.run(seconds{2});
+    heartbeat newcomer;
+    newcomer.m_sender.m_name = {entry_id{9}, 1};
+    newcomer.m_sender.m_contact.m_peer = {9, 1};
+    const config_mark known{7, 8, {}};
+    const auto told = fleet.at(1).greeting(newcomer, known);
+    ASSERT_TRUE(told);
+    EXPECT_EQ(told->m_to, std::vector{newcomer.m_sender.m_contact.m_peer});
+    EXPECT_EQ(told->m_message.m_config.m_revision, 7U);
+    EXPECT_TRUE(told->m_message.m_reports.empty());
+    EXPECT_FALSE(fleet.at(1).greeting(newcomer, {}));
+    newcomer.m_config.m_revision = 3;
+    EXPECT_FALSE(fleet.at(1).greeting(newcomer, known));
+}
