Take a watch that ended without changes for a confirmation of its end

A watcher's confirmation was dated at the start of its read, up to twice the wait ago; with a wait of 1.8 s it was older than the 3 s after which every other entry asks for itself. Change: the store answers a watch without changes when its wait is over, so that moment is what is confirmed; the limit follows from the wait.

--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -17,18 +17,15 @@
 constexpr auto turn_check = milliseconds{200};
 constexpr auto first_turn_check = milliseconds{20}; // until there is a list
 constexpr auto list_patience = seconds{30};
-// A watcher confirms what it has at least every 1.8 s; more is late.
-constexpr duration shortest_trust = seconds{3};
+// Beyond the wait of a watcher's call: the pause after it, heartbeats over
+// relays, and as much again.
+constexpr duration trust_margin = milliseconds{1500};
 // Entries that miss the confirmation together ask one after the other, and the
 // first of them tells the rest.
 constexpr std::uint32_t trust_steps = 16;
 constexpr auto trust_step = milliseconds{150};
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 
-duration longest_trust(const settings& from) {
-    return shortest_trust + trust_step * (hash(from.m_name) % trust_steps);
-}
-
 // From a call that stays unanswered until its successor's news is everywhere:
 // lateness, a heartbeat, a check of the turn, a listing, two heartbeats over
 // relays, a fetch.
@@ -40,6 +37,11 @@
     return std::clamp<duration>(from.m_apply_limit - hand_over_time, least_wait,
                                 most_wait);
 }
+duration longest_trust(const settings& from) {
+    return watch_wait(from) + trust_margin +
+           trust_step * (hash(from.m_name) % trust_steps);
+}
+
 } // namespace
 
 configurator::configurator(context& shared, std::function<void()> changed)
@@ -118,26 +120,25 @@
 void configurator::take_document(const store::read_result& result,
                                  time_point asked) {
     duration wait{0};
-    std::visit(
-        overload{[&](const store::stored_value& value) {
-                     const bool usable =
-                         value.m_revision >= m_shared.m_config.revision();
-                     const bool absent = value.m_revision == 0;
-                     if (!absent)
-                         offer(value.m_revision, value.m_text, "store");
-                     // The answer is as old as the question, at the
-                     // most.
-                     m_shared.m_config.confirmed(value.m_revision, asked);
-                     if (!usable || (absent && !m_store.exact_instances()) ||
-                         value.m_revision ==
-                             m_shared.m_config.refused_revision())
-                         wait = retry_wait;
-                 },
-                 [&](const store::store_failure&) {
-                     m_shared.m_metrics.count(counter::store_failures);
-                     wait = retry_wait;
-                 }},
-        result);
+    std::visit(overload{[&](const store::stored_value& value) {
+                            const bool usable = value.m_revision >=
+                                                m_shared.m_config.revision();
+                            const bool absent = value.m_revision == 0;
+                            if (!absent)
+                                offer(value.m_revision, value.m_text, "store");
+                            m_shared.m_config.confirmed(
+                                value.m_revision, m_store.confirmed(asked));
+                            if (!usable ||
+                                (absent && !m_store.exact_instances()) ||
+                                value.m_revision ==
+                                    m_shared.m_config.refused_revision())
+                                wait = retry_wait;
+                        },
+                        [&](const store::store_failure&) {
+                            m_shared.m_metrics.count(counter::store_failures);
+                            wait = retry_wait;
+                        }},
+               result);
     note_store();
     m_shared.m_loop.after(wait, [this] { watch_document(); });
 }
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -67,6 +67,13 @@
                           m_kind);
     }
 
+    /*! @brief When the result of a read was certainly the newest.
+     *  @param asked when the read began */
+    [[nodiscard]] time_point confirmed(time_point asked) const {
+        return std::visit(
+            [asked](const auto& to) { return to.confirmed(asked); }, m_kind);
+    }
+
     /*! @brief Whether the store does not answer this entry, so that another
      *  one should watch it in its place. */
     [[nodiscard]] bool lost(time_point now) const {
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -71,6 +71,7 @@
         return;
     }
     m_mirror.begin_listing();
+    m_called = io::event_loop::now();
     m_pages = 0;
     list({});
 }
@@ -104,6 +105,7 @@
     const time_point now = io::event_loop::now();
     m_mirror.reached(now);
     m_mirror.end_listing(now);
+    m_confirmed = m_called;
     m_listed = true;
     m_calling = false;
     serve(now);
@@ -120,10 +122,11 @@
 
 void mirror_client::watch() {
     const time_point now = io::event_loop::now();
-    const duration wait = longest_wait(now);
-    auto request = m_protocol.watch(all_keys, m_mirror.revision(), wait);
+    m_called = now;
+    m_wait = longest_wait(now);
+    auto request = m_protocol.watch(all_keys, m_mirror.revision(), m_wait);
     request.m_to = m_where;
-    m_reach.asked(now, wait);
+    m_reach.asked(now, m_wait);
     m_fetcher.run(request,
                   [this](const io::fetch_result& got) { take_changes(got); });
 }
@@ -143,10 +146,16 @@
     m_reach.answered();
     m_mirror.reached(now);
     m_calling = false;
-    std::visit(
-        overload{[&](const record_changes& list) { m_mirror.apply(list, now); },
-                 [&](const history_lost&) { m_listed = false; }},
-        changes.value());
+    std::visit(overload{[&](const record_changes& list) {
+                            // Without changes the store has waited before it
+                            // answered.
+                            m_confirmed =
+                                m_called +
+                                (list.m_records.empty() ? m_wait : duration{0});
+                            m_mirror.apply(list, now);
+                        },
+                        [&](const history_lost&) { m_listed = false; }},
+               changes.value());
     // The next call waits a little, also when readers ask for it at once.
     m_gathering = m_listed;
     if (m_gathering)
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -52,6 +52,9 @@
     /*! @brief See client::longest_read. */
     [[nodiscard]] duration longest_read() const { return m_longest_read; }
 
+    /*! @brief See client::confirmed. */
+    [[nodiscard]] time_point confirmed(time_point) const { return m_confirmed; }
+
     /*! @brief See client::lost. */
     [[nodiscard]] bool lost(time_point now) const { return m_reach.lost(now); }
 
@@ -91,10 +94,13 @@
     mirror m_mirror;
     std::vector<reader<read_result>> m_document_readers;
     std::vector<reader<list_result>> m_list_readers;
-    bool m_gathering{};    // no call for a while, so that changes gather
-    bool m_calling{};      // a call is under way
-    bool m_listed{};       // the mirror holds a whole listing
-    std::size_t m_pages{}; // of the listing under way
+    time_point m_called;    // begin of the last call, or of its first page
+    duration m_wait{};      // that it asked for
+    time_point m_confirmed; // what is known was the newest then
+    bool m_gathering{};     // no call for a while, so that changes gather
+    bool m_calling{};       // a call is under way
+    bool m_listed{};        // the mirror holds a whole listing
+    std::size_t m_pages{};  // of the listing under way
     // Invariant: belongs to the mirror's version m_list.m_index.
     instance_list m_list;
     std::optional<stored_value> m_document;
--- a/src/store/polling_client.hpp
+++ b/src/store/polling_client.hpp
@@ -35,6 +35,9 @@
     /*! @brief See client::longest_read. */
     static constexpr duration longest_read() { return seconds{1}; }
 
+    /*! @brief See client::confirmed. */
+    static constexpr time_point confirmed(time_point asked) { return asked; }
+
     /*! @brief See client::lost; here every entry asks for itself. */
     static constexpr bool lost(time_point) { return false; }
 
--- a/test/member/fake_watchers.hpp
+++ b/test/member/fake_watchers.hpp
@@ -27,7 +27,7 @@
                   std::uint64_t seed)
         : m_fleet{count, zones, seed}, m_wait{wait} {
         for (std::size_t i = 1; i <= count; ++i) {
-            m_entries.try_emplace(i);
+            m_entries.try_emplace(i, watch_turn{wait + trust_margin});
             m_entries.at(i).m_next =
                 m_fleet.now() + seconds{1} + milliseconds{i % 7 * 30};
             m_entries.at(i).m_turn.start(m_fleet.now(), true);
@@ -82,6 +82,7 @@
     }
 
 private:
+    static constexpr duration trust_margin{milliseconds{1500}};
     static constexpr duration latency{milliseconds{5}};
     static constexpr duration listing{milliseconds{25}};
     static constexpr duration slowness{milliseconds{500}};
@@ -92,7 +93,7 @@
     static constexpr duration fetch{milliseconds{30}};
 
     struct entry {
-        watch_turn m_turn{seconds{3}};
+        watch_turn m_turn;
         store_reach m_reach;
         std::uint64_t m_revision{};
         time_point m_confirmed{seconds{100}};
@@ -181,9 +182,11 @@
             return;
         }
         item.m_reach.answered();
+        const bool news = item.m_revision < m_revision;
+        const duration waited = item.m_listed ? m_wait : duration{0};
         item.m_listed = true;
         item.m_revision = m_revision;
-        item.m_confirmed = item.m_asked;
+        item.m_confirmed = item.m_asked + (news ? duration{0} : waited);
         item.m_next = now() + gathering;
     }
 
--- a/test/member/watchers.cpp
+++ b/test/member/watchers.cpp
@@ -20,6 +20,7 @@
 };
 
 constexpr terms small{14, 3, milliseconds{2000}, milliseconds{800}};
+constexpr terms large{313, 5, milliseconds{3000}, milliseconds{1800}};
 constexpr terms grown{134, 5, milliseconds{2500}, milliseconds{1300}};
 
 using choice =
@@ -103,6 +104,19 @@
             play(grown, how, whom, 1, milliseconds{ms});
 }
 
+// Only the watchers ask, however long nothing changes.
+TEST(watchers, a_quiet_fleet_asks_no_more_than_its_watchers) {
+    for (const terms& of : {small, grown, large}) {
+        fake_watchers subject{of.m_count, of.m_zones, of.m_wait, 9};
+        subject.run(seconds{5});
+        const std::size_t before = subject.calls();
+        constexpr seconds time{20};
+        subject.run(time);
+        const auto calls = static_cast<std::size_t>(time / of.m_wait + 1);
+        EXPECT_LE(subject.calls() - before, of.m_zones * calls);
+    }
+}
+
 // With the store away for all, calls stay few: each entry finds out once and
 // then asks every 15 s.
 TEST(watchers, an_outage_costs_few_calls) {
--- a/test/store/mirror_client.cpp
+++ b/test/store/mirror_client.cpp
@@ -214,3 +214,15 @@
     turn_until([&] { return got.has_value(); });
     EXPECT_FALSE(std::get<store::store_failure>(*got).m_may_have_run);
 }
+
+// Others go by the age of what a watcher confirms.
+TEST_F(mirror_client_test, a_quiet_wait_confirms_its_end) {
+    m_store.put("op/config", configuration);
+    const auto first = document(0, seconds{1});
+    const auto revision = std::get<store::stored_value>(first).m_revision;
+    const time_point asked = io::event_loop::now();
+    EXPECT_LE(m_client.confirmed(asked), asked);
+    document(revision, milliseconds{400});
+    EXPECT_GE(m_client.confirmed(asked), asked + milliseconds{300});
+    EXPECT_LE(m_client.confirmed(asked), io::event_loop::now());
+}
