Open fewer connections to look around; look at newcomers first

Change: one request in sixteen, but one in four while an upstream has joined lately and was not asked yet, and that one then.

--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -15,6 +15,9 @@
 // A queue that was too long stays so for about the time of one request.
 constexpr duration full_memory = milliseconds{100};
 
+// Long enough for entries that send a request every few seconds.
+constexpr duration newcomer_time = seconds{10};
+
 // An upstream that tells no load is judged by this entry's own requests.
 load_report assumed_report(const upstream& of) {
     constexpr std::uint32_t assumed_slots = 4;
@@ -162,6 +165,10 @@
         made.m_pending = in(of.m_unanswered, key);
         made.m_suspect = item.m_load.suspect() || item.m_unhealthy;
         made.m_connected = !item.m_idle.empty();
+        made.m_newcomer =
+            item.m_joined &&
+            now - std::max(*item.m_joined, item.m_cold_until) < newcomer_time &&
+            item.m_load.report_age(now) == duration::max();
         made.m_in_flight = item.m_load.in_flight();
         if (!item.m_silent_load && item.m_load.report_age(now) <= full_memory)
             made.m_recent = item.m_load.last_report();
--- a/src/entry/upstream.hpp
+++ b/src/entry/upstream.hpp
@@ -31,6 +31,8 @@
     bool m_leaving{}; //!< the platform's list or its own report says so
     bool m_listed{true};
     std::optional<time_point> m_gone_from; //!< see instance
+    //! When it joined; none for those that were there before this entry.
+    std::optional<time_point> m_joined;
     bool m_zone_active{true};
     std::uint32_t m_preference{}; //!< position in this entry's own order
     upstream_load m_load;
--- a/src/entry/upstream_table.cpp
+++ b/src/entry/upstream_table.cpp
@@ -6,6 +6,8 @@
 
 #include <skylark/core/hash.hpp>
 
+#include "io/event_loop.hpp"
+
 namespace skylark::entry {
 
 upstream_id id_of(const instance& from) {
@@ -17,9 +19,12 @@
                                             const instance_list& list) {
     for (auto& [key, item] : m_upstreams)
         item.m_listed = false;
+    const std::optional<time_point> joined =
+        m_upstreams.empty() ? std::nullopt
+                            : std::optional{io::event_loop::now()};
     for (const instance& from : list.m_instances)
         if (from.m_role == instance_role::upstream)
-            take(from, config);
+            take(from, config, joined);
     std::vector<upstream> removed;
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
         const bool unused = it->second.m_load.in_flight() == 0;
@@ -34,9 +39,13 @@
     return removed;
 }
 
-void upstream_table::take(const instance& from, const document& config) {
+void upstream_table::take(const instance& from, const document& config,
+                          std::optional<time_point> joined) {
     const upstream_id key = id_of(from);
-    upstream& item = m_upstreams[key];
+    const auto [place, added] = m_upstreams.try_emplace(key);
+    upstream& item = place->second;
+    if (added)
+        item.m_joined = joined;
     item.m_id = key;
     item.m_instance = from.m_id;
     if (from.m_cold_until > item.m_told_cold_until) {
--- a/src/entry/upstream_table.hpp
+++ b/src/entry/upstream_table.hpp
@@ -44,7 +44,8 @@
     std::map<upstream_id, upstream>& all() { return m_upstreams; }
 
 private:
-    void take(const instance& from, const document& config);
+    void take(const instance& from, const document& config,
+              std::optional<time_point> joined);
     void order_services();
 
     entry_id m_self;
--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -26,8 +26,12 @@
 constexpr double harmless_crowding = 0.2;
 // With a third of the upstreams slow, all of eight are once in 6,500 requests.
 constexpr std::ptrdiff_t enough_connected = 8;
-// With so many connected, one request in this many looks at another one.
-constexpr std::uint32_t explore_one_in = 4;
+// With so many connected, one request in this many looks at another one. Each
+// look opens a connection, and slowness moves on sooner than it would be used
+// again.
+constexpr std::uint32_t explore_one_in = 16;
+// While there are newcomers, which would get nothing otherwise.
+constexpr std::uint32_t meet_one_in = 4;
 
 double cost(const ask_candidate& of, const ask_terms& terms) {
     const double penalty = of.m_near ? 0.0 : far_penalty;
@@ -68,6 +72,7 @@
     struct ranked {
         bool m_suspect;
         bool m_unconnected;
+        bool m_known;
         std::uint32_t m_chance;
         upstream_id m_upstream;
     };
@@ -75,11 +80,11 @@
     for (const ask_candidate& item : from)
         if (item.m_near == near && !item.m_asked && !item.m_report &&
             !was_full(item, terms))
-            list.push_back(
-                {item.m_suspect, !item.m_connected, random(), item.m_upstream});
+            list.push_back({item.m_suspect, !item.m_connected, !item.m_newcomer,
+                            random(), item.m_upstream});
     const auto by_chance = [](const ranked& left, const ranked& right) {
-        return std::tuple{left.m_suspect, left.m_chance} <
-               std::tuple{right.m_suspect, right.m_chance};
+        return std::tuple{left.m_suspect, left.m_known, left.m_chance} <
+               std::tuple{right.m_suspect, right.m_known, right.m_chance};
     };
     const auto by_cost = [](const ranked& left, const ranked& right) {
         return std::tuple{left.m_suspect, left.m_unconnected, left.m_chance} <
@@ -94,8 +99,11 @@
         std::count_if(list.begin(), list.end(), [](const ranked& item) {
             return !item.m_suspect && !item.m_unconnected;
         });
-    const bool explores =
-        connected < enough_connected || random(explore_one_in) == 0;
+    const bool newcomers =
+        std::any_of(list.begin(), list.end(),
+                    [](const ranked& item) { return !item.m_known; });
+    const bool explores = connected < enough_connected ||
+                          random(newcomers ? meet_one_in : explore_one_in) == 0;
     if (explores)
         std::iter_swap(list.begin(),
                        std::min_element(list.begin(), list.end(), by_chance));
--- a/test/route/ask_plan.cpp
+++ b/test/route/ask_plan.cpp
@@ -81,7 +81,7 @@
         from.push_back(near(key));
         from.back().m_connected = key <= 12;
     }
-    constexpr int rounds = 2000;
+    constexpr int rounds = 8000;
     int new_connections = 0;
     std::set<upstream_id> found;
     for (int i = 0; i < rounds; ++i)
@@ -90,10 +90,26 @@
                 ++new_connections;
                 found.insert(whom);
             }
-    EXPECT_LE(new_connections, rounds / 4);
+    EXPECT_LE(new_connections, rounds / 12);
     EXPECT_EQ(found.size(), 28U);
 }
 
+TEST_F(ask_plan_test, newcomers_are_asked_soon) {
+    std::vector<ask_candidate> from;
+    for (std::uint64_t key = 1; key <= 40; ++key) {
+        from.push_back(near(key));
+        from.back().m_connected = key <= 12;
+    }
+    from.back().m_newcomer = true;
+    int rounds = 0;
+    int met = 0;
+    for (; rounds < 400; ++rounds)
+        for (const upstream_id whom : asked(from))
+            met += whom == upstream_id{40} ? 1 : 0;
+    EXPECT_GE(met, rounds / 5);
+    EXPECT_LE(met, rounds / 3);
+}
+
 TEST_F(ask_plan_test, the_fastest_of_those_that_answered_takes_it) {
     EXPECT_EQ(chosen({near(1, with(2, 0, 700)), near(2, with(3, 0, 100)),
                       near(3, with(6, 3, 100))}),
