Refer entries that start to their relays instead of telling them everything

Everybody turns to the three seeds, which answered each with reports and contacts of all members: 32 MB of them in 2 s by estimate, links take 5 MB. Change: a member that does not relay for the sender's zone answers with the relays of each zone, once for each time it is asked; a member of its own zone that asks on for three rounds cannot reach those and gets everything.

--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -117,9 +117,10 @@
         std::optional<time_point> m_asked; // unanswered since then
         time_point m_avoid_until;          // it did not answer in time
         std::optional<time_point> m_subscribed;
-        bool m_missed{};             // see member_report
-        subscription m_wants{};      // of the peer, from this entry
-        std::uint64_t m_view_hash{}; // of the peer, in that scope
+        time_point m_subscribed_first; // of this series
+        bool m_missed{};               // see member_report
+        subscription m_wants{};        // of the peer, from this entry
+        std::uint64_t m_view_hash{};   // of the peer, in that scope
     };
 
     // Receivers of one message, by what it says to them.
@@ -128,6 +129,7 @@
         std::uint64_t m_zone{};   // theirs, if something is wanted
         subscription m_reports{}; // that they get
         bool m_records{};         // with the contacts that they lack
+        bool m_referral{};        // on relays only, with their contacts
 
         auto operator<=>(const addressees&) const = default;
     };
@@ -148,6 +150,11 @@
     [[nodiscard]] heartbeat message_for(const addressees& group,
                                         const config_mark& mark,
                                         time_point now) const;
+    void add_referral(heartbeat& out, time_point now) const;
+    [[nodiscard]] bool refers(const member& peer, const link& to,
+                              time_point now) const;
+    [[nodiscard]] member_report report_on(const member& peer,
+                                          time_point now) const;
     [[nodiscard]] std::uint64_t hash_of(subscription scope,
                                         std::uint64_t zone) const;
     [[nodiscard]] std::vector<address> next_unknown();
--- a/src/member/roster.cpp
+++ b/src/member/roster.cpp
@@ -140,6 +140,10 @@
     from.m_asked.reset();
     from.m_avoid_until = {};
     if (message.m_wants != subscription::nothing) {
+        const bool goes_on =
+            from.m_subscribed && now - *from.m_subscribed <= m_timing.m_missing;
+        if (!goes_on)
+            from.m_subscribed_first = now;
         from.m_subscribed = now;
         from.m_wants = message.m_wants;
         from.m_view_hash = message.m_view_hash;
@@ -165,7 +169,7 @@
     for (auto& [id, peer] : m_peers)
         peer.m_heard = now;
     for (auto& [id, to] : m_links)
-        to = {std::nullopt, {},         std::nullopt,
+        to = {std::nullopt, {},         std::nullopt,  now,
               false,        to.m_wants, to.m_view_hash};
 }
 
--- a/src/member/roster_round.cpp
+++ b/src/member/roster_round.cpp
@@ -13,6 +13,9 @@
 
 // Whoever asked for reports gets them for this many rounds without asking.
 constexpr int subscriber_rounds = 5;
+// Within this many rounds a member that was referred to its relays has heard
+// from them.
+constexpr int referral_rounds = 3;
 
 // The same order in every process.
 std::uint64_t relay_score(entry_id of) {
@@ -98,6 +101,43 @@
     return member_view{std::move(names)}.hash();
 }
 
+member_report roster::report_on(const member& peer, time_point now) const {
+    return {peer.m_record.m_name,
+            now - peer.m_heard,
+            m_links.at(peer.m_record.m_name.m_id).m_missed,
+            peer.m_state,
+            peer.m_config.m_revision,
+            peer.m_requests,
+            peer.m_config.m_store_lost};
+}
+
+// Whoever turns to a member that does not relay for it has just started, as a
+// rule, and finds its own relays with what a referral says. A member of the
+// same zone that asks on cannot reach those, so it gets everything.
+bool roster::refers(const member& peer, const link& to, time_point now) const {
+    if (to.m_wants != subscription::fleet)
+        return false;
+    const bool own_zone =
+        peer.m_record.m_contact.m_zone == m_self.m_contact.m_zone;
+    return !own_zone ||
+           (!m_is_relay &&
+            now - to.m_subscribed_first <= referral_rounds * m_timing.m_period);
+}
+
+// The first members of each zone.
+void roster::add_referral(heartbeat& out, time_point now) const {
+    std::set<std::uint64_t> zones = other_zones();
+    zones.insert(m_self.m_contact.m_zone);
+    for (const std::uint64_t zone : zones)
+        for (const entry_id id : first_of(zone, m_timing.m_relays, now)) {
+            const auto found = m_peers.find(id);
+            if (found == m_peers.end())
+                continue; // this entry itself
+            out.m_reports.push_back(report_on(found->second, now));
+            out.m_members.push_back(found->second.m_record);
+        }
+}
+
 // Invariant of the exchange: a subscriber's hash covers what it wants, and the
 // relay compares it with its own over the same members.
 heartbeat roster::message_for(const addressees& group, const config_mark& mark,
@@ -113,14 +153,15 @@
         out.m_view_hash = hash_of(group.m_wanted, group.m_zone);
     if (group.m_reports == subscription::nothing)
         return out;
+    if (group.m_referral) {
+        add_referral(out, now);
+        return out;
+    }
     for (const auto& [id, peer] : m_peers) {
         if (group.m_reports == subscription::zone &&
             peer.m_record.m_contact.m_zone != m_self.m_contact.m_zone)
             continue;
-        out.m_reports.push_back({peer.m_record.m_name, now - peer.m_heard,
-                                 m_links.at(id).m_missed, peer.m_state,
-                                 peer.m_config.m_revision, peer.m_requests,
-                                 peer.m_config.m_store_lost});
+        out.m_reports.push_back(report_on(peer, now));
         if (group.m_records)
             out.m_members.push_back(peer.m_record);
     }
@@ -190,10 +231,16 @@
             group.m_zone = reach.m_zone;
         }
         if (subscribed && reports) {
-            group.m_reports = to.m_wants;
+            group.m_referral = refers(peer, to, now);
+            // Whoever was referred once does not go on asking.
+            if (!group.m_referral ||
+                now - *to.m_subscribed <= m_timing.m_period)
+                group.m_reports = to.m_wants;
             group.m_records =
-                to.m_view_hash !=
-                (to.m_wants == subscription::fleet ? fleet_hash : zone_hash);
+                !group.m_referral &&
+                to.m_view_hash != (to.m_wants == subscription::fleet
+                                       ? fleet_hash
+                                       : zone_hash);
         }
         groups[group].push_back(reach.m_peer);
     }
--- a/test/member/fake_rosters.hpp
+++ b/test/member/fake_rosters.hpp
@@ -82,6 +82,8 @@
     roster& at(std::size_t index) { return *m_tables.at(index); }
     time_point now() const { return m_now; }
     std::size_t sent() const { return m_sent; }
+    //! Sees each message with the number of those who get it.
+    std::function<void(std::size_t, const heartbeat&, std::size_t)> m_send;
     std::uint64_t zone_of(std::size_t index) const {
         return index % m_zones + 1;
     }
@@ -121,13 +123,16 @@
     void round(std::size_t index, roster& table) {
         m_next[index] = m_now + roster_timing{}.m_period;
         const config_mark mark = m_mark ? m_mark(index) : config_mark{};
-        for (const auto& out : table.tick(m_now, mark))
+        for (const auto& out : table.tick(m_now, mark)) {
+            if (m_send)
+                m_send(index, out.m_message, out.m_to.size());
             for (const address& where : out.m_to) {
                 ++m_sent;
                 const std::size_t to = where.m_ip;
                 if (!m_cuts.contains({index, to}) && m_random(100) >= m_loss)
                     m_flying.push_back({m_now + latency, to, out.m_message});
             }
+        }
     }
 
     std::size_t m_zones;
--- a/test/member/roster.cpp
+++ b/test/member/roster.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "peer/codec.hpp"
 #include "test/member/fake_rosters.hpp"
 
 using namespace skylark;
@@ -204,3 +205,24 @@
     newcomer.m_config.m_revision = 3;
     EXPECT_FALSE(fleet.at(1).greeting(newcomer, known));
 }
+
+// At the first start everybody turns to the seeds, which have weak links.
+TEST(roster, seeds_refer_a_starting_fleet_to_its_relays) {
+    constexpr std::size_t members = 313;
+    constexpr std::size_t link = 2'500'000; // bytes a second, 20 Mbit/s
+    fake_rosters fleet{members, zones, 13};
+    for (std::size_t zone = 1; zone <= zones; ++zone)
+        for (std::size_t i = 0; i < 3; ++i)
+            fleet.strengthen(100 + zone + i * zones);
+    std::map<std::size_t, std::size_t> sent; // bytes
+    fleet.m_send = [&](std::size_t from, const heartbeat& message,
+                       std::size_t count) {
+        if (from <= 3)
+            sent[from] += peer::encode(message).size() * count;
+    };
+    constexpr seconds time{2};
+    fleet.run(time);
+    EXPECT_EQ(fleet.errors(), 0U);
+    for (const auto& [seed, bytes] : sent)
+        EXPECT_LE(bytes, time.count() * link / 2) << seed;
+}
