Ask over the connections that are there

Connections whose requests are running did not count, so with work of a second an entry seldom had eight idle ones and opened another for nearly every second request. Change: connections at work count; five to each service are enough; two idle ones are asked without opening a third; a look around goes to an upstream without a connection. Tests: two_idle_connections_are_enough_beside_busy_ones, newcomers_are_asked_ soon, and every_upstream_is_asked_in_time with its bound as it was.

--- a/include/skylark/route/ask_plan.hpp
+++ b/include/skylark/route/ask_plan.hpp
@@ -29,6 +29,7 @@
     bool m_pending{};            //!< and has not answered yet
     bool m_suspect{};            //!< failed lately; goes last
     bool m_connected{};          //!< has an idle connection
+    bool m_held{};               //!< has a connection, idle or at work
     bool m_newcomer{};           //!< usable since lately, not yet asked
     std::uint32_t m_in_flight{}; //!< this entry's own requests
     //! A report that is young enough to act on.
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -165,6 +165,7 @@
         made.m_pending = in(of.m_unanswered, key);
         made.m_suspect = item.m_load.suspect() || item.m_unhealthy;
         made.m_connected = !item.m_idle.empty();
+        made.m_held = item.m_connections > 0;
         made.m_newcomer =
             item.m_joined &&
             now - std::max(*item.m_joined, item.m_cold_until) < newcomer_time &&
--- a/src/route/ask_plan.cpp
+++ b/src/route/ask_plan.cpp
@@ -24,8 +24,11 @@
 constexpr double uncrowded = 0.7;
 // Less than this is no reason to leave a slot free.
 constexpr double harmless_crowding = 0.2;
-// With a third of the upstreams slow, all of eight are once in 6,500 requests.
-constexpr std::ptrdiff_t enough_connected = 8;
+// With a third of the upstreams slow, all of five are once in 240 requests, and
+// others are asked then. Each entry opens as many to each service.
+constexpr std::ptrdiff_t enough_held = 5;
+// So many idle ones are asked without opening another connection.
+constexpr std::size_t enough_idle = 2;
 // With so many connected, one request in this many looks at another one. Each
 // look opens a connection, and slowness moves on sooner than it would be used
 // again.
@@ -65,13 +68,14 @@
 }
 
 // Those that failed lately go last. Open connections are preferred; while there
-// are few, and now and then, the first is taken by chance, so that a new
-// upstream is found soon.
+// are few, and now and then, the first is one without, so that a new upstream
+// is found soon.
 std::vector<upstream_id> pick(std::span<const ask_candidate> from, bool near,
                               const ask_terms& terms, random_source& random) {
     struct ranked {
         bool m_suspect;
         bool m_unconnected;
+        bool m_held;
         bool m_known;
         std::uint32_t m_chance;
         upstream_id m_upstream;
@@ -80,34 +84,39 @@
     for (const ask_candidate& item : from)
         if (item.m_near == near && !item.m_asked && !item.m_report &&
             !was_full(item, terms))
-            list.push_back({item.m_suspect, !item.m_connected, !item.m_newcomer,
-                            random(), item.m_upstream});
+            list.push_back({item.m_suspect, !item.m_connected, item.m_held,
+                            !item.m_newcomer, random(), item.m_upstream});
     const auto by_chance = [](const ranked& left, const ranked& right) {
-        return std::tuple{left.m_suspect, left.m_known, left.m_chance} <
-               std::tuple{right.m_suspect, right.m_known, right.m_chance};
+        return std::tuple{left.m_suspect, left.m_known, left.m_held,
+                          left.m_chance} <
+               std::tuple{right.m_suspect, right.m_known, right.m_held,
+                          right.m_chance};
     };
     const auto by_cost = [](const ranked& left, const ranked& right) {
         return std::tuple{left.m_suspect, left.m_unconnected, left.m_chance} <
                std::tuple{right.m_suspect, right.m_unconnected, right.m_chance};
     };
     std::vector<upstream_id> out;
-    const std::size_t count =
+    std::size_t count =
         std::min({list.size(), terms.m_questions, most_questions});
     if (count == 0)
         return out;
-    const auto connected =
-        std::count_if(list.begin(), list.end(), [](const ranked& item) {
-            return !item.m_suspect && !item.m_unconnected;
+    const auto sound = [&list](bool ranked::*which, bool wanted) {
+        return std::count_if(list.begin(), list.end(), [&](const ranked& item) {
+            return !item.m_suspect && item.*which == wanted;
         });
-    const bool newcomers =
-        std::any_of(list.begin(), list.end(),
-                    [](const ranked& item) { return !item.m_known; });
-    const bool explores = connected < enough_connected ||
+    };
+    const bool newcomers = sound(&ranked::m_known, false) > 0;
+    const bool explores = sound(&ranked::m_held, true) < enough_held ||
                           random(newcomers ? meet_one_in : explore_one_in) == 0;
     if (explores)
         std::iter_swap(list.begin(),
                        std::min_element(list.begin(), list.end(), by_chance));
     std::sort(list.begin() + (explores ? 1 : 0), list.end(), by_cost);
+    const auto idle =
+        static_cast<std::size_t>(sound(&ranked::m_unconnected, false));
+    if (!explores && idle >= enough_idle)
+        count = std::min(count, idle);
     for (std::size_t i = 0; i < count; ++i)
         out.push_back(list[i].m_upstream);
     return out;
--- a/test/route/ask_plan.cpp
+++ b/test/route/ask_plan.cpp
@@ -66,7 +66,7 @@
     for (std::uint64_t key = 1; key <= 8; ++key)
         from.push_back(near(key));
     for (std::size_t i = 1; i < from.size(); ++i)
-        from[i].m_connected = true;
+        from[i].m_connected = from[i].m_held = true;
     int seen = 0;
     for (int i = 0; i < 100; ++i)
         for (const upstream_id whom : asked(from))
@@ -80,6 +80,7 @@
     for (std::uint64_t key = 1; key <= 40; ++key) {
         from.push_back(near(key));
         from.back().m_connected = key <= 12;
+        from.back().m_held = key <= 12;
     }
     constexpr int rounds = 8000;
     int new_connections = 0;
@@ -94,11 +95,28 @@
     EXPECT_EQ(found.size(), 28U);
 }
 
+// Connections whose requests are running are there again soon.
+TEST_F(ask_plan_test, two_idle_connections_are_enough_beside_busy_ones) {
+    std::vector<ask_candidate> from;
+    for (std::uint64_t key = 1; key <= 40; ++key) {
+        from.push_back(near(key));
+        from.back().m_connected = key <= 2;
+        from.back().m_held = key <= 6;
+    }
+    constexpr int rounds = 800;
+    int new_connections = 0;
+    for (int i = 0; i < rounds; ++i)
+        for (const upstream_id whom : asked(from))
+            new_connections += whom.value() > 2 ? 1 : 0;
+    EXPECT_LE(new_connections, rounds / 5);
+}
+
 TEST_F(ask_plan_test, newcomers_are_asked_soon) {
     std::vector<ask_candidate> from;
     for (std::uint64_t key = 1; key <= 40; ++key) {
         from.push_back(near(key));
         from.back().m_connected = key <= 12;
+        from.back().m_held = key <= 12;
     }
     from.back().m_newcomer = true;
     int rounds = 0;
