--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -7,7 +7,7 @@
 # Adapters to the platform and to peers.
 add_library(skylark_store STATIC
     src/store/consul_protocol.cpp src/store/polling_client.cpp
-    src/store/mirror.cpp src/store/mirror_client.cpp
+    src/store/mirror.cpp src/store/mirror_client.cpp src/store/mirror_values.cpp
     src/store/lease_holder.cpp
     platform/base64.cpp platform/kv_protocol.cpp platform/records.cpp)
 target_include_directories(skylark_store PUBLIC ${CMAKE_SOURCE_DIR})
@@ -25,6 +25,7 @@
     src/entry/lookup.cpp src/entry/forwarder_asking.cpp
     src/entry/forwarder_admission.cpp src/entry/forwarder_attempt.cpp
     src/entry/forwarder_answer.cpp src/entry/configurator.cpp
+    src/entry/configurator_peers.cpp
     src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
     src/entry/changer.cpp src/entry/inspector.cpp src/entry/node.cpp)
 target_link_libraries(skylark_entry PUBLIC
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -1,14 +1,12 @@
-// Brings configuration and instance list into this entry.
+// Brings configuration and instance list into this entry, from the store.
 #include "entry/configurator.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include <skylark/core/hash.hpp>
 
 #include "core/overload.hpp"
-#include "peer/codec.hpp"
 
 namespace skylark::entry {
 
@@ -37,6 +35,7 @@
     return std::clamp<duration>(from.m_apply_limit - hand_over_time, least_wait,
                                 most_wait);
 }
+
 duration longest_trust(const settings& from) {
     return watch_wait(from) + trust_margin +
            trust_step * (hash(from.m_name) % trust_steps);
@@ -254,72 +253,4 @@
             std::min(m_shared.m_config.age(now), unknown), m_store.lost(now)};
 }
 
-void configurator::peer_mark(const member& peer) {
-    const config_mark& theirs = peer.m_config;
-    m_peer_knows |= theirs.m_revision > 0 && theirs.m_instances > 0;
-    m_shared.m_config.confirmed(theirs.m_revision,
-                                io::event_loop::now() - theirs.m_confirmed_age);
-    const bool refused_before =
-        theirs.m_revision <= m_shared.m_config.refused_revision();
-    if (theirs.m_revision > m_shared.m_config.revision() && !refused_before)
-        fetch_document(peer);
-    if (theirs.m_instances > m_shared.m_instances.m_index)
-        fetch_instances(peer);
-}
-
-namespace {
-
-std::uint64_t revision_of(const io::fetch_answer& answer) {
-    const auto text = answer.header_value("Config-Revision");
-    std::uint64_t out = 0;
-    std::from_chars(text.data(), text.data() + text.size(), out);
-    return out;
-}
-
-} // namespace
-
-void configurator::fetch_document(const member& from) {
-    if (std::exchange(m_fetching_document, true))
-        return;
-    io::fetch_request request;
-    request.m_to = from.m_record.m_contact.m_control;
-    request.m_path = "/peer/config";
-    m_peers.run(request, [this](const io::fetch_result& result) {
-        m_fetching_document = false;
-        const auto* answer = std::get_if<io::fetch_answer>(&result);
-        if (answer && revision_of(*answer) > 0)
-            offer(revision_of(*answer), answer->m_body, "peer");
-    });
-}
-
-void configurator::fetch_instances(const member& from) {
-    if (std::exchange(m_fetching_instances, true))
-        return;
-    io::fetch_request request;
-    request.m_to = from.m_record.m_contact.m_control;
-    request.m_path =
-        "/peer/instances?after=" + std::to_string(m_shared.m_instances.m_index);
-    m_peers.run(request, [this](const io::fetch_result& result) {
-        m_fetching_instances = false;
-        const auto* answer = std::get_if<io::fetch_answer>(&result);
-        if (answer)
-            take_changes(answer->m_body);
-    });
-}
-
-void configurator::take_changes(std::string_view body) {
-    const auto changes = peer::decode_changes(
-        {reinterpret_cast<const std::uint8_t*>(body.data()), body.size()},
-        io::event_loop::now());
-    if (!changes) {
-        m_shared.m_journal.note(event_kind::configuration,
-                                "a peer's instance list",
-                                changes.error().text());
-        return;
-    }
-    // Without the base of the changes, the next heartbeat leads to a new try.
-    if (const auto list = apply(m_shared.m_instances, changes.value()))
-        offer_instances(*list, "peer");
-}
-
 } // namespace skylark::entry
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -14,7 +14,6 @@
 
 // Listings and changes are asked for with one call for all keys.
 constexpr std::string_view all_keys;
-constexpr std::string_view own_segment = "skylark/"; // of the entries' keys
 // Living upstreams are back in the store this long after its return.
 constexpr auto removal_hold = milliseconds{2200};
 constexpr auto shortest_wait = milliseconds{100};
@@ -222,88 +221,4 @@
     });
 }
 
-stored_value mirror_client::document_value() {
-    const std::uint64_t revision = m_mirror.changed(platform::operator_prefix);
-    if (m_document && m_document->m_revision == revision)
-        return *m_document;
-    const auto& records = m_mirror.all();
-    const auto found = records.find(platform::configuration_key);
-    if (found == records.end())
-        return {};
-    std::vector<std::string> drained;
-    const auto prefix = platform::drained_zone_prefix;
-    for (auto it = records.lower_bound(prefix);
-         it != records.end() && it->first.starts_with(prefix); ++it)
-        drained.push_back(it->first.substr(prefix.size()));
-    const auto read =
-        platform::read_configuration(found->second.m_value, m_terms, drained);
-    // Text that cannot be read is handed on: its refusal is noted there.
-    m_document = stored_value{revision, read ? format_document(read.value())
-                                             : found->second.m_value};
-    if (!read)
-        m_note(read.error());
-    return *m_document;
-}
-
-const std::optional<instance>& mirror_client::decode(const record& from) {
-    decoded& kept = m_decoded[from.m_key];
-    if (kept.m_revision == from.m_revision)
-        return kept.m_instance;
-    kept = {from.m_revision, std::nullopt};
-    auto id = std::string_view{from.m_key};
-    id.remove_prefix(platform::upstream_prefix.size());
-    auto read =
-        platform::read_upstream(id, from.m_value, io::event_loop::now());
-    if (read)
-        kept.m_instance = std::move(read).value();
-    else
-        m_note(read.error());
-    return kept.m_instance;
-}
-
-std::uint64_t mirror_client::list_version() const {
-    return std::max(m_mirror.version(platform::upstream_prefix),
-                    m_mirror.version(own_segment));
-}
-
-// An entry's record is its heartbeat address.
-void mirror_client::add_entries() {
-    const auto& records = m_mirror.all();
-    const auto prefix = platform::entry_prefix;
-    for (auto it = records.lower_bound(prefix);
-         it != records.end() && it->first.starts_with(prefix); ++it) {
-        const auto where = parse_address(it->second.m_value, it->first);
-        if (!where) {
-            m_note(where.error());
-            continue;
-        }
-        instance found;
-        found.m_id = it->first.substr(prefix.size());
-        found.m_role = instance_role::entry;
-        found.m_address = where.value();
-        m_list.m_instances.push_back(std::move(found));
-    }
-}
-
-instance_list mirror_client::instance_value() {
-    const std::uint64_t version = list_version();
-    if (m_list.m_index == version)
-        return m_list;
-    const auto& records = m_mirror.all();
-    const auto prefix = platform::upstream_prefix;
-    m_list = {version, {}};
-    std::erase_if(m_decoded, [&](const auto& item) {
-        return !records.contains(item.first);
-    });
-    for (auto it = records.lower_bound(prefix);
-         it != records.end() && it->first.starts_with(prefix); ++it)
-        if (const auto& found = decode(it->second)) {
-            m_list.m_instances.push_back(*found);
-            m_list.m_instances.back().m_gone_from =
-                m_mirror.removal_due(it->first);
-        }
-    add_entries();
-    return m_list;
-}
-
 } // namespace skylark::store
--- a/test/entry/request_head.cpp
+++ b/test/entry/request_head.cpp
@@ -14,9 +14,8 @@
                              io::header_view{"request-timeout-ms", "9"}};
     const io::request_view from{"POST", "/b?x=1", "body", headers};
     const entry::dialect speaks;
-    const auto bytes =
-        entry::complete_head(entry::forward_head(from, speaks), seconds{1},
-                             "u1", speaks);
+    const auto bytes = entry::complete_head(entry::forward_head(from, speaks),
+                                            seconds{1}, "u1", speaks);
     EXPECT_EQ(bytes, "POST /b?x=1 HTTP/1.1\r\nHost: upstream\r\nX-A: 1\r\n"
                      "Content-Length: 4\r\nRequest-Timeout-Ms: 1000\r\n\r\n");
 }
--- a/test/entry/settings.cpp
+++ b/test/entry/settings.cpp
@@ -25,11 +25,15 @@
 
 TEST(settings, reads_all_keys) {
     const auto read = entry::parse_settings(
-        good + "seeds = [\"127.0.0.2:3\"]\nheartbeat_ms = 100\n", "e.toml");
+        good + "seeds = [\"127.0.0.2:3\"]\nheartbeat_ms = 100\n"
+               "apply_limit_ms = 3000\ninput_bytes = 1000000\n",
+        "e.toml");
     ASSERT_TRUE(read) << read.error().text();
     EXPECT_EQ(read.value().m_name, "e1");
     ASSERT_EQ(read.value().m_seeds.size(), 1U);
     EXPECT_EQ(read.value().m_timing.m_period, milliseconds{100});
+    EXPECT_EQ(read.value().m_apply_limit, milliseconds{3000});
+    EXPECT_EQ(read.value().m_input_bytes, 1'000'000U);
 }
 
 TEST(settings, names_place_value_and_expectation) {
