--- a/test/platform/uploads.cpp
+++ b/test/platform/uploads.cpp
@@ -40,6 +40,17 @@
 
 class uploads : public platform_node {
 protected:
+    io::fetch_result upload(const std::string& body) {
+        io::fetch_request what;
+        what.m_to = m_settings.m_callers;
+        what.m_method = "POST";
+        what.m_path = "/b/x";
+        what.m_host = "h.example";
+        what.m_headers = {{"Request-Id", "r1"}, {"Deadline-Ms", "800"}};
+        what.m_body = body;
+        return call(what);
+    }
+
     void start_with(const raw_upstream& only) {
         m_store.put("op/config", large_bodies);
         m_store.put("servers/i-raw", only.record("a"));
@@ -55,14 +66,7 @@
 TEST_F(uploads, arrive_whole) {
     start_with_upstreams();
     const std::string body = body_of(360'000);
-    io::fetch_request what;
-    what.m_to = m_settings.m_callers;
-    what.m_method = "POST";
-    what.m_path = "/b/x";
-    what.m_host = "h.example";
-    what.m_headers = {{"Request-Id", "r1"}, {"Deadline-Ms", "800"}};
-    what.m_body = body;
-    ASSERT_EQ(status(call(what)), 200);
+    ASSERT_EQ(status(upload(body)), 200);
     EXPECT_EQ(m_near.m_body, body);
 }
 
@@ -72,14 +76,7 @@
         ASSERT_EQ(status(ask("/a/x")), 200);
     m_near.m_refusals = 1;
     const std::string body = body_of(360'000);
-    io::fetch_request what;
-    what.m_to = m_settings.m_callers;
-    what.m_method = "POST";
-    what.m_path = "/b/x";
-    what.m_host = "h.example";
-    what.m_headers = {{"Request-Id", "r1"}, {"Deadline-Ms", "800"}};
-    what.m_body = body;
-    ASSERT_EQ(status(call(what)), 200);
+    ASSERT_EQ(status(upload(body)), 200);
     EXPECT_EQ(m_far.m_body, body);
 }
 
