Let a shutdown use the time until the process is killed

A stock check of 7.5 s was cut 5.0 s after SIGTERM, although the process is only killed after 10 s there: the deployment's drain limit was 5 s whatever the platform allows. Change: killed_after_s, from the platform's settings; a shutdown may use 11 twelfths of it (5.5 s of 6, 9.2 s of 10). Tested in settings.

--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -16,6 +16,10 @@
 namespace {
 
 constexpr double most_cores = 1024.0; // far above any instance
+constexpr double most_grace = 3600.0; // seconds; far above any stop
+// Part of the time until a process is killed that a shutdown may use; the rest
+// is for its end.
+constexpr double drain_share = 11.0 / 12.0;
 
 // Reads one table; keeps the first error and the keys that were asked for.
 class toml_reader {
@@ -97,15 +101,17 @@
             fail(*node, key, "true or false");
     }
 
-    void cores(std::string_view key, double& out) {
+    // A number above 0, whole or not.
+    void number(std::string_view key, double& out, double most,
+                std::string expected) {
         const toml::node* node = take(key, false);
         if (!node)
             return;
         const auto value = node->value<double>();
-        if (value && *value > 0.0 && *value <= most_cores)
+        if (value && *value > 0.0 && *value <= most)
             out = *value;
         else
-            fail(*node, key, "a number of cores above 0, up to 1024");
+            fail(*node, key, std::move(expected));
     }
 
     void addresses(std::string_view key, std::vector<address>& out) {
@@ -219,7 +225,8 @@
     reader.where("peer", out.m_peer, true);
     reader.where("platform", out.m_platform, true);
     reader.addresses("seeds", out.m_seeds);
-    reader.cores("cores", out.m_cores);
+    reader.number("cores", out.m_cores, most_cores,
+                  "a number of cores above 0, up to 1024");
     reader.flag("bootstrap", out.m_bootstrap);
     reader.one_of("log_level", out.m_log_level, log_levels);
     std::int64_t seed = 0;
@@ -230,6 +237,12 @@
     reader.ms("share_hold_down_ms", out.m_timing.m_hold_down);
     reader.ms("isolation_limit_ms", out.m_isolation_limit);
     reader.ms("entries_ttl_ms", out.m_entries_ttl);
+    double killed_after = 0.0;
+    reader.number("killed_after_s", killed_after, most_grace,
+                  "a number of seconds above 0, up to 3600");
+    if (killed_after > 0.0)
+        out.m_drain_limit = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>{killed_after * drain_share});
     reader.ms("drain_limit_ms", out.m_drain_limit);
     reader.ms("apply_limit_ms", out.m_apply_limit);
     std::int64_t input = static_cast<std::int64_t>(out.m_input_bytes);
--- a/test/entry/settings.cpp
+++ b/test/entry/settings.cpp
@@ -36,6 +36,22 @@
     EXPECT_EQ(read.value().m_input_bytes, 1'000'000U);
 }
 
+// Work that takes longer than a fixed limit must not be cut while there is
+// time.
+TEST(settings, a_shutdown_uses_the_time_until_the_process_is_killed) {
+    for (const auto& [grace, least] :
+         {std::pair{"6", 5000}, {"10", 8400}, {"2.5", 2100}}) {
+        const auto read = entry::parse_settings(
+            good + "killed_after_s = " + grace + "\n", "e.toml");
+        ASSERT_TRUE(read) << read.error().text();
+        EXPECT_GE(read.value().m_drain_limit, milliseconds{least});
+        EXPECT_LT(to_ms(read.value().m_drain_limit),
+                  static_cast<std::int64_t>(std::stod(grace) * 1000));
+    }
+    expect_error(good + "killed_after_s = 0\n", "got killed_after_s = 0");
+    expect_error(good + "killed_after_s = \"6\"\n", "number of seconds");
+}
+
 TEST(settings, names_place_value_and_expectation) {
     expect_error("name = \"e1\"\n", "e.toml: got no key zone");
     expect_error(good + "seeds = 3\n", "e.toml:7: got seeds = 3");
