--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -92,9 +92,6 @@
     /*! @brief Whether this entry relays for its zone, as far as it knows. */
     [[nodiscard]] bool is_relay() const { return m_is_relay; }
 
-    /*! @brief Whether the store does not answer this entry. */
-    [[nodiscard]] bool store_lost() const { return m_store_lost; }
-
     /*! @brief Whether only one zone is known. */
     [[nodiscard]] bool single_zone() const;
 
