Log what a graceful shutdown leaves unanswered

The log of a planned stop said only "began" and "time limit reached", so nobody could tell whether requests were lost because they were passed on too late or because ready answers were not delivered; and a line for each 404 displaced others under one common bound.

Adds the requests in progress by stage to the drain lines, a line `cut` for each request that the end of the process leaves unanswered, and separate bounds for the kinds of lines.

--- a/include/skylark/config/config.hpp
+++ b/include/skylark/config/config.hpp
@@ -40,6 +40,10 @@
 //! of a core serves. Further lines are counted and dropped.
 inline constexpr double decision_lines_per_s = 200.0;
 inline constexpr double change_lines_per_s = 100.0;
+//! Anyone can cause such lines; a few show the paths that are asked for.
+inline constexpr double unmatched_lines_per_s = 2.0;
+//! One for each request that an entry serves at a time.
+inline constexpr double cut_lines_per_s = 1000.0;
 
 } // namespace defaults
 
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -19,6 +19,7 @@
 #include "entry/context.hpp"
 #include "entry/on_demand_prober.hpp"
 #include "entry/request.hpp"
+#include "entry/request_stage.hpp"
 #include "entry/router.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
@@ -63,6 +64,10 @@
     [[nodiscard]] std::size_t active() const { return m_requests.size(); }
     /*! @brief Number of requests in the admission queues. */
     [[nodiscard]] std::size_t queued() const;
+    /*! @brief Number of requests that have not ended, by stage. */
+    stage_counts stages();
+    /*! @brief Logs a line for each request that has not ended. */
+    void log_unfinished();
     router& routing() { return m_router; }
     connection_pool& connections() { return m_pool; }
 
@@ -145,7 +150,8 @@
     void log_refusal(const request& req, int status, std::string_view reason,
                      const refusal& why, duration retry_after);
     void log_refusal_on_arrival(std::string_view id, int status,
-                                std::string_view reason, duration retry_after);
+                                std::string_view reason,
+                                std::optional<duration> retry_after);
     void log_end(const request& req, outcome how, duration took);
 
     // Answers.
--- /dev/null
+++ b/src/entry/forwarder_drain.cpp
@@ -0,0 +1,37 @@
+// Graceful shutdown: what is still in progress.
+#include "entry/forwarder.hpp"
+#include "entry/request_stage.hpp"
+
+namespace skylark::entry {
+
+stage_counts forwarder::stages() {
+    stage_counts out{};
+    for (const auto& [key, req] : m_requests)
+        ++out[static_cast<std::size_t>(stage_of(req))];
+    return out;
+}
+
+void forwarder::log_unfinished() {
+    const time_point now = io::event_loop::now();
+    for (const auto& [key, req] : m_requests) {
+        log_line line{"cut"};
+        line.add("id", req.m_name)
+            .add("rule", req.m_rule)
+            .add("service", req.m_service)
+            .add("stage", name_of(stage_of(req)))
+            .add("idempotent",
+                 req.m_machine.terms().m_idempotent ? "yes" : "no")
+            .add("attempts", req.m_machine.attempt_count())
+            .add_ms("since_arrival_ms", now - req.m_arrived)
+            .add_ms("left_ms", req.m_machine.terms().m_deadline - now);
+        for (const auto& [which, item] : req.m_attempts) {
+            const upstream* target = m_shared.m_upstreams.find(item.m_upstream);
+            line.add("upstream", target ? target->m_instance : "");
+            if (item.m_sent)
+                line.add_ms("since_send_ms", now - item.m_sent_at);
+        }
+        m_shared.m_journal.decided(line, now, line_kind::cut);
+    }
+}
+
+} // namespace skylark::entry
--- a/src/entry/forwarder_log.cpp
+++ b/src/entry/forwarder_log.cpp
@@ -1,6 +1,7 @@
 // Log lines of the data path: each decision on a request and its inputs.
 #include "core/overloaded.hpp"
 #include "entry/forwarder.hpp"
+#include "io/http_status.hpp"
 
 namespace skylark::entry {
 
@@ -112,15 +113,17 @@
 
 void forwarder::log_refusal_on_arrival(std::string_view id, int status,
                                        std::string_view reason,
-                                       duration retry_after) {
+                                       std::optional<duration> retry_after) {
     log_line line{"refuse"};
-    line.add("id", id)
-        .add("status", status)
-        .add("reason", reason)
-        .add_ms("retry_after_ms", retry_after)
-        .add("config", m_shared.m_config.revision())
+    line.add("id", id).add("status", status).add("reason", reason);
+    if (retry_after)
+        line.add_ms("retry_after_ms", *retry_after);
+    line.add("config", m_shared.m_config.revision())
         .add("instances", m_shared.m_instances.m_index);
-    m_shared.m_journal.decided(line, io::event_loop::now());
+    m_shared.m_journal.decided(line, io::event_loop::now(),
+                               status == io::status::not_found
+                                   ? line_kind::unmatched
+                                   : line_kind::decision);
 }
 
 void forwarder::log_end(const request& req, outcome how, duration took) {
--- a/src/entry/journal.cpp
+++ b/src/entry/journal.cpp
@@ -59,20 +59,20 @@
         m_ring.add(wall_ms(), kind, std::move(subject), std::move(detail));
     // Verdicts of single requests have lines of their own, see decided().
     if (kept.m_kind == event_kind::request ||
-        !may_write(m_changes, "changes", now))
+        !may_write(line_kind::change, now))
         return;
     log_line line{name_of(kept.m_kind)};
     line.add("subject", kept.m_subject).add("detail", kept.m_detail);
     LOG4CPLUS_INFO(m_log->m_logger, line.text());
 }
 
-void journal::decided(const log_line& line, time_point now) {
-    if (may_write(m_decisions, "decisions", now))
+void journal::decided(const log_line& line, time_point now, line_kind kind) {
+    if (may_write(kind, now))
         LOG4CPLUS_INFO(m_log->m_logger, line.text());
 }
 
-bool journal::may_write(line_budget& of, std::string_view kind,
-                        time_point now) {
+bool journal::may_write(line_kind kind, time_point now) {
+    line_budget& of = m_budgets[static_cast<std::size_t>(kind)];
     if (!of.m_bucket.take(now)) {
         ++of.m_left_out;
         return false;
@@ -80,7 +80,7 @@
     if (of.m_left_out > 0) {
         log_line line{"log"};
         line.add("left_out", std::exchange(of.m_left_out, 0))
-            .add("kind", kind)
+            .add("kind", name_of(kind))
             .add("reason", "more lines a second than are written");
         LOG4CPLUS_INFO(m_log->m_logger, line.text());
     }
--- a/src/entry/journal.hpp
+++ b/src/entry/journal.hpp
@@ -2,6 +2,7 @@
 #ifndef SKYLARK_ENTRY_JOURNAL_HPP
 #define SKYLARK_ENTRY_JOURNAL_HPP
 
+#include <array>
 #include <memory>
 #include <string>
 
@@ -9,6 +10,7 @@
 #include <skylark/event/ring.hpp>
 #include <skylark/limit/token_bucket.hpp>
 
+#include "entry/line_kind.hpp"
 #include "entry/log_line.hpp"
 
 namespace skylark::entry {
@@ -29,8 +31,10 @@
 
     /*! @brief Logs a decision on a request.
      *  @param line what was decided, on what grounds
-     *  @param now the present */
-    void decided(const log_line& line, time_point now);
+     *  @param now the present
+     *  @param kind selects the bound that applies */
+    void decided(const log_line& line, time_point now,
+                 line_kind kind = line_kind::decision);
 
     /*! @brief A stamp of the present, for messages. */
     std::uint64_t stamp();
@@ -55,12 +59,14 @@
         std::uint64_t m_left_out{};
     };
 
-    [[nodiscard]] bool may_write(line_budget& of, std::string_view kind,
-                                 time_point now);
+    [[nodiscard]] bool may_write(line_kind kind, time_point now);
 
     std::unique_ptr<log> m_log;
-    line_budget m_decisions{defaults::decision_lines_per_s};
-    line_budget m_changes{defaults::change_lines_per_s};
+    std::array<line_budget, line_kind_count> m_budgets{
+        line_budget{defaults::decision_lines_per_s},
+        line_budget{defaults::unmatched_lines_per_s},
+        line_budget{defaults::cut_lines_per_s},
+        line_budget{defaults::change_lines_per_s}}; // in the order of line_kind
     event_ring m_ring{defaults::event_ring};
 };
 
--- /dev/null
+++ b/src/entry/line_kind.hpp
@@ -0,0 +1,39 @@
+// Kinds of log lines that are bounded separately.
+#ifndef SKYLARK_ENTRY_LINE_KIND_HPP
+#define SKYLARK_ENTRY_LINE_KIND_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace skylark::entry {
+
+/*! @brief Kinds of log lines. Each has a bound of its own, so that many lines
+ *  of one kind do not displace the others. */
+enum class line_kind : std::uint8_t {
+    decision,  //!< on a request
+    unmatched, //!< refusals of requests that no rule matches
+    cut,       //!< requests that a shutdown ends without an answer
+    change     //!< of state
+};
+
+inline constexpr std::size_t line_kind_count = 4;
+
+/*! @brief Name of a kind in the line that counts what was left out. */
+constexpr std::string_view name_of(line_kind kind) {
+    switch (kind) {
+    case line_kind::decision:
+        return "decisions";
+    case line_kind::unmatched:
+        return "unmatched";
+    case line_kind::cut:
+        return "cut";
+    case line_kind::change:
+        break;
+    }
+    return "changes";
+}
+
+} // namespace skylark::entry
+
+#endif
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -208,8 +208,7 @@
     if (m_shared.m_draining)
         return;
     m_shared.m_draining = true;
-    m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
-                            "began");
+    note_drain("began");
     m_shared.m_fleet.leave();
     if (m_place)
         m_place->stop();
@@ -221,6 +220,21 @@
     finish_drain_when_idle(expire, now + m_shared.m_settings.m_drain_limit);
 }
 
+void node::note_drain(std::string_view step) {
+    std::string detail{step};
+    detail += ", exchanges=" + std::to_string(m_callers.active());
+    const stage_counts counts = m_forwarder.stages();
+    for (std::size_t i = 0; i < counts.size(); ++i)
+        detail.append(" ")
+            .append(request_stage_names[i])
+            .append("=")
+            .append(std::to_string(counts[i]));
+    detail += " last_request_ms_ago=" +
+              std::to_string(to_ms(m_callers.time_since_last_request()));
+    m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
+                            std::move(detail));
+}
+
 void node::finish_drain_when_idle(time_point answers_expire, time_point limit) {
     const time_point now = io::event_loop::now();
     if (now >= answers_expire)
@@ -229,8 +243,8 @@
                        m_callers.active() == 0 &&
                        m_callers.time_since_last_request() >= drain_quiet;
     if (quiet || now >= limit) {
-        m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
-                                quiet ? "done" : "time limit reached");
+        note_drain(quiet ? "done" : "time limit reached");
+        m_forwarder.log_unfinished();
         m_shared.m_loop.stop();
         return;
     }
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -42,6 +42,8 @@
     void update_gauges();
     void paused(duration gap);
     void finish_drain_when_idle(time_point answers_expire, time_point limit);
+    // Notes a step of the shutdown, with the requests in progress by stage.
+    void note_drain(std::string_view step);
 
     context m_shared;
     io::http_server m_callers;
--- a/test/entry/log.cpp
+++ b/test/entry/log.cpp
@@ -76,6 +76,22 @@
     EXPECT_LT(line.text().size(), 300U);
 }
 
+TEST(journal, unmatched_requests_do_not_displace_other_lines) {
+    const captured_output output;
+    entry::journal journal{"journal_unmatched", "info"};
+    const time_point now = io::event_loop::now();
+    for (int i = 0; i < 1000; ++i)
+        journal.decided(log_line{"refuse"}, now, entry::line_kind::unmatched);
+    journal.decided(log_line{"send"}, now);
+    journal.decided(log_line{"cut"}, now, entry::line_kind::cut);
+    journal.note(event_kind::drain, "e1", "began");
+    const std::string text = output.read();
+    EXPECT_LE(count(text, " refuse"), 10U);
+    EXPECT_EQ(count(text, " send"), 1U);
+    EXPECT_EQ(count(text, " cut"), 1U);
+    EXPECT_EQ(count(text, " drain "), 1U);
+}
+
 TEST(journal, a_flood_of_decisions_is_bounded_and_counted) {
     const captured_output output;
     entry::journal journal{"flood", "info"};
