Show that a planned stop loses requests that come late in the grace

Three entries and eight upstreams as real processes; 40 callers stay on the entry that gets SIGTERM, one POST at a time, deadline 8 s, grace 6 s. Every request that was sent whole must get a whole answer or a refusal that says that it has not run; excused is only what the users' rules excuse.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -33,3 +33,9 @@
          COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/scripts/demo.py
                  --entries 3 --seconds 3 --net 90
                  --build ${CMAKE_BINARY_DIR})
+
+# A planned stop under load: callers stay until the process is gone.
+add_test(NAME planned_stop
+         COMMAND ${Python3_EXECUTABLE}
+                 ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
+                 --build ${CMAKE_BINARY_DIR})
