Take the test entry's addresses from a host of its own

A test of a whole entry failed once with "bind: got 127.0.0.1:39737, expected a free local address" beside other processes: the fixture finds a port that is free, closes it and lets the entry bind it later; meanwhile another process may take the port, for TCP or for UDP. Each test process now uses a loopback address of its own. No check changed.

--- a/test/platform/node_fixture.hpp
+++ b/test/platform/node_fixture.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "entry/node.hpp"
 #include "io/fetcher.hpp"
@@ -114,10 +115,14 @@
         m_settings.m_ready = free_address();
     }
 
-    // A port that was free a moment ago; the settings need it beforehand.
+    // A port that was free a moment ago; the settings need it beforehand. The
+    // host is this process's own, as others might take the port meanwhile.
     address free_address() {
+        constexpr std::uint32_t host_bits = 0xffffffU;
+        const std::uint32_t host =
+            0x7f000000U | (static_cast<std::uint32_t>(getpid()) & host_bits);
         io::http_server probe{m_loop, {}};
-        const address where = probe.listen({loopback, 0}).value();
+        const address where = probe.listen({host, 0}).value();
         probe.stop_listening();
         return where;
     }
