Refuse during a shutdown what may outlast the process

Cause: a draining entry admitted and passed on requests until its process ended. The class: work is accepted without a bound that follows from the end of whoever does it. Evidence: each cut request was in stage "sent", passed on within the last service time (`cut` lines); none was answering or queued.

Change: drain_schedule decides; a request is passed on only if its deadline passes 100 ms before the limit. Others are refused at once as not run, with another entry to try; requests that wait for an upstream, for probes or a connection at SIGTERM are withdrawn in the same way (attempt_machine::withdrawn). Connections end after their answers from the beginning. It works because nothing is sent after SIGTERM that can be at an upstream at the end, whatever the service time.

--- a/include/skylark/attempt/machine.hpp
+++ b/include/skylark/attempt/machine.hpp
@@ -78,6 +78,11 @@
     /*! @brief Allows no further attempt; running attempts continue. */
     void stop_attempts() { m_terms.m_max_attempts = m_count; }
 
+    /*! @brief Handles that the request may not be passed on any more. Attempts
+     *  that were sent continue; without any, the request ends.
+     *  @return actions to carry out */
+    actions withdrawn();
+
     /*! @brief Whether a hedge could begin.
      *  @param now current time
      *  @return true if exactly one attempt is running, the request is
@@ -91,6 +96,7 @@
 
 private:
     actions cancel_running(attempt_id except);
+    [[nodiscard]] bool sent(attempt_id attempt) const;
     actions give_up(bool expired);
     [[nodiscard]] verdict overall_verdict() const;
 
--- /dev/null
+++ b/include/skylark/limit/drain_schedule.hpp
@@ -0,0 +1,60 @@
+/*! @file
+ *  Drain schedule: which requests an entry still passes on during its graceful
+ *  shutdown, and when it may end.
+ *
+ *  Answers the load of callers that go on using an entry until its process is
+ *  gone. What such a caller sends late cannot end before the process does, and
+ *  another entry can serve it; so a request is passed on only if its deadline
+ *  passes first. Everything else is refused while that is still true. */
+#ifndef SKYLARK_LIMIT_DRAIN_SCHEDULE_HPP
+#define SKYLARK_LIMIT_DRAIN_SCHEDULE_HPP
+
+#include <skylark/core/time.hpp>
+#include <skylark/limit/fwd.hpp>
+
+namespace skylark {
+
+/*! @brief Times of one graceful shutdown. */
+class drain_schedule {
+public:
+    /*! @brief Plans a shutdown.
+     *  @param began when the entry was told to end
+     *  @param named how long callers may use addresses that they got before
+     *  @param longest time within which the process must have ended */
+    constexpr drain_schedule(time_point began, duration named, duration longest)
+        : m_unnamed{began + named}, m_end{began + longest} {}
+
+    /*! @brief Whether a request may be passed on to an upstream.
+     *  @param deadline until when the upstream may work on it */
+    [[nodiscard]] constexpr bool may_pass_on(time_point deadline) const {
+        return deadline <= m_end - delivery_time;
+    }
+
+    /*! @brief Whether the entry is no longer needed.
+     *  @param now current time
+     *  @param idle whether no request is in progress
+     *  @param since_last_request time since the last request arrived */
+    [[nodiscard]] constexpr bool quiet(time_point now, bool idle,
+                                       duration since_last_request) const {
+        return idle && now >= m_unnamed + quiet_time &&
+               since_last_request >= quiet_time;
+    }
+
+    /*! @brief Whether the process must end, whatever is in progress. */
+    [[nodiscard]] constexpr bool expired(time_point now) const {
+        return now >= m_end;
+    }
+
+private:
+    // From a request's deadline until its caller has the answer that says so.
+    static constexpr duration delivery_time = milliseconds{100};
+    // Callers that are still using the entry send more often than this.
+    static constexpr duration quiet_time = milliseconds{300};
+
+    time_point m_unnamed; // no caller has got its address later than allowed
+    time_point m_end;
+};
+
+} // namespace skylark
+
+#endif
--- a/include/skylark/limit/fwd.hpp
+++ b/include/skylark/limit/fwd.hpp
@@ -1,6 +1,6 @@
 /*! @file
- *  Declarations of the limit module: token bucket and ratio
- *  budget. */
+ *  Declarations of the limit module: token bucket, ratio budget and drain
+ *  schedule. */
 #ifndef SKYLARK_LIMIT_FWD_HPP
 #define SKYLARK_LIMIT_FWD_HPP
 
@@ -8,6 +8,7 @@
 
 class token_bucket;
 class ratio_budget;
+class drain_schedule;
 
 } // namespace skylark
 
--- a/include/skylark/limit/retry_after.hpp
+++ b/include/skylark/limit/retry_after.hpp
@@ -21,7 +21,8 @@
 enum class refusal_cause : std::uint8_t {
     upstream_refused, //!< by an upstream that had room by its report
     no_room,          //!< no upstream that was probed had room
-    no_upstream       //!< none can be used, whatever its load
+    no_upstream,      //!< none can be used, whatever its load
+    entry_leaving     //!< this entry is shutting down, others are not
 };
 
 /*! @brief A refusal, with what is known of the load. */
--- a/src/attempt/machine.cpp
+++ b/src/attempt/machine.cpp
@@ -13,6 +13,10 @@
 
 } // namespace internal
 
+bool attempt_machine::sent(attempt_id attempt) const {
+    return internal::contains(m_sent, attempt);
+}
+
 bool attempt_machine::may_start(time_point now) const {
     if (m_done || m_answering || now >= m_terms.m_deadline)
         return false;
@@ -42,7 +46,7 @@
     for (const attempt_id running : m_running) {
         if (running == except)
             continue;
-        if (internal::contains(m_sent, running))
+        if (sent(running))
             m_may_have_run = true;
         out.emplace_back(cancel_attempt{running});
     }
@@ -102,6 +106,22 @@
     return give_up(false);
 }
 
+actions attempt_machine::withdrawn() {
+    if (m_done || m_answering)
+        return {};
+    stop_attempts();
+    if (std::none_of(m_running.begin(), m_running.end(),
+                     [this](attempt_id running) { return sent(running); }))
+        return give_up(false);
+    actions out;
+    for (const attempt_id running : m_running)
+        if (!sent(running))
+            out.emplace_back(cancel_attempt{running});
+    std::erase_if(m_running,
+                  [this](attempt_id running) { return !sent(running); });
+    return out;
+}
+
 actions attempt_machine::abandoned() {
     if (m_done)
         return {};
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -3,8 +3,11 @@
 #ifndef SKYLARK_ENTRY_CONTEXT_HPP
 #define SKYLARK_ENTRY_CONTEXT_HPP
 
+#include <optional>
+
 #include <skylark/config/adoption.hpp>
 #include <skylark/discovery/instance.hpp>
+#include <skylark/limit/drain_schedule.hpp>
 
 #include "entry/dialect.hpp"
 #include "entry/fleet.hpp"
@@ -35,8 +38,14 @@
     config_adoption m_config;
     instance_list m_instances; //!< latest list; index 0 until there is one
     upstream_table m_upstreams;
-    bool m_draining{}; //!< leaves once its requests have ended
+    //! Set from the begin of the graceful shutdown on.
+    std::optional<drain_schedule> m_drain;
     bool m_isolated{}; //!< reaches neither the store nor a majority
+
+    /*! @brief Whether a request that has a deadline may be passed on. */
+    [[nodiscard]] bool may_pass_on(time_point deadline) const {
+        return !m_drain || m_drain->may_pass_on(deadline);
+    }
 };
 
 } // namespace skylark::entry
--- a/src/entry/entry_list.cpp
+++ b/src/entry/entry_list.cpp
@@ -61,7 +61,7 @@
     std::vector<listed_entry> out;
     const fleet& members = shared.m_fleet;
     const bool self_ready =
-        !shared.m_draining && !shared.m_isolated && shared.m_config.ready();
+        !shared.m_drain && !shared.m_isolated && shared.m_config.ready();
     if (self_ready && can_serve(shared, members.state()))
         add(out, shared, members.self_record(), members.requests());
     const time_point now = io::event_loop::now();
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -68,6 +68,9 @@
     stage_counts stages();
     /*! @brief Logs a line for each request that has not ended. */
     void log_unfinished();
+    /*! @brief Handles the begin of the graceful shutdown: refuses requests that
+     *  have not been passed on and may no longer be. */
+    void drain_began();
     router& routing() { return m_router; }
     connection_pool& connections() { return m_pool; }
 
@@ -89,11 +92,17 @@
     // Refusals.
     void refuse_on_arrival(exchange_id key, const io::request_view& from,
                            int status, std::string_view reason,
-                           request_class wanted, duration retry_after,
+                           request_class wanted,
+                           std::optional<duration> retry_after,
                            std::optional<address> other_entry = std::nullopt);
     void refuse_caller(request& req, const refuse& why);
     // Retry-After of a service none of whose upstreams can be used.
     [[nodiscard]] duration retry_after_without(const std::string& service);
+    // Refuses a request because this entry is shutting down.
+    void refuse_leaving(exchange_id key, const io::request_view& from,
+                        request_class wanted);
+    // A random entry that is not shutting down, if one is known.
+    [[nodiscard]] std::optional<address> other_entry();
     // Retry-After of an entry that has no configuration yet.
     [[nodiscard]] duration retry_after_starting() const;
     [[nodiscard]] refusal refusal_of(const request& req, const refuse& why);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -95,12 +95,6 @@
         return;
     }
     const limits& bounds = m_shared.m_config.current().m_limits;
-    auto& queues = m_queues[service];
-    if (queues.queue(matched.m_class).size() >= bounds.m_queue_length) {
-        refuse_on_arrival(key, from, io::status::unavailable, "queue is full",
-                          matched.m_class, retry_after_without(service));
-        return;
-    }
     const time_point now = io::event_loop::now();
     // During a pause of the process the request may have waited in the kernel's
     // receive buffer; that time counts against the deadline.
@@ -111,6 +105,16 @@
     const duration time_left =
         std::min(matched.m_deadline, requested.value_or(matched.m_deadline)) -
         pause;
+    if (!m_shared.may_pass_on(now + time_left)) {
+        refuse_leaving(key, from, matched.m_class);
+        return;
+    }
+    auto& queues = m_queues[service];
+    if (queues.queue(matched.m_class).size() >= bounds.m_queue_length) {
+        refuse_on_arrival(key, from, io::status::unavailable, "queue is full",
+                          matched.m_class, retry_after_without(service));
+        return;
+    }
     deadline_range& range = m_deadline_ranges[matched.m_name];
     if (requested && now - m_services[service].m_last_refusal > calm_period)
         range.add(*requested);
--- a/src/entry/forwarder_drain.cpp
+++ b/src/entry/forwarder_drain.cpp
@@ -1,9 +1,33 @@
-// Graceful shutdown: what is still in progress.
+// Graceful shutdown: requests that may no longer be passed on, and what is
+// still in progress.
+#include <vector>
+
 #include "entry/forwarder.hpp"
 #include "entry/request_stage.hpp"
 
 namespace skylark::entry {
 
+void forwarder::drain_began() {
+    std::vector<request_id> late;
+    for (const auto& [key, req] : m_requests)
+        if (!m_shared.may_pass_on(req.m_machine.terms().m_deadline))
+            late.push_back(key);
+    for (const request_id key : late)
+        if (request* req = m_requests.find(key))
+            apply(key, req->m_machine.withdrawn());
+}
+
+std::optional<address> forwarder::other_entry() {
+    const time_point now = io::event_loop::now();
+    std::optional<address> out;
+    std::uint32_t seen = 0;
+    for (const auto& [id, peer] : m_shared.m_fleet.peers())
+        if (peer.m_state == member_state::active &&
+            m_shared.m_fleet.live(peer, now) && m_router.random()(++seen) == 0)
+            out = peer.m_record.m_contact.m_callers;
+    return out;
+}
+
 stage_counts forwarder::stages() {
     stage_counts out{};
     for (const auto& [key, req] : m_requests)
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::string_view leaving_reason = "this entry is shutting down";
+
 std::string reason_of(const refuse& why) {
     const auto* proof = std::get_if<not_run>(&why.m_verdict);
     if (!proof && !why.m_expired)
@@ -63,7 +65,8 @@
 
 void forwarder::refuse_on_arrival(exchange_id key, const io::request_view& from,
                                   int status, std::string_view reason,
-                                  request_class wanted, duration retry_after,
+                                  request_class wanted,
+                                  std::optional<duration> retry_after,
                                   std::optional<address> other_entry) {
     const auto headers = std::visit(
         [&](const auto& kind) {
@@ -76,21 +79,37 @@
     m_callers.answer(key, status, headers, std::string{reason} + "\n");
 }
 
+void forwarder::refuse_leaving(exchange_id key, const io::request_view& from,
+                               request_class wanted) {
+    const auto other = other_entry();
+    refusal why;
+    if (other)
+        why.m_cause = refusal_cause::entry_leaving;
+    refuse_on_arrival(key, from, io::status::unavailable, leaving_reason,
+                      wanted, retry_after(why, m_router.random()), other);
+}
+
 void forwarder::refuse_caller(request& req, const refuse& why) {
     const bool ran = !std::holds_alternative<not_run>(why.m_verdict);
     const int status = status_of(why);
-    const std::string reason = reason_of(why);
+    const bool leaving =
+        !ran && !m_shared.may_pass_on(req.m_machine.terms().m_deadline);
+    const std::string reason =
+        leaving ? std::string{leaving_reason} : reason_of(why);
     req.m_outcome = ran ? outcome::unknown : outcome::not_run;
     m_services[req.m_service].m_last_refusal = io::event_loop::now();
     m_shared.m_journal.note(event_kind::request, req.m_rule,
                             std::string{verdict_text(why.m_verdict)} + ": " +
                                 reason);
-    const refusal load = refusal_of(req, why);
+    refusal load = refusal_of(req, why);
+    const auto other = leaving ? other_entry() : std::nullopt;
+    if (other)
+        load.m_cause = refusal_cause::entry_leaving;
     const duration delay = retry_after(load, m_router.random());
     log_refusal(req, status, reason, load, delay);
     const auto headers = std::visit(
         [&](const auto& kind) {
-            return kind.refusal_headers(why.m_verdict, delay, std::nullopt);
+            return kind.refusal_headers(why.m_verdict, delay, other);
         },
         m_shared.m_dialect);
     m_callers.answer(req.m_exchange, status, headers, reason + "\n");
--- a/src/entry/lookup.cpp
+++ b/src/entry/lookup.cpp
@@ -16,7 +16,7 @@
     const bool native = shared.m_settings.m_deployment == deployment::native;
     if (!shared.m_config.ready())
         return "no configuration yet";
-    if (shared.m_draining)
+    if (shared.m_drain)
         return "draining";
     if (shared.m_isolated)
         return "neither store nor majority";
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -15,8 +15,6 @@
 constexpr auto gauge_period = milliseconds{500};
 constexpr auto place_check = milliseconds{500};
 constexpr auto drain_check = milliseconds{20};
-// No request for this long, once no answer names this entry any more.
-constexpr auto drain_quiet = milliseconds{300};
 
 std::uint64_t seed_of(const settings& from) {
     return from.m_seed != 0 ? from.m_seed : hash(from.m_name);
@@ -81,7 +79,7 @@
 
 // Where the store lists entries, relays keep a place in the list.
 void node::watch_place() {
-    if (m_shared.m_draining)
+    if (m_shared.m_drain)
         return;
     if (m_listing_policy.step(io::event_loop::now(),
                               m_shared.m_fleet.is_relay()))
@@ -205,19 +203,21 @@
 }
 
 void node::drain() {
-    if (m_shared.m_draining)
+    if (m_shared.m_drain)
         return;
-    m_shared.m_draining = true;
+    // Answers that name this entry may have been given until peers learnt of
+    // the leave, and callers keep them for their whole life time.
+    const duration told = 2 * m_shared.m_settings.m_timing.m_period;
+    m_shared.m_drain.emplace(io::event_loop::now(),
+                             m_shared.m_settings.m_entries_ttl + told,
+                             m_shared.m_settings.m_drain_limit);
     note_drain("began");
     m_shared.m_fleet.leave();
     if (m_place)
         m_place->stop();
-    const time_point now = io::event_loop::now();
-    // Answers that name this entry may have been given until peers learnt of
-    // the leave, and callers keep them for their whole life time.
-    const duration told = 2 * m_shared.m_settings.m_timing.m_period;
-    const time_point expire = now + m_shared.m_settings.m_entries_ttl + told;
-    finish_drain_when_idle(expire, now + m_shared.m_settings.m_drain_limit);
+    m_callers.close_after_answer();
+    m_forwarder.drain_began();
+    finish_drain_when_idle();
 }
 
 void node::note_drain(std::string_view step) {
@@ -235,22 +235,17 @@
                             std::move(detail));
 }
 
-void node::finish_drain_when_idle(time_point answers_expire, time_point limit) {
+void node::finish_drain_when_idle() {
     const time_point now = io::event_loop::now();
-    if (now >= answers_expire)
-        m_callers.close_after_answer();
-    const bool quiet = now >= answers_expire + drain_quiet &&
-                       m_callers.active() == 0 &&
-                       m_callers.time_since_last_request() >= drain_quiet;
-    if (quiet || now >= limit) {
+    const bool quiet = m_shared.m_drain->quiet(
+        now, m_callers.active() == 0, m_callers.time_since_last_request());
+    if (quiet || m_shared.m_drain->expired(now)) {
         note_drain(quiet ? "done" : "time limit reached");
         m_forwarder.log_unfinished();
         m_shared.m_loop.stop();
         return;
     }
-    m_shared.m_loop.after(drain_check, [=, this] {
-        finish_drain_when_idle(answers_expire, limit);
-    });
+    m_shared.m_loop.after(drain_check, [this] { finish_drain_when_idle(); });
 }
 
 } // namespace skylark::entry
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -41,7 +41,7 @@
     void watch_isolation();
     void update_gauges();
     void paused(duration gap);
-    void finish_drain_when_idle(time_point answers_expire, time_point limit);
+    void finish_drain_when_idle();
     // Notes a step of the shutdown, with the requests in progress by stage.
     void note_drain(std::string_view step);
 
--- a/test/attempt/machine.cpp
+++ b/test/attempt/machine.cpp
@@ -141,6 +141,8 @@
 
     void step() {
         m_now += milliseconds{m_random(10)};
+        if (m_random(40) == 0)
+            apply(m_machine.withdrawn());
         if (m_running.empty() || m_random(6) == 0) {
             if (m_machine.may_hedge(m_now) ||
                 (m_attempt_wanted && m_machine.may_start(m_now)))
@@ -238,6 +240,34 @@
 
 } // namespace
 
+TEST(attempt_machine, a_withdrawn_request_that_was_not_sent_is_refused) {
+    auto queued = make_machine(false);
+    const auto refused = queued.withdrawn();
+    ASSERT_TRUE(find<refuse>(refused));
+    EXPECT_TRUE(
+        std::holds_alternative<not_run>(find<refuse>(refused)->m_verdict));
+    auto connecting = make_machine(false);
+    connecting.attempt_started(attempt_id{1});
+    const auto list = connecting.withdrawn();
+    EXPECT_TRUE(find<cancel_attempt>(list));
+    ASSERT_TRUE(find<refuse>(list));
+    EXPECT_TRUE(std::holds_alternative<not_run>(find<refuse>(list)->m_verdict));
+    EXPECT_FALSE(connecting.try_begin_send(attempt_id{1}, start));
+}
+
+TEST(attempt_machine, a_withdrawn_request_that_was_sent_gets_its_answer) {
+    auto subject = make_machine(true);
+    subject.attempt_started(attempt_id{1});
+    ASSERT_TRUE(subject.try_begin_send(attempt_id{1}, start));
+    subject.attempt_started(attempt_id{2});
+    const auto list = subject.withdrawn();
+    ASSERT_TRUE(find<cancel_attempt>(list));
+    EXPECT_EQ(find<cancel_attempt>(list)->m_attempt, attempt_id{2});
+    EXPECT_FALSE(find<refuse>(list));
+    EXPECT_FALSE(subject.may_start(start));
+    EXPECT_TRUE(find<begin_answer>(subject.answer_begun(attempt_id{1})));
+}
+
 TEST(attempt_machine, random_event_orders_keep_the_guarantees) {
     constexpr std::uint64_t runs = 20000;
     std::uint64_t answered_runs = 0;
--- a/test/limit/retry_after.cpp
+++ b/test/limit/retry_after.cpp
@@ -34,6 +34,12 @@
     EXPECT_LE(delay(why), milliseconds{5});
 }
 
+TEST_F(retry_after_test, a_leaving_entry_sends_its_callers_on_at_once) {
+    refusal why = no_room(milliseconds{240}, 0.0);
+    why.m_cause = refusal_cause::entry_leaving;
+    EXPECT_LE(delay(why), milliseconds{5});
+}
+
 TEST_F(retry_after_test, with_room_elsewhere_the_caller_returns_within_target) {
     for (int left = 125; left <= 400; left += 25) {
         const duration found = delay(no_room(milliseconds{left}, 0.5));
--- a/test/process/staying_callers.py
+++ b/test/process/staying_callers.py
@@ -9,6 +9,9 @@
 import threading
 import time
 
+# A caller that was refused returns after this time.
+RETURN_S = 0.05
+
 
 @dataclasses.dataclass
 class Call:
@@ -82,6 +85,8 @@
                 return
             with connection:
                 self.use(connection)
+            if self.calls and self.calls[-1].verdict == "not-run":
+                time.sleep(RETURN_S)
 
     def use(self, connection):
         while True:
