Count a shutdown's time from the begin of a pause

A SIGTERM that arrives while the process is frozen is seen when it continues; the drain then took 11 twelfths of the grace from that moment and was killed before its end, with whatever it had passed on.

The pause that the loop has just seen is counted as used. Test: an entry is stopped, gets SIGTERM, continues after 2 s and must end by itself within its grace of 6 s.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -40,3 +40,8 @@
          COMMAND ${Python3_EXECUTABLE}
                  ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
                  --build ${CMAKE_BINARY_DIR})
+# The signal arrives while the process is frozen.
+add_test(NAME planned_stop_while_frozen
+         COMMAND ${Python3_EXECUTABLE}
+                 ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
+                 --frozen-s 2 --net 92 --build ${CMAKE_BINARY_DIR})
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -208,8 +208,11 @@
     // Answers that name this entry may have been given until peers learnt of
     // the leave, and callers keep them for their whole life time.
     const duration told = 2 * m_shared.m_settings.m_timing.m_period;
-    m_shared.m_drain.emplace(io::event_loop::now(),
-                             m_shared.m_settings.m_entries_ttl + told,
+    // A signal that came during a pause of the process was sent at its begin,
+    // at the earliest; whoever sent it has counted from then.
+    const time_point began =
+        io::event_loop::now() - m_shared.m_loop.detect_pause();
+    m_shared.m_drain.emplace(began, m_shared.m_settings.m_entries_ttl + told,
                              m_shared.m_settings.m_drain_limit);
     note_drain("began");
     m_shared.m_fleet.leave();
--- a/test/process/planned_stop.py
+++ b/test/process/planned_stop.py
@@ -71,6 +71,16 @@
     return findings, ends
 
 
+def stop(deployment, frozen_s):
+    """Signals the entry; it is frozen then, for so long."""
+    if frozen_s:
+        deployment.signal("entry-1", signal.SIGSTOP)
+    deployment.signal("entry-1", signal.SIGTERM)
+    if frozen_s:
+        time.sleep(frozen_s)
+        deployment.signal("entry-1", signal.SIGCONT)
+
+
 def run(args):
     with dep.Deployment(
             "planned_stop", 3, build=args.build, net=args.net,
@@ -84,10 +94,10 @@
             caller.start()
         time.sleep(1.0)
         stopped = time.monotonic()
-        deployment.signal("entry-1", signal.SIGTERM)
+        stop(deployment, args.frozen_s)
         process = deployment.processes.pop("entry-1")
         try:
-            process.wait(timeout=GRACE_S)
+            process.wait(timeout=stopped + GRACE_S - time.monotonic())
         except subprocess.TimeoutExpired:
             process.kill()
             process.wait()
@@ -115,6 +125,7 @@
     parser.add_argument("--net", type=int, default=91)
     parser.add_argument("--callers", type=int, default=40)
     parser.add_argument("--service-us", type=int, default=200_000)
+    parser.add_argument("--frozen-s", type=float, default=0.0)
     return run(parser.parse_args())
 
 
