Send no Retry-After with 404

Nothing changes for a caller that returns after that time: no rule matches its request. The refusal now names no time, in its header and in its log line.

Test: platform_node.knows_no_route_only_once_it_knows_the_routes expects no Retry-After; before, the header was 0.300.

--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -47,7 +47,7 @@
         refuse_on_arrival(key, from, io::status::not_found,
                           "no rule matches " + std::string{from.m_method} +
                               ' ' + std::string{from.m_path},
-                          request_class::normal, retry_after_without(""));
+                          request_class::normal, std::nullopt);
         return;
     }
     const std::string& service = select_service(*matched);
--- a/test/platform/node.cpp
+++ b/test/platform/node.cpp
@@ -27,6 +27,9 @@
     EXPECT_EQ(status(ask("/a/x")), 503);
     m_store.put("op/config", configuration);
     turn_until([this] { return status(ask("/none/")) == 404; });
+    EXPECT_EQ(
+        std::get<io::fetch_answer>(ask("/none/")).header_value("Retry-After"),
+        "");
     EXPECT_EQ(status(ask("/a/x", "GET", "other.example")), 404);
 }
 
