Linger on connections whose answer ends them

Callers saw "connection reset" in place of an answer, or a part of it, when the server closed a connection while their input was unread: a request pipelined behind one that was answered with `Connection: close`, bytes after a request that asked for the close itself, the rest of a body or of a stream after a 400, 413 or 431.

Cause: h2o calls close() once the answer is in the socket's buffer. With unread input the kernel then sends a reset and drops what it has not delivered; a caller that still sends gets an error in the middle of its request.

Change: a filter on both paths of h2o's host sees each answer, also h2o's own. When the request of an answer that ends its connection is disposed of, which h2o does before it closes its descriptor, the descriptor is duplicated and handed to lingering_connections: it shuts the sending side down, discards input, and closes once the caller has closed, after 5 s, or as the oldest of more than 1024.

Not covered: h2o writes the 400 for a head that it cannot parse straight to the socket, past requests, filters and loggers.

Tests: raw_caller remembers the error that ended its connection, and write_some() says when no more bytes are accepted.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -12,6 +12,7 @@
 namespace skylark::io {
 
 using internal::exchange;
+using internal::filter;
 using internal::handler;
 
 namespace {
@@ -19,8 +20,7 @@
 } // namespace
 
 http_server::http_server(event_loop& loop, const server_limits& limits)
-    : m_native{std::make_unique<native>()} {
-    m_native->m_loop = &loop;
+    : m_native{std::make_unique<native>(loop)} {
     auto& config = m_native->m_config;
     h2o_config_init(&config);
     config.max_request_entity_size = limits.m_body_bytes;
@@ -36,6 +36,13 @@
         reinterpret_cast<handler*>(h2o_create_handler(path, sizeof(handler)));
     own->m_super.on_req = &native::on_request;
     own->m_server = m_native.get();
+    // h2o answers some invalid requests on the fallback path.
+    for (auto* answered : {path, &host->fallback_path}) {
+        auto* guard = reinterpret_cast<filter*>(
+            h2o_create_filter(answered, sizeof(filter)));
+        guard->m_super.on_setup_ostream = &native::on_answer;
+        guard->m_server = m_native.get();
+    }
     h2o_context_init(&m_native->m_context, loop.native(), &config);
     set_limits(limits);
     auto* native = m_native.get();
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -1,6 +1,7 @@
 // Callbacks that h2o runs for the HTTP server, and limits on its input.
 #include <algorithm>
 #include <cerrno>
+#include <fcntl.h>
 #include <memory>
 #include <netinet/tcp.h>
 #include <set>
@@ -14,7 +15,9 @@
 namespace skylark::io {
 
 using internal::accepted_connection;
+using internal::answer_guard;
 using internal::exchange;
+using internal::filter;
 using internal::generator;
 using internal::handler;
 
@@ -145,6 +148,27 @@
     static_cast<native*>(self->m_server)->m_sockets.erase(self->m_peer_key);
 }
 
+void http_server::native::on_answer(h2o_filter_t* self, h2o_req_t* request,
+                                    h2o_ostream_t** slot) {
+    auto* guard = static_cast<answer_guard*>(h2o_mem_alloc_shared(
+        &request->pool, sizeof(answer_guard), &native::on_answer_end));
+    *guard = {reinterpret_cast<filter*>(self)->m_server, request};
+    h2o_setup_next_ostream(request, slot);
+}
+
+// h2o closes its descriptor of the connection next; a duplicate keeps the
+// connection open.
+void http_server::native::on_answer_end(void* self) {
+    const auto* guard = static_cast<answer_guard*>(self);
+    if (guard->m_request->http1_is_persistent)
+        return;
+    h2o_conn_t* connection = guard->m_request->conn;
+    auto* socket = connection->callbacks->get_socket(connection);
+    const int fd = fcntl(h2o_socket_get_fd(socket), F_DUPFD_CLOEXEC, 0);
+    if (fd >= 0)
+        static_cast<native*>(guard->m_server)->m_lingering.add(fd);
+}
+
 void http_server::native::on_proceed(h2o_generator_t* self, h2o_req_t*) {
     const auto* own = reinterpret_cast<generator*>(self);
     auto& server = *static_cast<native*>(own->m_server);
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -11,6 +11,7 @@
 #include <skylark/core/id_map.hpp>
 
 #include "io/http_server.hpp"
+#include "io/lingering_connections.hpp"
 #include "io/native.hpp"
 
 namespace skylark::io {
@@ -42,6 +43,18 @@
     void* m_server;
 };
 
+struct filter {
+    h2o_filter_t m_super; // must be first: h2o passes a pointer to it
+    void* m_server;
+};
+
+// Allocated from the pool of a request that is answered; h2o disposes of the
+// pool before it closes the connection.
+struct answer_guard {
+    void* m_server;
+    h2o_req_t* m_request;
+};
+
 // Owned by the close callback of an accepted_connection socket.
 struct accepted_connection {
     void* m_server;
@@ -53,7 +66,10 @@
 /*! @brief The server's connections and the callbacks that h2o runs for
  *  them. */
 struct http_server::native {
-    event_loop* m_loop{};
+    explicit native(event_loop& loop) : m_loop{&loop}, m_lingering{loop} {}
+
+    event_loop* m_loop;
+    lingering_connections m_lingering;
     h2o_globalconf_t m_config{};
     h2o_context_t m_context{};
     h2o_accept_ctx_t m_accept{};
@@ -74,6 +90,9 @@
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
     static void on_accept(h2o_socket_t* listener, const char* error);
     static void on_socket_close(void* data);
+    static void on_answer(h2o_filter_t* self, h2o_req_t* request,
+                          h2o_ostream_t** slot);
+    static void on_answer_end(void* self);
     static void on_proceed(h2o_generator_t* self, h2o_req_t* request);
     static void on_stop(h2o_generator_t* self, h2o_req_t* request);
     static void on_dispose(void* self);
--- /dev/null
+++ b/src/io/lingering_connections.cpp
@@ -0,0 +1,81 @@
+// Lingering close of connections whose answer was sent.
+#include "io/lingering_connections.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+namespace skylark::io {
+
+namespace {
+
+// Bounds the time that one connection takes in a loop iteration.
+constexpr std::size_t discard_limit = std::size_t{256} << 10U; // bytes
+
+// Bytes that the peer has not acknowledged; the end of the stream counts as
+// one.
+int unacknowledged(int fd) {
+    int count = 0;
+    return ioctl(fd, SIOCOUTQ, &count) == 0 ? count : 0;
+}
+
+} // namespace
+
+lingering_connections::lingering_connections(event_loop& loop,
+                                             const lingering_limits& limits)
+    : m_loop{loop}, m_limits{limits} {}
+
+lingering_connections::~lingering_connections() {
+    while (!m_connections.empty())
+        close(m_connections.begin()->first);
+}
+
+void lingering_connections::add(int fd) {
+    if (m_connections.size() >= m_limits.m_count)
+        close(m_connections.begin()->first);
+    shutdown(fd, SHUT_WR);
+    auto* socket = h2o_evloop_socket_create(m_loop.native(), fd,
+                                            H2O_SOCKET_FLAG_DONT_READ);
+    const key added{++m_last};
+    const timer_id timer =
+        m_loop.after(m_limits.m_time, [this, added] { close(added); });
+    auto& entry =
+        m_connections.try_emplace(added, connection{this, socket, added, timer})
+            .first->second;
+    socket->data = &entry;
+    h2o_socket_read_start(socket, &on_readable);
+}
+
+bool lingering_connections::delivered() const {
+    return std::all_of(
+        m_connections.begin(), m_connections.end(), [](const auto& item) {
+            const connection& entry = item.second;
+            return !entry.m_input_seen &&
+                   unacknowledged(h2o_socket_get_fd(entry.m_socket)) == 0;
+        });
+}
+
+void lingering_connections::on_readable(h2o_socket_t* socket,
+                                        const char* error) {
+    auto& self = *static_cast<connection*>(socket->data);
+    // With MSG_TRUNC, a TCP socket discards its input without a copy.
+    const auto count = recv(h2o_socket_get_fd(socket), nullptr, discard_limit,
+                            MSG_TRUNC | MSG_DONTWAIT);
+    const bool retry = count < 0 && (errno == EAGAIN || errno == EINTR);
+    if (error || count == 0 || (count < 0 && !retry))
+        self.m_owner->close(self.m_key);
+    else
+        self.m_input_seen |= count > 0;
+}
+
+void lingering_connections::close(key of) {
+    const auto found = m_connections.find(of);
+    if (found == m_connections.end())
+        return;
+    m_loop.cancel(found->second.m_timer);
+    h2o_socket_close(found->second.m_socket);
+    m_connections.erase(found);
+}
+
+} // namespace skylark::io
--- /dev/null
+++ b/test/io/http_server_closing.cpp
@@ -0,0 +1,103 @@
+// Answers that end their connection while input of the caller is unread.
+#include <filesystem>
+#include <iterator>
+#include <string>
+
+#include "test/io/http_server_fixture.hpp"
+
+using namespace skylark;
+using skylark::test::raw_caller;
+
+namespace {
+
+class http_server_closing_test : public test::http_server_fixture {};
+
+// Smaller than the answer, so that a part of it waits in the server's socket.
+constexpr int small_buffer = 4096;
+constexpr std::size_t answer_size = 100'000;
+// Exceeds all socket buffers.
+constexpr std::size_t large_input = std::size_t{8} << 20U;
+
+std::ptrdiff_t open_descriptors() {
+    return std::distance(std::filesystem::directory_iterator{"/proc/self/fd"},
+                         std::filesystem::directory_iterator{});
+}
+
+} // namespace
+
+TEST_F(http_server_closing_test, an_answer_survives_a_pipelined_request) {
+    m_server.close_after_answer();
+    raw_caller caller{m_where, small_buffer};
+    caller.write(m_get);
+    run_until_received(1);
+    caller.write(m_get);
+    m_server.answer(m_exchanges.front(), 200, {},
+                    std::string(answer_size, 'x'));
+    run_until([this] { return m_closed == 1; });
+    EXPECT_TRUE(m_complete);
+    run_until_closed(caller);
+    EXPECT_EQ(body_of(caller).size(), answer_size);
+    EXPECT_EQ(caller.error(), 0);
+    EXPECT_EQ(m_exchanges.size(), 1U);
+}
+
+TEST_F(http_server_closing_test, an_answer_survives_when_the_caller_closes) {
+    raw_caller caller{m_where, small_buffer};
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    run_until_received(1);
+    caller.write("ignored");
+    m_server.answer(m_exchanges.front(), 200, {},
+                    std::string(answer_size, 'x'));
+    run_until([this] { return m_closed == 1; });
+    run_until_closed(caller);
+    EXPECT_EQ(body_of(caller).size(), answer_size);
+    EXPECT_EQ(caller.error(), 0);
+}
+
+TEST_F(http_server_closing_test, a_413_survives_the_rest_of_the_body) {
+    std::string rest(large_input, 'x');
+    raw_caller caller{m_where};
+    caller.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                 std::to_string(rest.size()) + "\r\n\r\n");
+    run_until([&] { return !caller.write_some(rest) || rest.empty(); });
+    EXPECT_TRUE(rest.empty());
+    run_until_closed(caller);
+    EXPECT_TRUE(caller.bytes().starts_with("HTTP/1.1 413 "));
+    EXPECT_EQ(caller.error(), 0);
+}
+
+TEST_F(http_server_closing_test, a_400_survives_the_rest_of_the_body) {
+    std::string rest(large_input, 'x');
+    raw_caller caller{m_where};
+    caller.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n");
+    run_until([&] { return !caller.write_some(rest) || rest.empty(); });
+    EXPECT_TRUE(rest.empty());
+    run_until_closed(caller);
+    EXPECT_TRUE(caller.bytes().starts_with("HTTP/1.1 400 "));
+    EXPECT_EQ(caller.error(), 0);
+}
+
+TEST_F(http_server_closing_test, a_431_survives_further_input) {
+    m_server.set_limits({body_limit, seconds{60}, 100});
+    std::string rest(large_input, 'x');
+    raw_caller caller{m_where};
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " +
+                 std::string(200, 'x') + "\r\n\r\n");
+    run_until([&] { return !caller.write_some(rest) || rest.empty(); });
+    EXPECT_TRUE(rest.empty());
+    run_until_closed(caller);
+    EXPECT_TRUE(caller.bytes().starts_with("HTTP/1.1 431 "));
+    EXPECT_EQ(caller.error(), 0);
+}
+
+TEST_F(http_server_closing_test, closed_connections_free_their_descriptors) {
+    m_server.close_after_answer();
+    m_refuse_all = true;
+    const auto before = open_descriptors();
+    for (int i = 0; i < 50; ++i) {
+        raw_caller caller{m_where};
+        caller.write(std::string{m_get} + m_get);
+        run_until_closed(caller);
+    }
+    run_until([&] { return open_descriptors() == before; });
+}
--- a/test/io/raw_caller.hpp
+++ b/test/io/raw_caller.hpp
@@ -18,8 +18,15 @@
 
 class raw_caller {
 public:
-    explicit raw_caller(address to)
-        : m_socket{socket(AF_INET, SOCK_STREAM, 0)} {
+    /*! @brief Connects to a server.
+     *  @param to address of the server
+     *  @param receive_buffer size of the socket's receive buffer in bytes, 0
+     *  for the system's default */
+    explicit raw_caller(address to, int receive_buffer = 0)
+        : m_socket{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)} {
+        if (receive_buffer != 0)
+            setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                       sizeof receive_buffer);
         sockaddr_in name = io::internal::to_native(to);
         connect(m_socket, reinterpret_cast<sockaddr*>(&name), sizeof name);
     }
@@ -33,12 +40,14 @@
     }
 
     /*! @brief Writes as much as the kernel accepts without blocking and removes
-     *  it from bytes. */
-    void write_some(std::string& bytes) const {
+     *  it from bytes.
+     *  @return false once the connection accepts no more bytes */
+    bool write_some(std::string& bytes) const {
         const ssize_t count = send(m_socket, bytes.data(), bytes.size(),
                                    MSG_NOSIGNAL | MSG_DONTWAIT);
         if (count > 0)
             bytes.erase(0, static_cast<std::size_t>(count));
+        return count >= 0 || errno == EAGAIN;
     }
 
     /*! @brief Appends all available input to bytes(), without blocking.
@@ -49,13 +58,22 @@
         while ((count = recv(m_socket, piece.data(), piece.size(),
                              MSG_DONTWAIT)) > 0)
             m_bytes.append(piece.data(), static_cast<std::size_t>(count));
-        return count < 0 && errno == EAGAIN;
+        if (count < 0 && errno == EAGAIN)
+            return true;
+        if (count < 0)
+            m_error = errno;
+        return false;
     }
 
     const std::string& bytes() const { return m_bytes; }
 
+    /*! @brief Error that ended the connection, such as ECONNRESET; 0 if it has
+     *  not ended or the server closed it in the regular way. */
+    int error() const { return m_error; }
+
 private:
     int m_socket;
+    int m_error{};
     std::string m_bytes;
 };
 
