Keep the server's connections by id, count them

A caller that used one local port for two addresses of a server, such as lookup and readiness, lost the answer on one connection when the other was aborted; the shutdown even hit only the wrong one.

Cause: connections were kept by the address of the peer. A second one from the same port replaced the first, and the end of either removed the entry.

Change: connections live in an id_map; h2o names the socket of a request itself. connections() gives their number, with those that linger, for logs; active() stays the number of exchanges. Accepting and the limits on input move to http_server_connections.cpp.

Evidence: on the old code, an_abort_spares_the_port_at_a_second_listener printed 'body_of(other) Which is: ""' where "hello" is expected. It passes now.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -166,8 +166,8 @@
 
 bool http_server::caller_disconnected(exchange_id key) {
     const exchange* found = m_native->m_exchanges.find(key);
-    if (!found || found->m_socket < 0)
-        return !found;
+    if (!found)
+        return true;
     char byte{};
     const auto count = recv(found->m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
@@ -177,6 +177,10 @@
     return event_loop::now() - m_native->m_last_request;
 }
 
+std::size_t http_server::connections() const {
+    return m_native->m_connections.size() + m_native->m_lingering.size();
+}
+
 std::size_t http_server::active() const {
     return m_native->m_exchanges.size();
 }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -104,6 +104,10 @@
      *  exchange has ended. */
     bool caller_disconnected(exchange_id key);
 
+    /*! @brief Number of open connections, with those that linger after the
+     *  answer that ended them. */
+    [[nodiscard]] std::size_t connections() const;
+
     /*! @brief Number of unfinished exchanges. */
     [[nodiscard]] std::size_t active() const;
 
--- /dev/null
+++ b/src/io/http_server_connections.cpp
@@ -0,0 +1,74 @@
+// Connections of the HTTP server: accepting, and limits on their input.
+#include <algorithm>
+#include <netinet/tcp.h>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "io/http_server_native.hpp"
+
+namespace skylark::io {
+
+using internal::accepted_connection;
+
+void http_server::native::on_accept(h2o_socket_t* listener, const char* error) {
+    auto& server = *static_cast<native*>(listener->data);
+    if (error)
+        return;
+    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+    if (!socket)
+        return;
+    constexpr int on = 1;
+    const int fd = h2o_socket_get_fd(socket);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const connection_id key =
+        server.m_connections.emplace(accepted_connection{&server, socket, {}});
+    accepted_connection& added = *server.m_connections.find(key);
+    added.m_key = key;
+    socket->on_close.cb = &native::on_socket_close;
+    socket->on_close.data = &added;
+    h2o_accept(&server.m_accept, socket);
+}
+
+void http_server::native::on_socket_close(void* data) {
+    const auto* self = static_cast<accepted_connection*>(data);
+    static_cast<native*>(self->m_server)->m_connections.erase(self->m_key);
+}
+
+// h2o rejects an unfinished head only at one exact size, which its input may
+// skip. Closes such connections, so that each holds bounded memory.
+void http_server::native::close_oversized() {
+    for (const auto& [key, item] : m_connections)
+        if (item.m_socket->input->size > m_input_limit)
+            shutdown(h2o_socket_get_fd(item.m_socket), SHUT_RDWR);
+}
+
+// Closes connections whose requests are still being received, largest first,
+// until the total is within the limit. None of these requests has been
+// processed, so callers may safely retry.
+void http_server::native::limit_total_input() {
+    std::size_t sum = 0;
+    for (const auto& [key, item] : m_connections)
+        sum += item.m_socket->input->size;
+    if (sum <= m_total_input_limit)
+        return;
+    std::set<int> in_exchange;
+    for (const auto& [key, item] : m_exchanges)
+        in_exchange.insert(item.m_socket);
+    std::vector<std::pair<std::size_t, int>> receiving;
+    for (const auto& [key, item] : m_connections) {
+        const int fd = h2o_socket_get_fd(item.m_socket);
+        const std::size_t size = item.m_socket->input->size;
+        if (size > 0 && !in_exchange.contains(fd))
+            receiving.emplace_back(size, fd);
+    }
+    std::sort(receiving.rbegin(), receiving.rend());
+    for (const auto& [size, fd] : receiving) {
+        if (sum <= m_total_input_limit)
+            return;
+        shutdown(fd, SHUT_RDWR);
+        sum -= size;
+    }
+}
+
+} // namespace skylark::io
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -1,12 +1,6 @@
-// Callbacks that h2o runs for the HTTP server, and limits on its input.
-#include <algorithm>
-#include <cerrno>
+// Callbacks that h2o runs for the exchanges of the HTTP server.
 #include <fcntl.h>
-#include <memory>
-#include <netinet/tcp.h>
-#include <set>
-#include <utility>
-#include <vector>
+#include <string>
 
 #include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
@@ -14,7 +8,6 @@
 
 namespace skylark::io {
 
-using internal::accepted_connection;
 using internal::answer_guard;
 using internal::exchange;
 using internal::filter;
@@ -29,47 +22,8 @@
 
 } // namespace
 
-int http_server::native::socket_of(h2o_req_t* request) {
-    sockaddr_in peer{};
-    request->conn->callbacks->get_peername(request->conn,
-                                           reinterpret_cast<sockaddr*>(&peer));
-    const auto found = m_sockets.find(internal::from_native(peer).key());
-    return found == m_sockets.end() ? -1 : h2o_socket_get_fd(found->second);
-}
-
-// h2o rejects an unfinished head only at one exact size, which its input may
-// skip. Closes such connections, so that each holds bounded memory.
-void http_server::native::close_oversized() {
-    for (const auto& [peer, socket] : m_sockets)
-        if (socket->input->size > m_input_limit)
-            shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
-}
-
-// Closes connections whose requests are still being received, largest first,
-// until the total is within the limit. None of these requests has been
-// processed, so callers may safely retry.
-void http_server::native::limit_total_input() {
-    std::size_t sum = 0;
-    for (const auto& [peer, socket] : m_sockets)
-        sum += socket->input->size;
-    if (sum <= m_total_input_limit)
-        return;
-    std::set<int> in_exchange;
-    for (const auto& [key, item] : m_exchanges)
-        in_exchange.insert(item.m_socket);
-    std::vector<std::pair<std::size_t, int>> receiving;
-    for (const auto& [peer, socket] : m_sockets) {
-        const int fd = h2o_socket_get_fd(socket);
-        if (socket->input->size > 0 && !in_exchange.contains(fd))
-            receiving.emplace_back(socket->input->size, fd);
-    }
-    std::sort(receiving.rbegin(), receiving.rend());
-    for (const auto& [size, fd] : receiving) {
-        if (sum <= m_total_input_limit)
-            return;
-        shutdown(fd, SHUT_RDWR);
-        sum -= size;
-    }
+h2o_socket_t* http_server::native::socket_of(h2o_req_t* request) {
+    return request->conn->callbacks->get_socket(request->conn);
 }
 
 exchange_id http_server::native::open(h2o_req_t* request) {
@@ -77,8 +31,8 @@
         &request->pool, sizeof(generator), &native::on_dispose));
     self->m_super = {&native::on_proceed, &native::on_stop};
     self->m_server = this;
-    self->m_key =
-        m_exchanges.emplace(exchange{request, self, socket_of(request)});
+    self->m_key = m_exchanges.emplace(
+        exchange{request, self, h2o_socket_get_fd(socket_of(request))});
     return self->m_key;
 }
 
@@ -123,31 +77,6 @@
     return 0;
 }
 
-void http_server::native::on_accept(h2o_socket_t* listener, const char* error) {
-    auto& server = *static_cast<native*>(listener->data);
-    if (error)
-        return;
-    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-    if (!socket)
-        return;
-    constexpr int on = 1;
-    const int fd = h2o_socket_get_fd(socket);
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    sockaddr_in peer{};
-    h2o_socket_getpeername(socket, reinterpret_cast<sockaddr*>(&peer));
-    const auto peer_key = internal::from_native(peer).key();
-    server.m_sockets[peer_key] = socket;
-    socket->on_close.cb = &native::on_socket_close;
-    socket->on_close.data = new accepted_connection{&server, peer_key};
-    h2o_accept(&server.m_accept, socket);
-}
-
-void http_server::native::on_socket_close(void* data) {
-    const std::unique_ptr<accepted_connection> self{
-        static_cast<accepted_connection*>(data)};
-    static_cast<native*>(self->m_server)->m_sockets.erase(self->m_peer_key);
-}
-
 void http_server::native::on_answer(h2o_filter_t* self, h2o_req_t* request,
                                     h2o_ostream_t** slot) {
     auto* guard = static_cast<answer_guard*>(h2o_mem_alloc_shared(
@@ -162,9 +91,8 @@
     const auto* guard = static_cast<answer_guard*>(self);
     if (guard->m_request->http1_is_persistent)
         return;
-    h2o_conn_t* connection = guard->m_request->conn;
-    auto* socket = connection->callbacks->get_socket(connection);
-    const int fd = fcntl(h2o_socket_get_fd(socket), F_DUPFD_CLOEXEC, 0);
+    const int fd = fcntl(h2o_socket_get_fd(socket_of(guard->m_request)),
+                         F_DUPFD_CLOEXEC, 0);
     if (fd >= 0)
         static_cast<native*>(guard->m_server)->m_lingering.add(fd);
 }
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -1,11 +1,10 @@
-// State of the HTTP server; private to http_server.cpp and
-// http_server_native.cpp.
+// State of the HTTP server; private to http_server.cpp,
+// http_server_connections.cpp and http_server_native.cpp.
 #ifndef SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 #define SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 
 #include <cstdint>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include <skylark/core/id_map.hpp>
@@ -55,10 +54,11 @@
     h2o_req_t* m_request;
 };
 
-// Owned by the close callback of an accepted_connection socket.
+// Lives until h2o closes the socket, whose close callback points to it.
 struct accepted_connection {
     void* m_server;
-    std::uint64_t m_peer_key; // key of the peer's address
+    h2o_socket_t* m_socket;
+    connection_id m_key;
 };
 
 } // namespace internal
@@ -76,8 +76,7 @@
     std::vector<h2o_socket_t*> m_listeners;
     handlers m_handlers;
     id_map<exchange_id, internal::exchange> m_exchanges;
-    std::unordered_map<std::uint64_t, h2o_socket_t*>
-        m_sockets;                     // by key of the peer's address
+    id_map<connection_id, internal::accepted_connection> m_connections;
     std::size_t m_head_limit{};        // bytes of all header fields
     std::size_t m_input_limit{};       // bytes of one request, head and body
     std::size_t m_total_input_limit{}; // bytes of all requests
@@ -97,7 +96,7 @@
     static void on_stop(h2o_generator_t* self, h2o_req_t* request);
     static void on_dispose(void* self);
 
-    int socket_of(h2o_req_t* request);
+    static h2o_socket_t* socket_of(h2o_req_t* request);
     exchange_id open(h2o_req_t* request);
     std::size_t collect_headers(h2o_req_t* request);
     void reject_head(h2o_req_t* request, std::size_t size) const;
--- a/test/io/http_server_closing.cpp
+++ b/test/io/http_server_closing.cpp
@@ -1,4 +1,4 @@
-// Answers that end their connection while input of the caller is unread.
+// Connections that end: after their answer, with unread input, by an abort.
 #include <filesystem>
 #include <iterator>
 #include <string>
@@ -90,6 +90,41 @@
     EXPECT_EQ(caller.error(), 0);
 }
 
+TEST_F(http_server_closing_test,
+       an_abort_spares_the_port_at_a_second_listener) {
+    const address second = m_server.listen({0x7f000001U, 0}).value();
+    raw_caller aborted{m_where, address{0x7f000001U, 0}};
+    run_until([this] { return m_server.connections() == 1; });
+    raw_caller other{second, aborted.local()};
+    other.write(m_get);
+    run_until_received(1);
+    aborted.write(m_get);
+    run_until_received(2);
+    m_server.start(m_exchanges[0], 200, {}, 5);
+    m_server.start(m_exchanges[1], 200, {}, 5);
+    m_server.abort(m_exchanges[1]);
+    run_until([&] { return !aborted.read() || !other.read(); });
+    m_server.send(m_exchanges[0], "hello", true);
+    run_until([&] { return !other.read() || body_of(other) == "hello"; });
+    EXPECT_EQ(body_of(other), "hello");
+}
+
+TEST_F(http_server_closing_test, connections_are_counted) {
+    EXPECT_EQ(m_server.connections(), 0U);
+    {
+        raw_caller idle{m_where};
+        raw_caller asking{m_where};
+        asking.write(m_get);
+        run_until([this] { return m_server.connections() == 2; });
+        run_until_received(1);
+        EXPECT_EQ(m_server.active(), 1U);
+        m_server.answer(m_exchanges.front(), 200, {}, "");
+        run_until([this] { return m_server.active() == 0; });
+        EXPECT_EQ(m_server.connections(), 2U);
+    }
+    run_until([this] { return m_server.connections() == 0; });
+}
+
 TEST_F(http_server_closing_test, closed_connections_free_their_descriptors) {
     m_server.close_after_answer();
     m_refuse_all = true;
--- a/test/io/raw_caller.hpp
+++ b/test/io/raw_caller.hpp
@@ -27,8 +27,18 @@
         if (receive_buffer != 0)
             setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
                        sizeof receive_buffer);
-        sockaddr_in name = io::internal::to_native(to);
-        connect(m_socket, reinterpret_cast<sockaddr*>(&name), sizeof name);
+        connect_to(to);
+    }
+    /*! @brief Connects to a server from a given address.
+     *  @param to address of the server
+     *  @param from local address; port 0 selects a free one */
+    raw_caller(address to, address from)
+        : m_socket{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)} {
+        constexpr int on = 1;
+        setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in local = io::internal::to_native(from);
+        bind(m_socket, reinterpret_cast<sockaddr*>(&local), sizeof local);
+        connect_to(to);
     }
     ~raw_caller() { close(m_socket); }
     raw_caller(const raw_caller&) = delete;
@@ -67,11 +77,19 @@
 
     const std::string& bytes() const { return m_bytes; }
 
+    /*! @brief Local address of the connection. */
+    address local() const { return io::internal::local_address(m_socket); }
+
     /*! @brief Error that ended the connection, such as ECONNRESET; 0 if it has
      *  not ended or the server closed it in the regular way. */
     int error() const { return m_error; }
 
 private:
+    void connect_to(address to) const {
+        sockaddr_in name = io::internal::to_native(to);
+        connect(m_socket, reinterpret_cast<sockaddr*>(&name), sizeof name);
+    }
+
     int m_socket;
     int m_error{};
     std::string m_bytes;
