Accept up to 64 connections in one loop iteration

In a burst, such as callers that come back after another entry stopped, each connection waited for a loop iteration of its own, with the work of all open connections in between; the queue behind the listening socket filled although the process kept up.

Cause: one accept for each readiness callback of the listening socket.

Change: the callback accepts until the queue is empty, at most 64 times.

Evidence: a_burst_of_callers_waits_for_no_further_turn printed "m_server.connections() Which is: 1", expected 60, before; it passes now.

--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -1,5 +1,6 @@
 // Connections of the HTTP server: accepting, and limits on their input.
 #include <algorithm>
+#include <cerrno>
 #include <netinet/tcp.h>
 #include <set>
 #include <utility>
@@ -11,23 +12,36 @@
 
 using internal::accepted_connection;
 
-void http_server::native::on_accept(h2o_socket_t* listener, const char* error) {
-    auto& server = *static_cast<native*>(listener->data);
-    if (error)
-        return;
+namespace {
+// Connections accepted in one loop iteration, so that a burst does not keep
+// open connections waiting.
+constexpr int accept_batch = 64;
+} // namespace
+
+// Returns whether the listen queue may hold further connections.
+bool http_server::native::accept_one(h2o_socket_t* listener) {
     h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
     if (!socket)
-        return;
+        return errno == ECONNABORTED || errno == EINTR;
     constexpr int on = 1;
     const int fd = h2o_socket_get_fd(socket);
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     const connection_id key =
-        server.m_connections.emplace(accepted_connection{&server, socket, {}});
-    accepted_connection& added = *server.m_connections.find(key);
+        m_connections.emplace(accepted_connection{this, socket, {}});
+    accepted_connection& added = *m_connections.find(key);
     added.m_key = key;
     socket->on_close.cb = &native::on_socket_close;
     socket->on_close.data = &added;
-    h2o_accept(&server.m_accept, socket);
+    h2o_accept(&m_accept, socket);
+    return true;
+}
+
+void http_server::native::on_accept(h2o_socket_t* listener, const char* error) {
+    auto& server = *static_cast<native*>(listener->data);
+    if (error)
+        return;
+    for (int i = 0; i < accept_batch && server.accept_one(listener); ++i) {
+    }
 }
 
 void http_server::native::on_socket_close(void* data) {
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -84,6 +84,7 @@
         m_headers; // of the present request; reused to save allocations
     time_point m_last_request;
 
+    bool accept_one(h2o_socket_t* listener);
     void close_oversized();
     void limit_total_input();
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
--- a/test/io/http_server_closing.cpp
+++ b/test/io/http_server_closing.cpp
@@ -125,6 +125,14 @@
     run_until([this] { return m_server.connections() == 0; });
 }
 
+TEST_F(http_server_closing_test, a_burst_of_callers_waits_for_no_further_turn) {
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int i = 0; i < 60; ++i)
+        callers.push_back(std::make_unique<raw_caller>(m_where));
+    m_loop.run_once(seconds{1});
+    EXPECT_EQ(m_server.connections(), callers.size());
+}
+
 TEST_F(http_server_closing_test, closed_connections_free_their_descriptors) {
     m_server.close_after_answer();
     m_refuse_all = true;
