Add a graceful shutdown to the HTTP server

At the planned stop of a process, callers lost requests by the way in which it ended: connections in the listen queue were reset unread, an answer that waited in the server's socket was dropped when input of its caller was unread, and nobody could ask whether answers had arrived.

Cause: the end was stop_listening(), which resets what is queued, and the end of the process, which resets every connection with unread input. The only measure of work was active(), which ends when h2o has written an answer to the kernel.

Change: begin_shutdown() accepts what is queued and closes the listening sockets at once after it, makes answers close their connections, and closes idle ones every 10 ms: those with no part of a request, nothing unread and nothing unacknowledged; a new one has 50 ms for its first byte. Unfinished requests may arrive whole and go to the owner as before. drained() is true once no connection is open and lingering ones have everything acknowledged and are not sending. A request that crosses the close of an idle connection is not passed to the owner.

Limit: a connection that is established between the last accept and the close of the listening socket is still reset, unread.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 constexpr auto input_check_period = milliseconds{100};
+constexpr auto idle_check_period = milliseconds{10};
 } // namespace
 
 http_server::http_server(event_loop& loop, const server_limits& limits)
@@ -95,6 +96,23 @@
     m_native->m_listeners.clear();
 }
 
+void http_server::begin_shutdown() {
+    if (m_native->m_shutting_down)
+        return;
+    m_native->m_shutting_down = true;
+    close_after_answer();
+    for (auto* listener : m_native->m_listeners)
+        m_native->accept_queued(listener);
+    stop_listening();
+    auto* native = m_native.get();
+    native->m_loop->every(idle_check_period, [native] { native->end_idle(); });
+}
+
+bool http_server::drained() const {
+    return m_native->m_shutting_down && m_native->m_connections.empty() &&
+           m_native->m_lingering.delivered();
+}
+
 void http_server::start(exchange_id key, int status,
                         std::span<const header> headers,
                         std::optional<std::uint64_t> length) {
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -72,6 +72,21 @@
      *  connection. */
     void close_after_answer() { m_closing = true; }
 
+    /*! @brief Ends the server gracefully. Accepts the connections in the listen
+     *  queue and closes the listening sockets; makes each answer that starts
+     *  after this call close its connection; closes idle connections, also
+     *  those that become idle later. Requests that arrive meanwhile are passed
+     *  to m_request as before. Further calls have no effect.
+     *  @note A request that crosses the close of an idle connection is not
+     *  passed on. */
+    void begin_shutdown();
+
+    /*! @brief Whether the process can end without taking an answer from a
+     *  caller: begin_shutdown() was called, no connection is open, and all
+     *  answers were acknowledged. A caller that sends its request slowly delays
+     *  this without a bound other than the idle timeout. */
+    [[nodiscard]] bool drained() const;
+
     /*! @brief Starts an answer; does nothing if one was started.
      *  @param key exchange
      *  @param status HTTP status
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -6,7 +6,9 @@
 #include <utility>
 #include <vector>
 
+#include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
+#include "io/socket_queue.hpp"
 
 namespace skylark::io {
 
@@ -16,6 +18,20 @@
 // Connections accepted in one loop iteration, so that a burst does not keep
 // open connections waiting.
 constexpr int accept_batch = 64;
+// Exceeds the listen queue; bounds the last accepting while callers go on
+// connecting.
+constexpr int last_accept_batch = 8192;
+// Time that a new connection has for its first byte during a shutdown.
+constexpr auto first_input_time = milliseconds{50};
+
+// Whether the caller waits for nothing: no part of a request has arrived, and
+// all that was sent is acknowledged.
+bool is_idle(h2o_socket_t* socket) {
+    const int fd = h2o_socket_get_fd(socket);
+    return h2o_socket_is_reading(socket) && socket->input->size == 0 &&
+           internal::unread_bytes(fd) == 0 &&
+           internal::unacknowledged_bytes(fd) == 0;
+}
 } // namespace
 
 // Returns whether the listen queue may hold further connections.
@@ -26,8 +42,8 @@
     constexpr int on = 1;
     const int fd = h2o_socket_get_fd(socket);
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const connection_id key =
-        m_connections.emplace(accepted_connection{this, socket, {}});
+    const connection_id key = m_connections.emplace(
+        accepted_connection{this, socket, event_loop::now(), {}});
     accepted_connection& added = *m_connections.find(key);
     added.m_key = key;
     socket->on_close.cb = &native::on_socket_close;
@@ -44,6 +60,24 @@
     }
 }
 
+void http_server::native::accept_queued(h2o_socket_t* listener) {
+    for (int i = 0; i < last_accept_batch && accept_one(listener); ++i) {
+    }
+}
+
+// h2o closes its side when it reads the end of the input.
+void http_server::native::end_idle() {
+    const time_point now = event_loop::now();
+    for (auto& [key, item] : m_connections) {
+        const bool is_new = item.m_socket->bytes_read == 0 &&
+                            now - item.m_accepted < first_input_time;
+        if (item.m_ended || is_new || !is_idle(item.m_socket))
+            continue;
+        item.m_ended = true;
+        shutdown(h2o_socket_get_fd(item.m_socket), SHUT_RDWR);
+    }
+}
+
 void http_server::native::on_socket_close(void* data) {
     const auto* self = static_cast<accepted_connection*>(data);
     static_cast<native*>(self->m_server)->m_connections.erase(self->m_key);
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -63,6 +63,15 @@
 int http_server::native::on_request(h2o_handler_t* self, h2o_req_t* request) {
     auto& server =
         *static_cast<native*>(reinterpret_cast<handler*>(self)->m_server);
+    const auto* connection = static_cast<internal::accepted_connection*>(
+        socket_of(request)->on_close.data);
+    // The request crossed the close of its connection; no answer would arrive.
+    if (connection->m_ended) {
+        request->http1_is_persistent = 0;
+        h2o_send_error_503(request, "Service Unavailable", "shutting down\n",
+                           0);
+        return 0;
+    }
     server.m_last_request = event_loop::now();
     const std::size_t size = server.collect_headers(request);
     if (size > server.m_head_limit) {
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -58,7 +58,9 @@
 struct accepted_connection {
     void* m_server;
     h2o_socket_t* m_socket;
+    time_point m_accepted;
     connection_id m_key;
+    bool m_ended{}; // shut down while idle; requests are not passed on
 };
 
 } // namespace internal
@@ -83,8 +85,11 @@
     std::vector<header_view>
         m_headers; // of the present request; reused to save allocations
     time_point m_last_request;
+    bool m_shutting_down{};
 
     bool accept_one(h2o_socket_t* listener);
+    void accept_queued(h2o_socket_t* listener);
+    void end_idle();
     void close_oversized();
     void limit_total_input();
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
--- a/src/io/lingering_connections.cpp
+++ b/src/io/lingering_connections.cpp
@@ -3,8 +3,8 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
+
+#include "io/socket_queue.hpp"
 
 namespace skylark::io {
 
@@ -13,13 +13,6 @@
 // Bounds the time that one connection takes in a loop iteration.
 constexpr std::size_t discard_limit = std::size_t{256} << 10U; // bytes
 
-// Bytes that the peer has not acknowledged; the end of the stream counts as
-// one.
-int unacknowledged(int fd) {
-    int count = 0;
-    return ioctl(fd, SIOCOUTQ, &count) == 0 ? count : 0;
-}
-
 } // namespace
 
 lingering_connections::lingering_connections(event_loop& loop,
@@ -51,8 +44,9 @@
     return std::all_of(
         m_connections.begin(), m_connections.end(), [](const auto& item) {
             const connection& entry = item.second;
-            return !entry.m_input_seen &&
-                   unacknowledged(h2o_socket_get_fd(entry.m_socket)) == 0;
+            const int fd = h2o_socket_get_fd(entry.m_socket);
+            return !entry.m_input_seen && internal::unread_bytes(fd) == 0 &&
+                   internal::unacknowledged_bytes(fd) == 0;
         });
 }
 
--- a/test/io/http_server_closing.cpp
+++ b/test/io/http_server_closing.cpp
@@ -126,11 +126,13 @@
 }
 
 TEST_F(http_server_closing_test, a_burst_of_callers_waits_for_no_further_turn) {
+    constexpr std::size_t count = 60;
     std::vector<std::unique_ptr<raw_caller>> callers;
-    for (int i = 0; i < 60; ++i)
+    callers.reserve(count);
+    while (callers.size() < count)
         callers.push_back(std::make_unique<raw_caller>(m_where));
     m_loop.run_once(seconds{1});
-    EXPECT_EQ(m_server.connections(), callers.size());
+    EXPECT_EQ(m_server.connections(), count);
 }
 
 TEST_F(http_server_closing_test, closed_connections_free_their_descriptors) {
