--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -12,15 +12,16 @@
 namespace skylark::io {
 
 using internal::exchange;
+using internal::filter;
 using internal::handler;
 
 namespace {
 constexpr auto input_check_period = milliseconds{100};
+constexpr auto idle_check_period = milliseconds{10};
 } // namespace
 
 http_server::http_server(event_loop& loop, const server_limits& limits)
-    : m_native{std::make_unique<native>()} {
-    m_native->m_loop = &loop;
+    : m_native{std::make_unique<native>(loop)} {
     auto& config = m_native->m_config;
     h2o_config_init(&config);
     config.max_request_entity_size = limits.m_body_bytes;
@@ -36,6 +37,13 @@
         reinterpret_cast<handler*>(h2o_create_handler(path, sizeof(handler)));
     own->m_super.on_req = &native::on_request;
     own->m_server = m_native.get();
+    // h2o answers some invalid requests on the fallback path.
+    for (auto* answered : {path, &host->fallback_path}) {
+        auto* guard = reinterpret_cast<filter*>(
+            h2o_create_filter(answered, sizeof(filter)));
+        guard->m_super.on_setup_ostream = &native::on_answer;
+        guard->m_server = m_native.get();
+    }
     h2o_context_init(&m_native->m_context, loop.native(), &config);
     set_limits(limits);
     auto* native = m_native.get();
@@ -88,6 +96,23 @@
     m_native->m_listeners.clear();
 }
 
+void http_server::begin_shutdown() {
+    if (m_native->m_shutting_down)
+        return;
+    m_native->m_shutting_down = true;
+    close_after_answer();
+    for (auto* listener : m_native->m_listeners)
+        m_native->accept_queued(listener);
+    stop_listening();
+    auto* native = m_native.get();
+    native->m_loop->every(idle_check_period, [native] { native->end_idle(); });
+}
+
+bool http_server::drained() const {
+    return m_native->m_shutting_down && m_native->m_connections.empty() &&
+           m_native->m_lingering.delivered();
+}
+
 void http_server::start(exchange_id key, int status,
                         std::span<const header> headers,
                         std::optional<std::uint64_t> length) {
@@ -159,8 +184,8 @@
 
 bool http_server::caller_disconnected(exchange_id key) {
     const exchange* found = m_native->m_exchanges.find(key);
-    if (!found || found->m_socket < 0)
-        return !found;
+    if (!found)
+        return true;
     char byte{};
     const auto count = recv(found->m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
@@ -170,6 +195,10 @@
     return event_loop::now() - m_native->m_last_request;
 }
 
+std::size_t http_server::connections() const {
+    return m_native->m_connections.size() + m_native->m_lingering.size();
+}
+
 std::size_t http_server::active() const {
     return m_native->m_exchanges.size();
 }
--- /dev/null
+++ b/src/io/http_server_connections.cpp
@@ -0,0 +1,122 @@
+// Connections of the HTTP server: accepting, and limits on their input.
+#include <algorithm>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "io/event_loop.hpp"
+#include "io/http_server_native.hpp"
+#include "io/socket_queue.hpp"
+
+namespace skylark::io {
+
+using internal::accepted_connection;
+
+namespace {
+// Connections accepted in one loop iteration, so that a burst does not keep
+// open connections waiting.
+constexpr int accept_batch = 64;
+// Exceeds the listen queue; bounds the last accepting while callers go on
+// connecting.
+constexpr int last_accept_batch = 8192;
+// Time that a new connection has for its first byte during a shutdown.
+constexpr auto first_input_time = milliseconds{50};
+
+// Whether the caller waits for nothing: no part of a request has arrived, and
+// all that was sent is acknowledged.
+bool is_idle(h2o_socket_t* socket) {
+    const int fd = h2o_socket_get_fd(socket);
+    return h2o_socket_is_reading(socket) && socket->input->size == 0 &&
+           internal::unread_bytes(fd) == 0 &&
+           internal::unacknowledged_bytes(fd) == 0;
+}
+} // namespace
+
+// Returns whether the listen queue may hold further connections.
+bool http_server::native::accept_one(h2o_socket_t* listener) {
+    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+    if (!socket)
+        return errno == ECONNABORTED || errno == EINTR;
+    constexpr int on = 1;
+    const int fd = h2o_socket_get_fd(socket);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const connection_id key = m_connections.emplace(
+        accepted_connection{this, socket, event_loop::now(), {}});
+    accepted_connection& added = *m_connections.find(key);
+    added.m_key = key;
+    socket->on_close.cb = &native::on_socket_close;
+    socket->on_close.data = &added;
+    h2o_accept(&m_accept, socket);
+    return true;
+}
+
+void http_server::native::on_accept(h2o_socket_t* listener, const char* error) {
+    auto& server = *static_cast<native*>(listener->data);
+    if (error)
+        return;
+    for (int i = 0; i < accept_batch && server.accept_one(listener); ++i) {
+    }
+}
+
+void http_server::native::accept_queued(h2o_socket_t* listener) {
+    for (int i = 0; i < last_accept_batch && accept_one(listener); ++i) {
+    }
+}
+
+// h2o closes its side when it reads the end of the input.
+void http_server::native::end_idle() {
+    const time_point now = event_loop::now();
+    for (auto& [key, item] : m_connections) {
+        const bool is_new = item.m_socket->bytes_read == 0 &&
+                            now - item.m_accepted < first_input_time;
+        if (item.m_ended || is_new || !is_idle(item.m_socket))
+            continue;
+        item.m_ended = true;
+        shutdown(h2o_socket_get_fd(item.m_socket), SHUT_RDWR);
+    }
+}
+
+void http_server::native::on_socket_close(void* data) {
+    const auto* self = static_cast<accepted_connection*>(data);
+    static_cast<native*>(self->m_server)->m_connections.erase(self->m_key);
+}
+
+// h2o rejects an unfinished head only at one exact size, which its input may
+// skip. Closes such connections, so that each holds bounded memory.
+void http_server::native::close_oversized() {
+    for (const auto& [key, item] : m_connections)
+        if (item.m_socket->input->size > m_input_limit)
+            shutdown(h2o_socket_get_fd(item.m_socket), SHUT_RDWR);
+}
+
+// Closes connections whose requests are still being received, largest first,
+// until the total is within the limit. None of these requests has been
+// processed, so callers may safely retry.
+void http_server::native::limit_total_input() {
+    std::size_t sum = 0;
+    for (const auto& [key, item] : m_connections)
+        sum += item.m_socket->input->size;
+    if (sum <= m_total_input_limit)
+        return;
+    std::set<int> in_exchange;
+    for (const auto& [key, item] : m_exchanges)
+        in_exchange.insert(item.m_socket);
+    std::vector<std::pair<std::size_t, int>> receiving;
+    for (const auto& [key, item] : m_connections) {
+        const int fd = h2o_socket_get_fd(item.m_socket);
+        const std::size_t size = item.m_socket->input->size;
+        if (size > 0 && !in_exchange.contains(fd))
+            receiving.emplace_back(size, fd);
+    }
+    std::sort(receiving.rbegin(), receiving.rend());
+    for (const auto& [size, fd] : receiving) {
+        if (sum <= m_total_input_limit)
+            return;
+        shutdown(fd, SHUT_RDWR);
+        sum -= size;
+    }
+}
+
+} // namespace skylark::io
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -1,16 +1,16 @@
-// State of the HTTP server; private to http_server.cpp and
-// http_server_native.cpp.
+// State of the HTTP server; private to http_server.cpp,
+// http_server_connections.cpp and http_server_native.cpp.
 #ifndef SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 #define SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 
 #include <cstdint>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include <skylark/core/id_map.hpp>
 
 #include "io/http_server.hpp"
+#include "io/lingering_connections.hpp"
 #include "io/native.hpp"
 
 namespace skylark::io {
@@ -42,10 +42,25 @@
     void* m_server;
 };
 
-// Owned by the close callback of an accepted_connection socket.
+struct filter {
+    h2o_filter_t m_super; // must be first: h2o passes a pointer to it
+    void* m_server;
+};
+
+// Allocated from the pool of a request that is answered; h2o disposes of the
+// pool before it closes the connection.
+struct answer_guard {
+    void* m_server;
+    h2o_req_t* m_request;
+};
+
+// Lives until h2o closes the socket, whose close callback points to it.
 struct accepted_connection {
     void* m_server;
-    std::uint64_t m_peer_key; // key of the peer's address
+    h2o_socket_t* m_socket;
+    time_point m_accepted;
+    connection_id m_key;
+    bool m_ended{}; // shut down while idle; requests are not passed on
 };
 
 } // namespace internal
@@ -53,32 +68,41 @@
 /*! @brief The server's connections and the callbacks that h2o runs for
  *  them. */
 struct http_server::native {
-    event_loop* m_loop{};
+    explicit native(event_loop& loop) : m_loop{&loop}, m_lingering{loop} {}
+
+    event_loop* m_loop;
+    lingering_connections m_lingering;
     h2o_globalconf_t m_config{};
     h2o_context_t m_context{};
     h2o_accept_ctx_t m_accept{};
     std::vector<h2o_socket_t*> m_listeners;
     handlers m_handlers;
     id_map<exchange_id, internal::exchange> m_exchanges;
-    std::unordered_map<std::uint64_t, h2o_socket_t*>
-        m_sockets;                     // by key of the peer's address
+    id_map<connection_id, internal::accepted_connection> m_connections;
     std::size_t m_head_limit{};        // bytes of all header fields
     std::size_t m_input_limit{};       // bytes of one request, head and body
     std::size_t m_total_input_limit{}; // bytes of all requests
     std::vector<header_view>
         m_headers; // of the present request; reused to save allocations
     time_point m_last_request;
+    bool m_shutting_down{};
 
+    bool accept_one(h2o_socket_t* listener);
+    void accept_queued(h2o_socket_t* listener);
+    void end_idle();
     void close_oversized();
     void limit_total_input();
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
     static void on_accept(h2o_socket_t* listener, const char* error);
     static void on_socket_close(void* data);
+    static void on_answer(h2o_filter_t* self, h2o_req_t* request,
+                          h2o_ostream_t** slot);
+    static void on_answer_end(void* self);
     static void on_proceed(h2o_generator_t* self, h2o_req_t* request);
     static void on_stop(h2o_generator_t* self, h2o_req_t* request);
     static void on_dispose(void* self);
 
-    int socket_of(h2o_req_t* request);
+    static h2o_socket_t* socket_of(h2o_req_t* request);
     exchange_id open(h2o_req_t* request);
     std::size_t collect_headers(h2o_req_t* request);
     void reject_head(h2o_req_t* request, std::size_t size) const;
