Close callers' connections before a draining entry ends

The process ended with its connections open: requests that crossed the end, and connections in the listen queue, were reset by the kernel.

The node now shuts its callers' server down gracefully 100 ms before the limit, or as soon as it is quiet, and ends when no caller can be waiting any more.

--- a/include/skylark/limit/drain_schedule.hpp
+++ b/include/skylark/limit/drain_schedule.hpp
@@ -30,6 +30,12 @@
         return deadline <= m_end - delivery_time;
     }
 
+    /*! @brief Whether the connections of callers must be closed, whatever is in
+     *  progress: requests whose answers are due may still end. */
+    [[nodiscard]] constexpr bool must_close(time_point now) const {
+        return now >= m_end - delivery_time;
+    }
+
     /*! @brief Whether the entry is no longer needed.
      *  @param now current time
      *  @param idle whether no request is in progress
@@ -46,7 +52,8 @@
     }
 
 private:
-    // From a request's deadline until its caller has the answer that says so.
+    // From a request's deadline until its caller has the answer that says so,
+    // and from the close of a connection until its caller knows of it.
     static constexpr duration delivery_time = milliseconds{100};
     // Callers that are still using the entry send more often than this.
     static constexpr duration quiet_time = milliseconds{300};
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -15,6 +15,7 @@
 constexpr auto gauge_period = milliseconds{500};
 constexpr auto place_check = milliseconds{500};
 constexpr auto drain_check = milliseconds{20};
+constexpr auto close_check = milliseconds{5};
 
 std::uint64_t seed_of(const settings& from) {
     return from.m_seed != 0 ? from.m_seed : hash(from.m_name);
@@ -225,7 +226,8 @@
 
 void node::note_drain(std::string_view step) {
     std::string detail{step};
-    detail += ", exchanges=" + std::to_string(m_callers.active());
+    detail += ", connections=" + std::to_string(m_callers.connections()) +
+              " exchanges=" + std::to_string(m_callers.active());
     const stage_counts counts = m_forwarder.stages();
     for (std::size_t i = 0; i < counts.size(); ++i)
         detail.append(" ")
@@ -242,13 +244,24 @@
     const time_point now = io::event_loop::now();
     const bool quiet = m_shared.m_drain->quiet(
         now, m_callers.active() == 0, m_callers.time_since_last_request());
-    if (quiet || m_shared.m_drain->expired(now)) {
-        note_drain(quiet ? "done" : "time limit reached");
+    if (quiet || m_shared.m_drain->must_close(now)) {
+        note_drain("closing connections");
+        m_callers.begin_shutdown();
+        finish_when_closed();
+        return;
+    }
+    m_shared.m_loop.after(drain_check, [this] { finish_drain_when_idle(); });
+}
+
+void node::finish_when_closed() {
+    const bool closed = m_callers.drained();
+    if (closed || m_shared.m_drain->expired(io::event_loop::now())) {
+        note_drain(closed ? "done" : "time limit reached");
         m_forwarder.log_unfinished();
         m_shared.m_loop.stop();
         return;
     }
-    m_shared.m_loop.after(drain_check, [this] { finish_drain_when_idle(); });
+    m_shared.m_loop.after(close_check, [this] { finish_when_closed(); });
 }
 
 } // namespace skylark::entry
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -42,6 +42,7 @@
     void update_gauges();
     void paused(duration gap);
     void finish_drain_when_idle();
+    void finish_when_closed();
     // Notes a step of the shutdown, with the requests in progress by stage.
     void note_drain(std::string_view step);
 
--- a/test/limit/drain_schedule.cpp
+++ b/test/limit/drain_schedule.cpp
@@ -41,6 +41,12 @@
     EXPECT_TRUE(schedule.quiet(start + seconds{3}, true, seconds{1}));
 }
 
+TEST(drain_schedule, closes_connections_before_the_limit) {
+    EXPECT_FALSE(schedule.must_close(start + seconds{5}));
+    EXPECT_TRUE(schedule.must_close(start + milliseconds{5450}));
+    EXPECT_FALSE(schedule.expired(start + milliseconds{5450}));
+}
+
 TEST(drain_schedule, ends_at_the_limit_whatever_is_in_progress) {
     EXPECT_FALSE(schedule.expired(start + milliseconds{5499}));
     EXPECT_TRUE(schedule.expired(start + milliseconds{5500}));
