Soak whole deployments with real processes on the platform's interface

scripts/soak.py starts store, servers and entries on a loopback network of their own, plays a seeded schedule of planned work and disturbances against callers that stay, follow the directory, pipeline, upload slowly or idle, and judges the callers' records and the servers' ledgers by the platform's rules, with Server-Leaving and Retry-After of servers.

--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,139 @@
+"""Seeded soak of real processes on the platform's interface.
+
+Exit code 0: no finding; 1: findings; 2: the soak itself failed.
+docs/design/soak.md tells what is played and judged.
+"""
+
+import argparse
+import json
+import pathlib
+import subprocess
+import sys
+import time
+
+from soaklib.bounds import Bounds
+from soaklib.evidence import Evidence
+from soaklib.fleet import ROOT, ZONES, Fleet
+from soaklib.judge import judge, report, summary
+from soaklib.player import Player
+from soaklib.records import read_calls, read_ledgers
+from soaklib.schedule import Schedule
+
+KINDS = ["book", "read", "pipelined", "upload", "book", "idle", "heavy",
+         "upload_chunked", "read", "bulk", "follow", "follow"]
+# Callers of one worker process.
+WORKER_SIZE = 150
+
+
+def caller_specs(args, fleet):
+    """Callers that stay, and those that follow the directory."""
+    specs = []
+    for entry in fleet.entries:
+        for _ in range(args.callers):
+            index = len(specs)
+            specs.append({
+                "name": f"s{args.seed}-c{index}",
+                "kind": KINDS[index % len(KINDS)], "entry": entry,
+                "zone": ZONES[index % len(ZONES)],
+                "seed": args.seed * 100_000 + index, "think": args.think,
+                "keep": 3 if index % 5 == 0 else 1})
+    return specs
+
+
+def start_workers(args, fleet):
+    specs = caller_specs(args, fleet)
+    workers = []
+    for first in range(0, len(specs), WORKER_SIZE):
+        name = f"callers-{first // WORKER_SIZE}"
+        plan = {"callers": specs[first:first + WORKER_SIZE],
+                "callers_of": {e: fleet.callers_of(e) for e in fleet.entries},
+                "directory_of": {e: fleet.address(e, 8083)
+                                 for e in fleet.entries},
+                "records": str(fleet.out / f"{name}.jsonl")}
+        path = fleet.out / f"{name}.json"
+        path.write_text(json.dumps(plan), encoding="utf-8")
+        workers.append(subprocess.Popen(
+            [sys.executable, "-m", "soaklib.callers", str(path)],
+            cwd=ROOT / "scripts", stdin=subprocess.PIPE))
+        fleet.processes[name] = workers[-1]
+    return workers
+
+
+def play(args, out, bounds):
+    """One run; returns evidence, its begin, and failures of the soak."""
+    with Fleet(args, out, bounds) as fleet:
+        workers = start_workers(args, fleet)
+        began = time.monotonic()
+        player = Player(fleet, bounds)
+        player.play(Schedule(args.seed, args.seconds, fleet.entries,
+                             args.servers, args.pace).scenes())
+        player.calm()
+        time.sleep(args.calm)
+        for worker in workers:
+            worker.stdin.close()
+        for worker in workers:
+            worker.wait(timeout=60)
+        for entry in fleet.entries:
+            if not fleet.running(entry):
+                fleet.note("exit", entry,
+                           code=fleet.processes[entry].returncode)
+        calls = read_calls(sorted(out.glob("callers-*.jsonl")))
+        events = list(fleet.events)
+        failures = player.failures + [
+            f"{name} ended with {process.returncode}"
+            for name, process in fleet.processes.items()
+            if name.startswith("callers") and process.returncode]
+    (out / "events.jsonl").write_text("".join(
+        json.dumps(event.__dict__) + "\n" for event in events),
+        encoding="utf-8")
+    return Evidence(calls, read_ledgers(out / "ledger"), events,
+                    bounds), began, failures
+
+
+def run_once(args, bounds):
+    build = pathlib.Path(args.build or ROOT / "build")
+    out = build / "soak" / f"net-{args.net}" / f"seed-{args.seed}"
+    evidence, began, failures = play(args, out, bounds)
+    findings = judge(evidence)
+    lines = list(report(evidence, findings, args.seed, began))
+    (out / "findings.txt").write_text("\n".join(lines) + "\n",
+                                      encoding="utf-8")
+    print(f"seed {args.seed}: {summary(evidence, findings)}", flush=True)
+    for line in lines[:args.show]:
+        print("  " + line)
+    for failure in failures:
+        print(f"  soak failed: {failure}")
+    if failures:
+        return 2
+    return 1 if findings else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--entries", type=int, default=6)
+    parser.add_argument("--servers", type=int, default=12)
+    parser.add_argument("--slots", type=int, default=16)
+    parser.add_argument("--callers", type=int, default=48,
+                        help="of each entry; a sixth follows the directory")
+    parser.add_argument("--think", type=float, default=0.5,
+                        help="mean pause between two requests, in seconds")
+    parser.add_argument("--pace", type=float, default=0.6,
+                        help="scenes a second")
+    parser.add_argument("--calm", type=float, default=3.0)
+    parser.add_argument("--net", type=int, default=150)
+    parser.add_argument("--build", default=None)
+    parser.add_argument("--show", type=int, default=10,
+                        help="findings printed of each run")
+    args = parser.parse_args()
+    worst = 0
+    for seed in range(args.seed, args.seed + args.runs):
+        args.seed = seed
+        worst = max(worst, run_once(args, Bounds()))
+    return worst
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/soaklib/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the soak: processes, callers, schedule and judge."""
--- /dev/null
+++ b/scripts/soaklib/configuration.py
@@ -0,0 +1,64 @@
+"""Configurations that the operator of a soak writes."""
+
+import json
+
+SERVICES = ["quick", "steady", "heavy"]
+
+
+def base_routes():
+    return [
+        {"name": "quick", "prefix": "/quick/", "kind": "safe",
+         "service": "quick", "timeout_ms": 5000},
+        {"name": "read", "prefix": "/read/", "kind": "safe",
+         "service": "steady", "timeout_ms": 7000},
+        {"name": "bulk", "prefix": "/bulk/", "kind": "download",
+         "service": "heavy", "timeout_ms": 9000},
+        {"name": "book", "prefix": "/book/", "kind": "unsafe",
+         "service": "steady", "timeout_ms": 9000},
+        {"name": "heavy", "prefix": "/heavy/", "kind": "unsafe",
+         "service": "heavy", "timeout_ms": 9000},
+        {"name": "put", "prefix": "/put/", "kind": "unsafe",
+         "service": "quick", "timeout_ms": 9000},
+    ]
+
+
+class Configuration:
+    """The newest configuration and the changes that lead to the next one."""
+
+    def __init__(self, host):
+        self.host = host
+        self.version = 7
+        self.routes = base_routes()
+
+    def change(self, what):
+        """Applies a named change; its number decides the direction."""
+        self.version += 3
+        read = self.routes[1]
+        if what == "add":
+            self.routes.append(
+                {"name": f"new-{self.version}",
+                 "prefix": f"/new-{self.version}/", "kind": "safe",
+                 "service": "quick", "timeout_ms": 2000})
+        elif what == "move":
+            read["service"] = ("quick" if read["service"] == "steady"
+                               else "steady")
+        elif what == "timeout":
+            read["timeout_ms"] = 12000 - read["timeout_ms"]
+
+    def timeouts(self):
+        """Time limit of each prefix in seconds."""
+        return {r["prefix"]: r["timeout_ms"] / 1000 for r in self.routes}
+
+    def text(self):
+        columns = ["name", "host", "prefix", "kind", "timeout_ms", "service",
+                   "max_attempts", "target_latency_ms", "priority"]
+        rows = [[r["name"], self.host, r["prefix"], r["kind"],
+                 r["timeout_ms"], r["service"], 2, 1000, 1]
+                for r in self.routes]
+        return json.dumps({
+            "version": f"{self.version:08x}",
+            "routes": {"columns": columns, "rows": rows},
+            "services": {"columns": ["name", "health_path", "max_conns"],
+                         "rows": [[s, "/health", 1000] for s in SERVICES]},
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576,
+                       "header_timeout_ms": 5000, "idle_timeout_ms": 15000}})
--- /dev/null
+++ b/scripts/soaklib/evidence.py
@@ -0,0 +1,174 @@
+"""Indexed records of a run, and the questions that the rules ask of them."""
+
+import bisect
+import collections
+
+# What disturbs an entry without a plan. A kill at the end of the grace
+# belongs to the planned stop.
+FREEZES = {"SIGSTOP", "SIGCONT"}
+ENTRY_EVENTS = {"SIGTERM", "SIGKILL", "SIGHUP", "start", "exit"} | FREEZES
+
+
+class Evidence:
+    """Calls, ledger lines and events of one run."""
+
+    def __init__(self, calls, lines, events, bounds):
+        self.calls = [call for call in calls if call.how != "stray"]
+        self.strays = [call for call in calls if call.how == "stray"]
+        self.lines = lines
+        self.events = sorted(events, key=lambda event: event.at)
+        self.bounds = bounds
+        self.call_of = {call.id: call for call in self.calls}
+        self.lines_of = collections.defaultdict(list)      # by request
+        self.arrivals_at = collections.defaultdict(list)   # by instance
+        for line in lines:
+            self.lines_of[line.id].append(line)
+        for line in lines:
+            if line.word == "arrived" and not self.misdirected(line):
+                self.arrivals_at[line.instance].append(line)
+        self.events_of = collections.defaultdict(list)     # by subject
+        for event in self.events:
+            self.events_of[event.subject].append(event)
+
+    def misdirected(self, arrival):
+        return any(line.word == "misdirected" and
+                   line.instance == arrival.instance
+                   for line in self.lines_of[arrival.id])
+
+    def runs(self, name):
+        return [line for line in self.lines_of[name] if line.word == "run"]
+
+    def arrivals(self, name):
+        return [line for line in self.lines_of[name]
+                if line.word == "arrived" and not self.misdirected(line)]
+
+    def work_end(self, run):
+        """When a server's work on a request was over; None: never."""
+        for line in self.lines_of[run.id]:
+            if line.instance == run.instance and line.at >= run.at and \
+                    line.word in ("answered", "dropped"):
+                return line
+        return None
+
+    def between(self, subject, words, begin, end):
+        """Events of a subject in a span of time, oldest first."""
+        known = self.events_of[subject]
+        first = bisect.bisect_left(known, begin, key=lambda event: event.at)
+        out = []
+        for event in known[first:]:
+            if event.at > end:
+                break
+            if event.word in words:
+                out.append(event)
+        return out
+
+    # Entries.
+
+    def stop_before(self, entry, at):
+        """The SIGTERM that began the planned stop under way at a time."""
+        limit = self.bounds.grace + 1.0
+        stops = [e for e in self.between(entry, {"SIGTERM", "start"},
+                                         at - limit, at)]
+        first = None
+        for event in stops:
+            if event.word == "start":
+                # Requests may end a moment after the successor's start.
+                continue
+            if first is None or self.between(
+                    entry, {"start"}, first.at, event.at):
+                first = event
+        return first
+
+    def grace_kill(self, kill):
+        """Whether a SIGKILL ended a planned stop."""
+        return bool(self.between(kill.subject, {"SIGTERM"},
+                                 kill.at - self.bounds.grace - 1.0, kill.at))
+
+    def unplanned(self, entry, begin, end):
+        """Unplanned disturbance of an entry in a span of time."""
+        found = self.between(entry, {"SIGKILL"} | FREEZES, begin, end)
+        return [e for e in found
+                if e.word != "SIGKILL" or not self.grace_kill(e)] \
+            or self.frozen(entry, begin)
+
+    def frozen(self, subject, at):
+        """Whether a process was stopped at a time."""
+        last = [e for e in self.events_of[subject]
+                if e.word in FREEZES | {"SIGKILL", "start"} and e.at <= at]
+        return [last[-1]] if last and last[-1].word == "SIGSTOP" else []
+
+    def in_touch(self, entry, begin, end):
+        """Whether nothing disturbed an entry or the store from the stable
+        window before a span to its end."""
+        since = begin - self.bounds.stable_window
+        disturbed = self.between(
+            entry, {"SIGTERM", "SIGKILL", "start", "exit"} | FREEZES, since,
+            end)
+        return not disturbed and not self.frozen(entry, since) and \
+            self.store_stable(since, end)
+
+    def interrupted(self, entry, begin, end):
+        """Restart or freeze of an entry in a span of time."""
+        return self.between(entry, {"start", "exit"} | FREEZES, begin, end) \
+            or self.frozen(entry, begin)
+
+    # The store and servers.
+
+    def store_stable(self, begin, end):
+        if self.between("store", {"store-good"}, begin, end):
+            return False
+        faults = [e for e in self.events if e.word in
+                  ("store-fault", "store-good") and e.at <= end]
+        return not faults or faults[-1].word == "store-good"
+
+    def server_broke(self, instance, begin, end):
+        """Whether a server ended or was stopped in a span of time."""
+        return self.between(instance, {"server-end"} | FREEZES, begin, end) \
+            or self.frozen(instance, begin)
+
+    def timeout(self, call):
+        """Least time limit of the call's route that may have been in
+        force."""
+        since = call.begin - self.bounds.config_apply - 1.0
+        limit = call.deadline
+        before = None
+        for event in self.events_of[""]:
+            if event.word != "config" or event.at > call.end:
+                continue
+            if event.at < since:
+                before = event
+                continue
+            limit = min(limit, event.fields["timeouts"].get(call.prefix,
+                                                            limit))
+        if before:
+            limit = min(limit, before.fields["timeouts"].get(call.prefix,
+                                                             limit))
+        return limit
+
+    def near(self, finding, span=8.0, most=5):
+        """Nearest events, as text with times relative to the finding."""
+        concerned = {finding.entry, finding.instance, "", "store"}
+        close = [e for e in self.events if abs(e.at - finding.at) <= span and
+                 (e.subject in concerned or e.word in
+                  ("evacuated", "taken-back")) and e.word != "scene"]
+        close.sort(key=lambda e: abs(e.at - finding.at))
+        return ", ".join(
+            f"{e.word}{' ' + e.subject if e.subject else ''} "
+            f"{e.at - finding.at:+.2f} s" for e in close[:most])
+
+
+def config_windows(evidence):
+    """Spans of time in which a new configuration is planned work."""
+    sent = {}
+    out = []
+    for event in evidence.events_of[""]:
+        if event.word != "config" or "version" not in event.fields:
+            continue
+        if event.fields["phase"] == "sent":
+            sent[event.fields["version"]] = event.at
+        else:
+            out.append((sent.get(event.fields["version"], event.at),
+                        event.at + evidence.bounds.config_apply + 1.0))
+    return out
+
+
--- /dev/null
+++ b/scripts/soaklib/exchange.py
@@ -0,0 +1,189 @@
+"""Requests of one caller on its connection, repeated as the protocol allows."""
+
+import asyncio
+import time
+
+from . import wire
+from .records import PROMISES
+from .requests import head_of, new_call, note_answer, note_end, upload_body
+
+# A caller waits this long beyond its deadline, to see what is held.
+PATIENCE = 1.0
+ATTEMPTS = 4
+FINAL = {400, 401, 404, 413, 431}  # not repeated by anybody
+
+
+class Unreachable(Exception):
+    """The entry takes no connection."""
+
+
+def may_repeat(call):
+    """Whether the protocol allows another attempt."""
+    if call.status in FINAL or 200 <= call.status < 300:
+        return False
+    return call.status in PROMISES or not call.unsafe
+
+
+class Exchange:
+    """The connection of one caller and the requests on it."""
+
+    def __init__(self, worker, name):
+        self.worker = worker
+        self.name = name
+        self.connection = None
+        self.count = 0
+
+    async def perform(self, entry, form):
+        """One request with its repeats, each on a new connection."""
+        limit = time.monotonic() + form.deadline
+        for attempt in range(ATTEMPTS):
+            left = limit - time.monotonic()
+            if left <= 0.01:
+                return
+            try:
+                await self.open(entry)
+                call, retry_after = await self.attempt(form, left)
+            except Unreachable:
+                if attempt == 0:
+                    raise
+                return
+            if not may_repeat(call):
+                return
+            self.drop()
+            left = limit - time.monotonic()
+            await asyncio.sleep(max(0.0, min(retry_after, left / 3)))
+
+    async def pipeline(self, entry, form, count):
+        """Several safe requests in one write."""
+        await self.open(entry)
+        connection = self.connection
+        calls = [new_call(form, self.next_id(), connection, form.deadline)
+                 for _ in range(count)]
+        try:
+            connection.write(b"".join(head_of(form, c) for c in calls))
+            sent = time.monotonic()
+            for call in calls:
+                call.sent = sent
+        except wire.Ended:
+            self.drop()
+            return
+        before = None
+        for call in calls:
+            if before:
+                call.turn = before.end
+            if before and (before.closing or before.how == "behind_close"):
+                note_end(call, "behind_close", 0.0)
+            elif before and before.how == "gave_up":
+                note_end(call, "gave_up", 0.0)
+            else:
+                await self.receive(form, call, call.begin)
+            before = call
+            self.worker.record(call)
+        if before.how != "whole" or before.closing:
+            self.drop()
+
+    async def fetch(self, address, path):
+        """A GET on a connection of its own; None without a whole answer."""
+        try:
+            connection = await wire.connect("", address)
+        except (OSError, TimeoutError):
+            return None
+        try:
+            connection.write(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+            return await connection.answer(time.monotonic() + 1.0)
+        except (wire.Ended, wire.Garbage, TimeoutError):
+            return None
+        finally:
+            connection.close()
+
+    # Parts.
+
+    def next_id(self):
+        self.count += 1
+        return f"{self.name}-{self.count}"
+
+    def drop(self):
+        if self.connection:
+            self.connection.close()
+        self.connection = None
+
+    async def open(self, entry):
+        kept = self.connection
+        if kept and (kept.ended or kept.buffer or kept.entry != entry):
+            self.note_stray(kept)
+            self.drop()
+        if self.connection:
+            return
+        try:
+            self.connection = await wire.connect(
+                entry, self.worker.addresses[entry])
+        except (OSError, TimeoutError):
+            raise Unreachable from None
+
+    def note_stray(self, connection):
+        """Bytes that belong to no request, on a kept connection."""
+        if not connection.buffer:
+            return
+        from .records import Call
+        now = time.monotonic()
+        self.worker.record(Call(
+            self.next_id(), "stray", False, connection.entry,
+            connection.number, connection.requests, "", 0.0, now, None, 0.0,
+            now, how="stray", wrong=repr(bytes(connection.buffer[:60]))))
+
+    async def attempt(self, form, deadline):
+        connection = self.connection
+        call = new_call(form, self.next_id(), connection, deadline)
+        answering = asyncio.create_task(self.receive(form, call, call.begin))
+        try:
+            await self.send(form, call, answering)
+        except wire.Ended:
+            pass
+        retry_after = await answering
+        self.worker.record(call)
+        if call.how != "whole" or call.closing or call.sent is None:
+            self.drop()
+        return call, retry_after
+
+    async def send(self, form, call, answering):
+        connection = self.connection
+        body = upload_body(call.id, form)
+        connection.write(head_of(form, call))
+        pieces = 8 if form.upload_time else 1
+        step = len(body) // pieces + 1
+        for start in range(0, len(body), step):
+            if form.upload_time:
+                await asyncio.wait([answering],
+                                   timeout=form.upload_time / pieces)
+            if answering.done():
+                return  # answered early; the rest is not sent
+            piece = body[start:start + step]
+            if form.upload_chunked:
+                piece = b"%x\r\n%s\r\n" % (len(piece), piece)
+            connection.write(piece)
+        if form.upload_chunked:
+            connection.write(b"0\r\n\r\n")
+        if connection.transport.get_write_buffer_size():
+            await connection.flush()
+        call.sent = time.monotonic()
+
+    async def receive(self, form, call, begin):
+        """Waits for the answer; returns its Retry-After in seconds."""
+        connection = self.connection
+        limit = begin + form.upload_time + call.deadline + PATIENCE
+        try:
+            answer = await connection.answer(limit)
+        except wire.Ended as ended:
+            note_end(call, str(ended), connection.ended_at)
+        except wire.Garbage as garbage:
+            note_end(call, "garbage", 0.0)
+            call.wrong = str(garbage)
+        except TimeoutError:
+            note_end(call, "gave_up", 0.0)
+        else:
+            note_answer(form, call, answer)
+            try:
+                return float(answer.fields.get("retry-after", "0.05"))
+            except ValueError:
+                return 0.05
+        return 0.05
--- /dev/null
+++ b/scripts/soaklib/fleet.py
@@ -0,0 +1,229 @@
+"""Processes of a soak: the store, servers, entries. Each is started here and
+ended by its id."""
+
+import json
+import pathlib
+import shutil
+import signal
+import subprocess
+import threading
+import time
+import urllib.error
+import urllib.request
+
+from .configuration import SERVICES, Configuration
+from .records import Event
+from .requests import HOST
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ZONES = ["north", "east", "west"]
+# Mean service time and, where the tail is heavy, the longest; microseconds.
+TIMES = {"quick": (30_000, 0), "steady": (250_000, 0),
+         "heavy": (600_000, 6_000_000)}
+
+
+def call(method, address, path, body=None, timeout=2.0, headers=None):
+    """Status and body of one request; status 0 without an answer."""
+    data = body.encode() if body is not None else None
+    request = urllib.request.Request(f"http://{address}{path}", data=data,
+                                     method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, ""
+    except OSError:
+        return 0, ""
+
+
+def wait_for(condition, limit_s, what):
+    end = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError(f"not reached within {limit_s} s: {what}")
+        time.sleep(0.05)
+
+
+class Fleet:
+    """A deployment on the platform's interface; a context manager."""
+
+    def __init__(self, args, out, bounds):
+        self.bin = pathlib.Path(args.build or ROOT / "build") / "bin"
+        self.out = out
+        self.net = args.net
+        self.seed = args.seed
+        self.bounds = bounds
+        self.entries = [f"entry-{i}" for i in range(args.entries)]
+        self.places = list(range(args.servers))
+        self.slots = args.slots
+        self.instances = {}      # place to the instance that serves there
+        self.generation = dict.fromkeys(self.places, 0)
+        self.processes = {}
+        self.events = []
+        self.configuration = Configuration(HOST)
+        self.lock = threading.Lock()
+        self.settings = {"entries_ttl_ms": 2000}
+
+    def __enter__(self):
+        if self.out.exists():
+            shutil.rmtree(self.out)
+        (self.out / "ledger").mkdir(parents=True)
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def note(self, word, subject, **fields):
+        with self.lock:
+            self.events.append(Event(time.monotonic(), word, subject, fields))
+
+    def start(self):
+        self.launch("store", ["standin-store", "--listen", self.store,
+                              "--operators", self.operators])
+        wait_for(lambda: self.put("op/config", self.configuration.text()), 10,
+                 "the store")
+        self.note("config", "", phase="done",
+                  timeouts=self.configuration.timeouts())
+        for place in self.places:
+            self.start_server(place)
+        for entry in self.entries:
+            self.start_entry(entry)
+        for entry in self.entries:
+            wait_for(lambda e=entry: self.ready(e), 30, entry)
+
+    def launch(self, name, args):
+        with open(self.out / f"{name}.log", "a", encoding="utf-8") as log:
+            process = subprocess.Popen(
+                [str(self.bin / args[0])] + args[1:], stdout=log, stderr=log,
+                stdin=subprocess.DEVNULL)
+        self.processes[name] = process
+        return process
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    # The store.
+
+    @property
+    def store(self):
+        return f"127.{self.net}.0.1:8500"
+
+    @property
+    def operators(self):
+        return f"127.{self.net}.0.1:8501"
+
+    def put(self, key, value):
+        return call("PUT", self.operators, f"/standin/key?key={key}",
+                    value)[0] == 200
+
+    def erase(self, key):
+        call("DELETE", self.operators, f"/standin/key?key={key}")
+
+    def set_faults(self, query):
+        call("PUT", self.operators, f"/standin/faults?{query}", "")
+
+    # Entries.
+
+    def zone_of(self, entry):
+        return ZONES[self.entries.index(entry) % len(ZONES)]
+
+    def address(self, entry, port):
+        index = self.entries.index(entry)
+        return f"127.{self.net}.{1 + index // 200}.{index % 200 + 1}:{port}"
+
+    def callers_of(self, entry):
+        return self.address(entry, 8080)
+
+    def write_settings(self, entry):
+        seeds = [self.address(e, 8082) for e in self.entries[:3]]
+        values = {
+            "name": entry, "deployment": "platform",
+            "zone": self.zone_of(entry), "region": "r", "zones": ZONES,
+            "callers": self.callers_of(entry),
+            "ready": self.address(entry, 8088),
+            "lookup": self.address(entry, 8083),
+            "control": self.address(entry, 8082),
+            "peer": self.address(entry, 8082), "platform": self.store,
+            "seeds": seeds, "questions_per_upstream": 60, "cores": 1.0,
+            "bootstrap": not self.started(entry),
+            "apply_limit_ms": int(self.bounds.config_apply * 1000),
+            "killed_after_s": int(self.bounds.grace), **self.settings}
+        path = self.out / f"{entry}.toml"
+        text = "".join(f"{key} = {json.dumps(value)}\n"
+                       for key, value in values.items())
+        fresh = path.with_suffix(".new")
+        fresh.write_text(text, encoding="utf-8")
+        fresh.replace(path)
+        return path
+
+    def started(self, entry):
+        return any(e.word == "start" and e.subject == entry
+                   for e in self.events)
+
+    def start_entry(self, entry):
+        path = self.write_settings(entry)
+        self.note("start", entry)
+        self.launch(entry, ["skylark-entry", "--settings", str(path)])
+
+    def ready(self, entry):
+        return call("GET", self.address(entry, 8088), "/readiness",
+                    timeout=1.0)[0] == 200
+
+    def running(self, entry):
+        process = self.processes.get(entry)
+        return process is not None and process.poll() is None
+
+    def signal(self, name, number):
+        """Sends a signal to a process that was started here."""
+        if self.running(name):
+            self.note(signal.Signals(number).name, name)
+            self.processes[name].send_signal(number)
+
+    # Servers.
+
+    def server_address(self, place):
+        return (f"127.{self.net}.{100 + place // 200}."
+                f"{place % 200 + 1}:9000")
+
+    def service_of(self, place):
+        return SERVICES[place % len(SERVICES)]
+
+    def start_server(self, place):
+        with self.lock:
+            self.generation[place] += 1
+            instance = f"i-{place}-{self.generation[place]}"
+            self.instances[place] = instance
+        service = self.service_of(place)
+        mean, longest = TIMES[service]
+        zone = ZONES[place // len(SERVICES) % len(ZONES)]
+        self.note("server-start", instance)
+        self.launch(instance, [
+            "standin-server", "--listen", self.server_address(place),
+            "--store", self.operators, "--id", instance, "--service", service,
+            "--zone", zone, "--slots", str(self.slots), "--queue",
+            str(self.slots), "--mean-us", str(mean), "--longest-us",
+            str(longest), "--seed",
+            str(self.seed * 1000 + place * 10 + self.generation[place]),
+            "--ledger", str(self.out / "ledger" / instance)])
+
+    def admin(self, place, path):
+        return call("PUT", self.server_address(place), f"/standin/{path}",
+                    "")[0]
+
+    def end_server(self, place):
+        """Ends the process of a place at once."""
+        instance = self.instances[place]
+        process = self.processes[instance]
+        self.note("server-end", instance)
+        process.kill()
+        process.wait()
+        self.note("server-ended", instance)
--- /dev/null
+++ b/scripts/soaklib/judge_stops.py
@@ -0,0 +1,177 @@
+"""Rules on requests that are cut, in planned work and otherwise, and on ends
+of entries: LOST, EXIT."""
+
+import collections
+import signal
+
+from .evidence import config_windows
+from .records import Finding
+
+CUT = {"closed", "reset", "cut"}
+OF_TIMING = 0.05  # seconds that clocks of caller and entry may begin apart
+
+
+def at_limit(evidence, call):
+    """Whether the deadline or the route's timeout was reached."""
+    return call.end - call.begin >= evidence.timeout(call) - OF_TIMING
+
+
+def server_fault(evidence, call):
+    return any(evidence.server_broke(line.instance, line.at, call.end)
+               for line in evidence.arrivals(call.id))
+
+
+def long_work(evidence, call, term):
+    """Whether a server was still at work in the last sixth of the grace on
+    a request that was sent soon enough."""
+    bounds = evidence.bounds
+    if call.sent > term.at + bounds.excused_sent:
+        return False
+    for run in evidence.runs(call.id):
+        over = evidence.work_end(run)
+        if over is None or over.at >= term.at + bounds.last_sixth:
+            return True
+    return False
+
+
+def lost_whole(evidence, call):
+    """Whether a request that was sent whole ended without an answer in a way
+    that no crossing of the close explains."""
+    if call.how not in CUT or call.sent is None:
+        return False
+    if evidence.arrivals(call.id):
+        return True
+    waited = call.end - max(call.sent, call.turn) - call.lag
+    return waited > evidence.bounds.loss_slack
+
+
+def answered_instead(evidence, call):
+    """Whether the entry gave its own answer while a server was at work."""
+    if call.how != "whole" or call.stamp or 200 <= call.status < 300:
+        return False
+    for run in evidence.runs(call.id):
+        over = evidence.work_end(run)
+        if run.at < call.end and (over is None or over.word == "dropped"
+                                  or over.at > call.end):
+            return True
+    return False
+
+
+def excused(evidence, call):
+    since = call.begin - evidence.bounds.stable_window
+    return at_limit(evidence, call) or server_fault(evidence, call) or \
+        bool(evidence.unplanned(call.entry, since, call.end))
+
+
+def describe(evidence, call, why):
+    sent = f"sent {call.sent - call.end:+.2f} s" if call.sent else "not whole"
+    runs = evidence.runs(call.id)
+    work = f"run by {runs[-1].instance}" if runs else (
+        "reached a server" if evidence.arrivals(call.id) else "not passed on")
+    return f"{call.kind}: {why}, status {call.status}, {sent}, {work}"
+
+
+def reloaded(evidence, call):
+    """The reload in whose window a request was sent and cut."""
+    reloads = evidence.between(call.entry, {"SIGHUP"},
+                               call.begin - evidence.bounds.config_apply,
+                               call.end)
+    return bool(reloads) and \
+        call.sent <= reloads[-1].at + evidence.bounds.config_apply
+
+
+def lost_in_stops(evidence):
+    for call in evidence.calls:
+        broken = lost_whole(evidence, call)
+        instead = answered_instead(evidence, call)
+        if (not broken and not instead) or excused(evidence, call):
+            continue
+        term = evidence.stop_before(call.entry, call.end)
+        if term and not long_work(evidence, call, term):
+            why = ("own answer in place of the server's" if instead else
+                   f"connection {call.how}")
+            yield Finding(
+                "LOST", call.end, describe(evidence, call, why) +
+                f", {call.end - term.at:.2f} s after SIGTERM", call.entry, "",
+                call.id)
+        elif not term and broken and reloaded(evidence, call):
+            yield Finding("LOST", call.end, describe(
+                evidence, call, f"connection {call.how}") + ", after SIGHUP",
+                call.entry, "", call.id)
+
+
+def lost_by_configuration(evidence):
+    """Entries that cut over three times as often while a configuration comes
+    into force as at other times."""
+    windows = config_windows(evidence)
+    inside = collections.defaultdict(list)
+    outside = collections.Counter()
+    for call in evidence.calls:
+        if not lost_whole(evidence, call) or excused(evidence, call) or \
+                evidence.stop_before(call.entry, call.end):
+            continue
+        used = (call.end - call.begin) / evidence.timeout(call)
+        if any(begin <= call.end <= end for begin, end in windows):
+            if used < 0.7:
+                inside[call.entry].append(call)
+        else:
+            outside[call.entry] += 1
+    length = sum(end - begin for begin, end in windows)
+    ends = [call.end for call in evidence.calls]
+    rest = max(1.0, (max(ends) - min(ends) if ends else 0.0) - length)
+    for entry, calls in inside.items():
+        if len(calls) / max(length, 1.0) > 3 * outside[entry] / rest:
+            yield Finding("LOST", calls[0].end, describe(
+                evidence, calls[0], f"{len(calls)} cut beside a new "
+                "configuration"), entry, "", calls[0].id)
+
+
+def lost_at_any_time(evidence):
+    """Requests from kept connections that were passed on to a sound server,
+    at entries in touch."""
+    found = collections.defaultdict(list)
+    for call in evidence.calls:
+        if call.position > 0 and lost_whole(evidence, call) and \
+                evidence.arrivals(call.id) and \
+                not excused(evidence, call) and \
+                evidence.in_touch(call.entry, call.begin, call.end):
+            found[call.entry].append(call)
+    for entry, calls in found.items():
+        if len(calls) > evidence.bounds.cuts_at_any_time:
+            yield Finding("LOST", calls[0].end, describe(
+                evidence, calls[0], f"{len(calls)} cut at no planned work"),
+                entry, "", calls[0].id)
+
+
+def ends(evidence):
+    """Entries that ended by themselves or with a wrong code."""
+    started = {}
+    for event in evidence.events:
+        if event.word == "start":
+            started[event.subject] = event.at
+        if event.word != "exit":
+            continue
+        since = started.get(event.subject, 0.0)
+        told = {e.word for e in evidence.between(
+            event.subject, {"SIGTERM", "SIGKILL"}, since, event.at)}
+        code = event.fields["code"]
+        # Before its handlers are there, SIGTERM ends a process that has taken
+        # nothing yet.
+        early = code == -signal.SIGTERM and event.at - since < 1.0
+        if "SIGTERM" in told and "SIGKILL" in told:
+            if evidence.between(event.subject, {"SIGSTOP", "SIGCONT"},
+                                since, event.at):
+                continue
+            text = "still ran at the end of the grace"
+        elif "SIGKILL" in told or early:
+            continue
+        elif "SIGTERM" not in told:
+            text = f"ended by itself with code {code}"
+        elif code != 0:
+            text = f"ended with code {code} after SIGTERM"
+        else:
+            continue
+        yield Finding("EXIT", event.at, text, event.subject)
+
+
+RULES = [lost_in_stops, lost_by_configuration, lost_at_any_time, ends]
--- /dev/null
+++ b/scripts/soaklib/player.py
@@ -0,0 +1,256 @@
+"""Plays the scenes of a schedule on a fleet."""
+
+import signal
+import threading
+import time
+
+from .fleet import ZONES, call
+from .requests import HOST
+
+STORE_FAULTS = {"store_refuses": "refusing", "store_slow": "delay_ms=700",
+                "store_silent": "silent"}
+CHANGES = {"add_route": "add", "move_route": "move",
+           "change_timeout": "timeout"}
+
+
+class Player:
+    """Each scene runs on a thread of its own."""
+
+    def __init__(self, fleet, bounds):
+        self.fleet = fleet
+        self.bounds = bounds
+        self.threads = []
+        self.changing = threading.Lock()
+        self.failures = []  # of the soak itself
+
+    def play(self, scenes):
+        began = time.monotonic()
+        for scene in sorted(scenes, key=lambda scene: scene.at):
+            time.sleep(max(0.0, began + scene.at - time.monotonic()))
+            self.fleet.note("scene", scene.name,
+                            on=scene.entries or scene.places)
+            thread = threading.Thread(target=self.run, args=(scene,))
+            thread.start()
+            self.threads.append(thread)
+
+    def finish(self):
+        for thread in self.threads:
+            thread.join()
+
+    def run(self, scene):
+        try:
+            if scene.name in STORE_FAULTS:
+                self.store_fault(scene)
+            elif scene.name in CHANGES:
+                self.configure(CHANGES[scene.name])
+            else:
+                getattr(self, scene.name)(scene)
+        except Exception as error:  # noqa: BLE001 - reported as a failure
+            self.failures.append(f"{scene.name}: {error!r}")
+
+    # Entries.
+
+    def stop(self, entry, during=()):
+        """SIGTERM, SIGKILL after the grace, and a new start.
+
+        during: pairs of seconds after SIGTERM and what is done then."""
+        process = self.fleet.processes[entry]
+        self.fleet.signal(entry, signal.SIGTERM)
+        began = time.monotonic()
+        for after, act in during:
+            time.sleep(max(0.0, began + after - time.monotonic()))
+            act()
+        while process.poll() is None and \
+                time.monotonic() < began + self.bounds.grace:
+            time.sleep(0.005)
+        if process.poll() is None:
+            self.fleet.signal(entry, signal.SIGKILL)
+        process.wait()
+        self.fleet.note("exit", entry, code=process.returncode)
+
+    def stop_all(self, scene, during=()):
+        threads = [threading.Thread(target=self.stop, args=(e, during))
+                   for e in scene.entries]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        time.sleep(0.05 + 0.5 * scene.amount)
+        for entry in scene.entries:
+            self.fleet.start_entry(entry)
+
+    stop_one = stop_all
+    stop_two = stop_all
+    stop_zone = stop_all
+
+    def stop_again(self, scene):
+        self.stop_all(scene)
+        time.sleep(scene.amount * 2)
+        self.stop_all(scene)
+
+    def stop_in_start(self, scene):
+        self.stop_all(scene)
+        time.sleep(0.02 + 0.3 * scene.amount)
+        self.stop_all(scene)
+
+    def stop_twice_signalled(self, scene):
+        entry = scene.entries[0]
+        self.stop_all(scene, [(4 * scene.amount, lambda: self.fleet.signal(
+            entry, signal.SIGTERM))])
+
+    def stop_and_hup(self, scene):
+        self.stop_all(scene, [(scene.amount, lambda: self.reload(
+            scene.entries[0], scene.amount))])
+
+    def stop_and_config(self, scene):
+        self.stop_all(scene, [(scene.amount, lambda: self.configure("move"))])
+
+    def stop_frozen(self, scene):
+        entry = scene.entries[0]
+
+        def freeze():
+            self.fleet.signal(entry, signal.SIGSTOP)
+            time.sleep(0.5 + 2 * scene.amount)
+            self.fleet.signal(entry, signal.SIGCONT)
+        self.stop_all(scene, [(scene.amount, freeze)])
+
+    def reload(self, entry, amount):
+        self.fleet.settings["entries_ttl_ms"] = 1000 + int(2000 * amount)
+        self.fleet.write_settings(entry)
+        self.fleet.signal(entry, signal.SIGHUP)
+
+    def hup(self, scene):
+        self.reload(scene.entries[0], scene.amount)
+
+    def kill(self, scene):
+        entry = scene.entries[0]
+        process = self.fleet.processes[entry]
+        self.fleet.signal(entry, signal.SIGKILL)
+        process.wait()
+        self.fleet.note("exit", entry, code=process.returncode)
+        time.sleep(0.3)
+        self.fleet.start_entry(entry)
+
+    def freeze(self, scene):
+        entry = scene.entries[0]
+        self.fleet.signal(entry, signal.SIGSTOP)
+        time.sleep(0.3 + 3 * scene.amount)
+        self.fleet.signal(entry, signal.SIGCONT)
+
+    # The store and the operator.
+
+    def store_fault(self, scene):
+        self.fleet.note("store-fault", scene.name)
+        self.fleet.set_faults(STORE_FAULTS[scene.name])
+        time.sleep(1.0 + 3 * scene.amount)
+        self.fleet.set_faults("none")
+        self.fleet.note("store-good", "store")
+
+    def configure(self, change):
+        with self.changing:
+            configuration = self.fleet.configuration
+            configuration.change(change)
+            fields = {"version": configuration.version, "change": change,
+                      "timeouts": configuration.timeouts()}
+            self.fleet.note("config", "", phase="sent", **fields)
+            self.fleet.put("op/config", configuration.text())
+            self.fleet.note("config", "", phase="done", **fields)
+
+    def evacuate(self, scene):
+        zone = ZONES[scene.places[0]]
+        self.fleet.put(f"op/evacuate/{zone}", "{}")
+        self.fleet.note("evacuated", zone)
+        time.sleep(2.0 + 4 * scene.amount)
+        self.fleet.erase(f"op/evacuate/{zone}")
+        self.fleet.note("taken-back", zone)
+
+    # Servers.
+
+    def retire(self, place, amount):
+        """Ends a server that has left and starts its successor."""
+        time.sleep(self.bounds.drain + 1.5 + 2 * amount)
+        self.fleet.admin(place, "withdraw")
+        self.fleet.end_server(place)
+        self.fleet.start_server(place)
+
+    def leave(self, scene):
+        place = scene.places[0]
+        self.fleet.note("server-leaves", self.fleet.instances[place])
+        self.fleet.admin(place, "leave")
+        self.fleet.admin(place, "drain")
+        self.retire(place, scene.amount)
+
+    def leave_silently(self, scene):
+        """The store hears nothing of it; only answers say it."""
+        place = scene.places[0]
+        self.fleet.note("server-leaves", self.fleet.instances[place])
+        self.fleet.admin(place, "leave")
+        self.retire(place, scene.amount)
+
+    def drain(self, scene):
+        place = scene.places[0]
+        self.fleet.note("server-drains", self.fleet.instances[place])
+        self.fleet.admin(place, "drain")
+        self.retire(place, scene.amount)
+
+    def withdraw(self, scene):
+        place = scene.places[0]
+        self.fleet.note("server-withdrawn", self.fleet.instances[place])
+        self.fleet.admin(place, "withdraw")
+        self.retire(place, scene.amount)
+
+    def server_kill(self, scene):
+        place = scene.places[0]
+        instance = self.fleet.instances[place]
+        self.fleet.end_server(place)
+        time.sleep(3.0)
+        self.fleet.erase(f"servers/{instance}")
+        self.fleet.start_server(place)
+
+    def replace(self, scene):
+        """Another instance under the same address at once."""
+        place = scene.places[0]
+        instance = self.fleet.instances[place]
+        self.fleet.end_server(place)
+        self.fleet.start_server(place)
+        time.sleep(1.0 + 2 * scene.amount)
+        self.fleet.erase(f"servers/{instance}")
+
+    def rest(self, scene):
+        place = scene.places[0]
+        ms = int(2000 + 4000 * scene.amount)
+        self.fleet.note("server-rests", self.fleet.instances[place], ms=ms)
+        self.fleet.admin(place, f"rest?ms={ms}")
+        time.sleep(ms / 1000)
+
+    def server_freeze(self, scene):
+        instance = self.fleet.instances[scene.places[0]]
+        self.fleet.signal(instance, signal.SIGSTOP)
+        time.sleep(0.5 + 2 * scene.amount)
+        self.fleet.signal(instance, signal.SIGCONT)
+
+    # The end of a run.
+
+    def calm(self):
+        """Waits until every entry serves again, within the recovery's
+        bound; returns those that don't."""
+        self.finish()
+        self.fleet.note("calm", "")
+        waiting = set(self.fleet.entries)
+        count = 0
+        end = time.monotonic() + self.bounds.recovery
+        while waiting and time.monotonic() < end:
+            for entry in sorted(waiting):
+                count += 1
+                if self.probe(entry, count):
+                    waiting.discard(entry)
+            time.sleep(0.1)
+        self.fleet.note("progress", "", missing=sorted(waiting))
+        return waiting
+
+    def probe(self, entry, count):
+        name = f"calm-{count}"
+        return call("GET", self.fleet.callers_of(entry),
+                    f"/quick/{name}?size=10",
+                    headers={"Host": HOST, "Request-Id": name,
+                             "Deadline-Ms": "1000"})[0] == 200
--- /dev/null
+++ b/scripts/soaklib/schedule.py
@@ -0,0 +1,101 @@
+"""Seeded schedule of disturbances and planned work."""
+
+import dataclasses
+import random
+
+from .fleet import ZONES
+
+# Scenes with their weights; each has a method in player.Player.
+ENTRY_SCENES = {
+    "stop_one": 10, "stop_two": 5, "stop_zone": 4, "stop_again": 4,
+    "stop_in_start": 3, "stop_twice_signalled": 3, "stop_and_hup": 4,
+    "stop_and_config": 4, "stop_frozen": 2, "hup": 4, "kill": 3, "freeze": 3}
+SERVER_SCENES = {
+    "leave": 6, "leave_silently": 4, "drain": 4, "withdraw": 2,
+    "server_kill": 3, "replace": 3, "rest": 6, "server_freeze": 1}
+OTHER_SCENES = {
+    "store_refuses": 2, "store_slow": 2, "store_silent": 2, "add_route": 2,
+    "move_route": 2, "change_timeout": 2, "evacuate": 2}
+
+# Until an entry can be used by another scene, in seconds.
+ENTRY_SPAN = 9.0
+SERVER_SPAN = 9.0
+
+
+@dataclasses.dataclass
+class Scene:
+    at: float
+    name: str
+    entries: list
+    places: list
+    amount: float  # drawn number in [0, 1), for lengths
+
+
+class Schedule:
+    """Draws scenes so that none disturbs what another one works on."""
+
+    def __init__(self, seed, seconds, entries, servers, pace):
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.entries = entries
+        self.servers = servers
+        self.pace = pace
+        self.busy = {}  # entry or place to the time until which it is busy
+
+    def scenes(self):
+        out = []
+        # A run without a planned stop would say nothing about it.
+        out += self.draw_scene(1.0, {"stop_one": 1, "stop_two": 1})
+        out += self.draw_scene(1.5, {"leave": 1, "leave_silently": 1})
+        out += self.draw_scene(2.0, {"rest": 1})
+        at = 2.5
+        while at < self.seconds:
+            group = self.random.choices(
+                [ENTRY_SCENES, SERVER_SCENES, OTHER_SCENES], [4, 3, 2])[0]
+            out += self.draw_scene(at, group)
+            at += self.random.expovariate(self.pace)
+        return out
+
+    def draw_scene(self, at, group):
+        name = self.random.choices(list(group), list(group.values()))[0]
+        amount = self.random.random()
+        entries, places = [], []
+        if name in ENTRY_SCENES:
+            entries = self.pick_entries(at, name)
+        elif name in SERVER_SCENES:
+            places = self.pick(at, range(self.servers), 1, SERVER_SPAN)
+        elif name == "evacuate":
+            places = [self.random.randrange(len(ZONES))]
+        elif name.startswith("store") and not self.free(at, "store"):
+            return []
+        if name.startswith("store"):
+            self.busy["store"] = at + 6.0
+        if name in ENTRY_SCENES and not entries:
+            return []
+        if name in SERVER_SCENES and not places:
+            return []
+        return [Scene(at, name, entries, places, amount)]
+
+    def free(self, at, what):
+        return self.busy.get(what, 0.0) <= at
+
+    def pick(self, at, among, count, span):
+        """Some that are free, at most a third of all at a time."""
+        among = list(among)
+        taken = sum(1 for one in among if not self.free(at, one))
+        open_to = [one for one in among if self.free(at, one)]
+        count = min(count, len(open_to), max(1, len(among) // 2) - taken)
+        if count <= 0:
+            return []
+        out = self.random.sample(open_to, count)
+        for one in out:
+            self.busy[one] = at + span
+        return out
+
+    def pick_entries(self, at, name):
+        if name == "stop_zone":
+            zone = self.random.randrange(len(ZONES))
+            return self.pick(at, self.entries[zone::len(ZONES)],
+                             len(self.entries), ENTRY_SPAN)
+        return self.pick(at, self.entries, 2 if name == "stop_two" else 1,
+                         ENTRY_SPAN)
--- /dev/null
+++ b/scripts/soaklib/wire.py
@@ -0,0 +1,161 @@
+"""HTTP/1.1 as a caller sees it: whole answers, and how a connection ended."""
+
+import asyncio
+import dataclasses
+import time
+
+
+class Garbage(Exception):
+    """Bytes that are no answer."""
+
+
+class Ended(Exception):
+    """The connection ended; the text says how."""
+
+
+@dataclasses.dataclass
+class Answer:
+    status: int
+    fields: dict
+    body: bytes
+
+    @property
+    def closing(self):
+        return self.fields.get("connection", "").lower() == "close"
+
+
+def parse_head(head):
+    lines = head.decode("latin-1").split("\r\n")
+    words = lines[0].split(" ")
+    if not words[0].startswith("HTTP/1.") or len(words) < 2 \
+            or not words[1].isdigit():
+        raise Garbage(f"no answer: {lines[0][:60]!r}")
+    fields = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        fields[name.strip().lower()] = value.strip()
+    return int(words[1]), fields
+
+
+def take_chunks(buffer, start):
+    """Body and end of a chunked body; None while it is not whole."""
+    body = bytearray()
+    while True:
+        line_end = buffer.find(b"\r\n", start)
+        if line_end < 0:
+            return None
+        try:
+            size = int(bytes(buffer[start:line_end]).split(b";")[0], 16)
+        except ValueError:
+            raise Garbage("a chunk without a size") from None
+        start = line_end + 2
+        if len(buffer) < start + size + 2:
+            return None
+        if size == 0:
+            return bytes(body), start + 2
+        body += buffer[start:start + size]
+        start += size + 2
+
+
+def take_answer(buffer):
+    """Removes the first whole answer from a buffer; None while it is not
+    whole."""
+    head_end = buffer.find(b"\r\n\r\n")
+    if head_end < 0:
+        if len(buffer) >= 5 and not buffer.startswith(b"HTTP/"):
+            raise Garbage(f"no answer: {bytes(buffer[:60])!r}")
+        return None
+    status, fields = parse_head(bytes(buffer[:head_end]))
+    start = head_end + 4
+    if fields.get("transfer-encoding", "").lower() == "chunked":
+        taken = take_chunks(buffer, start)
+        if taken is None:
+            return None
+        body, end = taken
+    elif fields.get("content-length", "").isdigit():
+        end = start + int(fields["content-length"])
+        if len(buffer) < end:
+            return None
+        body = bytes(buffer[start:end])
+    else:
+        raise Garbage("an answer without a length")
+    del buffer[:end]
+    return Answer(status, fields, body)
+
+
+class Connection(asyncio.Protocol):
+    """One connection to an entry; not reused after its end."""
+
+    count = 0
+
+    def __init__(self, entry):
+        Connection.count += 1
+        self.number = Connection.count
+        self.entry = entry
+        self.requests = 0
+        self.buffer = bytearray()
+        self.transport = None
+        self.ended = ""     # how, once it has
+        self.ended_at = 0.0
+        self.changed = asyncio.Event()
+
+    def connection_made(self, transport):
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)
+
+    def data_received(self, data):
+        self.buffer += data
+        self.changed.set()
+
+    def eof_received(self):
+        self.finish("closed")
+
+    def connection_lost(self, exc):
+        self.finish("reset" if exc else "closed")
+
+    def finish(self, how):
+        if not self.ended:
+            self.ended = how
+            self.ended_at = time.monotonic()
+        self.changed.set()
+
+    def write(self, data):
+        if self.ended:
+            raise Ended(self.ended)
+        self.transport.write(data)
+
+    async def flush(self):
+        """Waits until the kernel has all bytes."""
+        while not self.ended and self.transport.get_write_buffer_size():
+            await asyncio.sleep(0.002)
+        if self.ended:
+            raise Ended(self.ended)
+
+    async def answer(self, limit):
+        """The next whole answer.
+
+        Raises Ended, Garbage, or TimeoutError at the limit (a time)."""
+        while True:
+            self.changed.clear()
+            answer = take_answer(self.buffer)
+            if answer:
+                return answer
+            if self.ended:
+                raise Ended("cut" if self.buffer else self.ended)
+            await asyncio.wait_for(self.changed.wait(),
+                                   limit - time.monotonic())
+
+    def close(self):
+        if self.transport:
+            self.transport.abort()
+        self.finish("own")
+
+
+async def connect(entry, address, timeout=1.0):
+    """A new connection; raises OSError or TimeoutError."""
+    host, _, port = address.partition(":")
+    loop = asyncio.get_running_loop()
+    _, connection = await asyncio.wait_for(
+        loop.create_connection(lambda: Connection(entry), host, int(port)),
+        timeout)
+    return connection
