--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,3 +1,4 @@
+#!/usr/bin/env python3
 """Seeded soak of real processes on the platform's interface.
 
 Exit code 0: no finding; 1: findings; 2: the soak itself failed.
--- a/scripts/soaklib/evidence.py
+++ b/scripts/soaklib/evidence.py
@@ -6,7 +6,6 @@
 # What disturbs an entry without a plan. A kill at the end of the grace
 # belongs to the planned stop.
 FREEZES = {"SIGSTOP", "SIGCONT"}
-ENTRY_EVENTS = {"SIGTERM", "SIGKILL", "SIGHUP", "start", "exit"} | FREEZES
 
 
 class Evidence:
@@ -67,16 +66,13 @@
     def stop_before(self, entry, at):
         """The SIGTERM that began the planned stop under way at a time."""
         limit = self.bounds.grace + 1.0
-        stops = [e for e in self.between(entry, {"SIGTERM", "start"},
-                                         at - limit, at)]
-        first = None
-        for event in stops:
+        first, restarted = None, False
+        for event in self.between(entry, {"SIGTERM", "start"}, at - limit, at):
             if event.word == "start":
-                # Requests may end a moment after the successor's start.
-                continue
-            if first is None or self.between(
-                    entry, {"start"}, first.at, event.at):
-                first = event
+                # The stop binds until its limit all the same.
+                restarted = True
+            elif first is None or restarted:
+                first, restarted = event, False
         return first
 
     def grace_kill(self, kill):
--- a/scripts/soaklib/exchange.py
+++ b/scripts/soaklib/exchange.py
@@ -4,7 +4,7 @@
 import time
 
 from . import wire
-from .records import PROMISES
+from .records import PROMISES, Call
 from .requests import head_of, new_call, note_answer, note_end, upload_body
 
 # A caller waits this long beyond its deadline, to see what is held.
@@ -124,7 +124,6 @@
         """Bytes that belong to no request, on a kept connection."""
         if not connection.buffer:
             return
-        from .records import Call
         now = time.monotonic()
         self.worker.record(Call(
             self.next_id(), "stray", False, connection.entry,
