--- a/scripts/soaklib/judge_stops.py
+++ b/scripts/soaklib/judge_stops.py
@@ -137,6 +137,7 @@
         if call.position > 0 and lost_whole(evidence, call) and \
                 evidence.arrivals(call.id) and \
                 not excused(evidence, call) and \
+                not evidence.stop_before(call.entry, call.end) and \
                 evidence.in_touch(call.entry, call.begin, call.end):
             found[call.entry].append(call)
     for entry, calls in found.items():
--- a/test/soak/test_stops.py
+++ b/test/soak/test_stops.py
@@ -186,6 +186,10 @@
         self.assertEqual(self.found(4, [event(98.0, "start")]), [])
         self.assertEqual(self.found(4, [event(96.0, "start")]), ["LOST"])
 
+    def test_planned_stops_are_judged_one_by_one(self):
+        self.assertEqual(self.found(4, [event(96.0, "SIGTERM")]), [])
+        self.assertEqual(self.found(4, [event(93.0, "SIGTERM")]), ["LOST"])
+
     def test_a_broken_server(self):
         ended = event(100.15, "server-end", SERVER)
         self.assertEqual(self.found(4, [ended]), [])
