--- a/scripts/soaklib/fleet.py
+++ b/scripts/soaklib/fleet.py
@@ -41,7 +41,7 @@
     while not condition():
         if time.monotonic() > end:
             raise TimeoutError(f"not reached within {limit_s} s: {what}")
-        time.sleep(0.05)
+        time.sleep(0.01)
 
 
 class Fleet:
@@ -187,6 +187,13 @@
             self.note(signal.Signals(number).name, name)
             self.processes[name].send_signal(number)
 
+    def handles(self, name, number):
+        """Whether a process has a handler for a signal."""
+        status = pathlib.Path(
+            f"/proc/{self.processes[name].pid}/status").read_text("utf-8")
+        caught = status.partition("SigCgt:")[2].split()
+        return bool(caught) and bool(int(caught[0], 16) >> number - 1 & 1)
+
     # Servers.
 
     def server_address(self, place):
--- a/scripts/soaklib/player.py
+++ b/scripts/soaklib/player.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from .fleet import ZONES, call
+from .fleet import ZONES, call, wait_for
 from .requests import HOST
 
 STORE_FAULTS = {"store_refuses": "refusing", "store_slow": "delay_ms=700",
@@ -94,9 +94,13 @@
         self.stop_all(scene)
 
     def hup_in_start(self, scene):
+        entry = scene.entries[0]
         self.stop_all(scene)
-        time.sleep(0.002 + 0.3 * scene.amount ** 2)
-        self.fleet.signal(scene.entries[0], signal.SIGHUP)
+        # A signal ends any process that has not reached its handlers yet.
+        wait_for(lambda: self.fleet.handles(entry, signal.SIGHUP), 5.0,
+                 f"{entry} handles SIGHUP")
+        time.sleep(0.3 * scene.amount ** 2)
+        self.fleet.signal(entry, signal.SIGHUP)
 
     def stop_twice_signalled(self, scene):
         entry = scene.entries[0]
