Give the control and lookup servers a graceful shutdown

Operators and peers lost the answer to a call that was in progress when an entry ended: a change being written, a list being fetched, a lookup in the listen queue. The end of a drain looks at callers' exchanges alone.

Change: begin_shutdown() and drained() of control and lookup pass on to their servers. The node has to call them.

--- a/src/entry/control.hpp
+++ b/src/entry/control.hpp
@@ -20,6 +20,14 @@
 
     parsed<void> listen();
 
+    /*! @brief Ends the server gracefully; see io::http_server. Changes that are
+     *  under way go on and are answered. */
+    void begin_shutdown() { m_server.begin_shutdown(); }
+
+    /*! @brief Whether no operator and no peer can still be waiting after
+     *  begin_shutdown(). */
+    [[nodiscard]] bool drained() const { return m_server.drained(); }
+
 private:
     void serve(exchange_id key, const io::request_view& request);
     void answer_ready(exchange_id key);
--- a/src/entry/lookup.hpp
+++ b/src/entry/lookup.hpp
@@ -22,6 +22,12 @@
      *  @return error if one cannot be bound */
     parsed<void> listen();
 
+    /*! @brief Ends the server gracefully; see io::http_server. */
+    void begin_shutdown() { m_server.begin_shutdown(); }
+
+    /*! @brief Whether no caller can still be waiting after begin_shutdown(). */
+    [[nodiscard]] bool drained() const { return m_server.drained(); }
+
 private:
     void serve(exchange_id key, const io::request_view& request);
 
