Keep a change unknown when an earlier entry broke off

An operator whose first entry ended while it was making a change was told "not made" (exit code 3) when the next entry could not reach the store, although the first may have written the change.

Cause: skylark-ctl asks the known entries in turn and reported the first answer as if it were the only attempt.

Change: an answer says whether an entry that was asked before may have run the request; a refusal after that ends with exit code 4 (unknown) and says so. An acceptance stays one: the change id is the same for all entries.

Evidence: query_command_test.a_refusal_after_a_cut_leaves_the_change_unknown printed "4-byte object <03-00 00-00>", expected <04-00 00-00>, before.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -14,7 +14,8 @@
     test/io/http_server_shutdown.cpp
     test/io/lingering_connections.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/entry/log.cpp
-    test/entry/listener_shutdown.cpp test/peer/codec.cpp
+    test/entry/listener_shutdown.cpp test/ctl/query_command.cpp
+    src/ctl/client.cpp src/ctl/query_command.cpp test/peer/codec.cpp
     test/store/consul_protocol.cpp test/store/mirror.cpp test/store/lease_holder.cpp
     test/store/mirror_client.cpp test/platform/records.cpp
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -24,10 +24,11 @@
 
 std::optional<entry_answer> client::ask_any(io::fetch_request what) {
     what.m_timeout = m_timeout;
+    bool may_have_run = false;
     for (const address entry : m_entries) {
         what.m_to = entry;
         bool done = false;
-        entry_answer out{entry, io::fetch_failure{}};
+        entry_answer out{entry, io::fetch_failure{}, may_have_run};
         m_fetcher.run(what, [&](const io::fetch_result& result) {
             out.m_result = result;
             done = true;
@@ -35,6 +36,8 @@
         run_until(done);
         if (out.answer())
             return out;
+        may_have_run |=
+            std::get<io::fetch_failure>(out.m_result).m_may_have_run;
     }
     return std::nullopt;
 }
--- a/src/ctl/client.hpp
+++ b/src/ctl/client.hpp
@@ -17,6 +17,8 @@
 struct entry_answer {
     address m_entry;
     io::fetch_result m_result;
+    //! Whether an entry that was asked before may have run the request.
+    bool m_may_have_run_before{};
 
     /*! @brief The whole answer; nullptr when the entry gave none. */
     [[nodiscard]] const io::fetch_answer* answer() const {
--- a/src/ctl/query_command.cpp
+++ b/src/ctl/query_command.cpp
@@ -143,8 +143,14 @@
                      "was made\n";
         return exit_code::unknown;
     }
-    if (got->answer()->m_status != io::status::ok)
-        return print_refusal(*got->answer());
+    if (got->answer()->m_status != io::status::ok) {
+        const exit_code refused = print_refusal(*got->answer());
+        if (!got->m_may_have_run_before)
+            return refused;
+        std::cerr << "an entry that gave no answer may have made the change; "
+                     "show config tells\n";
+        return exit_code::unknown;
+    }
     const auto tree = nlohmann::json::parse(got->answer()->m_body);
     return accepted(tree.at("accepted").get<std::uint64_t>());
 }
