Give tests addresses that no other process can take

platform_node.finds_other_entries_in_the_store failed once in a run of all tests beside other load ("second.start() Actual: false"); repeated in three processes side by side, platform_node tests failed with "listen: got 127.0.0.1:36359, expected a free local address (Address already in use)".

Cause: the fixture bound port 0, closed the socket and used the port a moment later; on a busy machine a connection of another process had taken it as its local port.

Change: addresses come from a host part of the loopback network that is derived from the process id, with ports that count up. The checks are the same, and the test now prints the reason.

--- a/test/entry/listener_shutdown.cpp
+++ b/test/entry/listener_shutdown.cpp
@@ -9,6 +9,7 @@
 #include "entry/lookup.hpp"
 #include "io/event_loop.hpp"
 #include "test/io/raw_caller.hpp"
+#include "test/own_address.hpp"
 
 using namespace skylark;
 using skylark::test::raw_caller;
@@ -17,21 +18,14 @@
 
 class listener_shutdown : public testing::Test {
 protected:
-    address free_address() {
-        io::http_server probe{m_loop, {}};
-        const address where = probe.listen({0x7f000001U, 0}).value();
-        probe.stop_listening();
-        return where;
-    }
-
-    entry::settings prepare_settings() {
+    static entry::settings prepare_settings() {
         entry::settings out;
         out.m_name = "e1";
         out.m_log_level = "off";
-        out.m_callers = free_address();
-        out.m_control = free_address();
-        out.m_lookup = free_address();
-        out.m_platform = free_address(); // no store listens there
+        out.m_callers = test::own_address();
+        out.m_control = test::own_address();
+        out.m_lookup = test::own_address();
+        out.m_platform = test::own_address(); // no store listens there
         return out;
     }
 
--- a/test/platform/node.cpp
+++ b/test/platform/node.cpp
@@ -108,13 +108,14 @@
     start_with_upstreams();
     entry::settings other = m_settings;
     other.m_name = "e2";
-    other.m_callers = free_address();
-    other.m_control = free_address();
+    other.m_callers = test::own_address();
+    other.m_control = test::own_address();
     other.m_peer = other.m_control;
-    other.m_lookup = free_address();
-    other.m_ready = free_address();
+    other.m_lookup = test::own_address();
+    other.m_ready = test::own_address();
     entry::node second{m_loop, other};
-    ASSERT_TRUE(second.start());
+    const auto started = second.start();
+    ASSERT_TRUE(started) << started.error().text();
     const auto names_both = [&] {
         const auto got = get(*m_settings.m_lookup, "/resolve?name=x&zone=a");
         const auto* answer = std::get_if<io::fetch_answer>(&got);
--- a/test/platform/node_fixture.hpp
+++ b/test/platform/node_fixture.hpp
@@ -14,6 +14,7 @@
 #include "entry/node.hpp"
 #include "io/fetcher.hpp"
 #include "standin/kv_store.hpp"
+#include "test/own_address.hpp"
 
 namespace skylark::test {
 
@@ -107,19 +108,11 @@
         m_settings.m_deployment = entry::deployment::platform;
         m_settings.m_platform = m_store.listen({loopback, 0}).value();
         m_settings.m_log_level = "off";
-        m_settings.m_callers = free_address();
-        m_settings.m_control = free_address();
+        m_settings.m_callers = own_address();
+        m_settings.m_control = own_address();
         m_settings.m_peer = m_settings.m_control;
-        m_settings.m_lookup = free_address();
-        m_settings.m_ready = free_address();
-    }
-
-    // A port that was free a moment ago; the settings need it beforehand.
-    address free_address() {
-        io::http_server probe{m_loop, {}};
-        const address where = probe.listen({loopback, 0}).value();
-        probe.stop_listening();
-        return where;
+        m_settings.m_lookup = own_address();
+        m_settings.m_ready = own_address();
     }
 
     void start() {
