Close operators', peers' and lookup connections before the end too

The node shuts its other two servers down in the same way and waits for them until its limit.

Test: listener_shutdown (a change and a lookup in progress get their answers); test/process/planned_stop.py as before.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -247,6 +247,8 @@
     if (quiet || m_shared.m_drain->must_close(now)) {
         note_drain("closing connections");
         m_callers.begin_shutdown();
+        m_lookup.begin_shutdown();
+        m_control.begin_shutdown();
         finish_when_closed();
         return;
     }
@@ -254,7 +256,8 @@
 }
 
 void node::finish_when_closed() {
-    const bool closed = m_callers.drained();
+    const bool closed =
+        m_callers.drained() && m_lookup.drained() && m_control.drained();
     if (closed || m_shared.m_drain->expired(io::event_loop::now())) {
         note_drain(closed ? "done" : "time limit reached");
         m_forwarder.log_unfinished();
