Decide from an upstream's own word whether it may be used

Cause: an upstream can say that it leaves, or refuse and ask for a rest. Both outlast the answer that says so, and the instance list knows neither.

Change: load/availability holds what one incarnation of an upstream has said, load/availability_history what is known of those that are not listed. Both are pure; nothing uses them yet.

Evidence: unit tests of the new types.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -5,6 +5,7 @@
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
     test/attempt/machine.cpp test/rule/classify.cpp
+    test/load/availability.cpp test/load/availability_history.cpp
     test/load/report.cpp test/load/upstream_load.cpp
     test/load/service_time_estimator.cpp
     test/route/policy.cpp test/limit/token_bucket.cpp
--- a/include/skylark/load/fwd.hpp
+++ b/include/skylark/load/fwd.hpp
@@ -1,12 +1,14 @@
 /*! @file
- *  Declarations of the load module: load reports and the load
- *  state that an entry keeps for each upstream. */
+ *  Declarations of the load module: load reports, and the load
+ *  state and availability that an entry keeps for each upstream. */
 #ifndef SKYLARK_LOAD_FWD_HPP
 #define SKYLARK_LOAD_FWD_HPP
 
 namespace skylark {
 
 struct load_report;
+class availability;
+class availability_history;
 class upstream_load;
 
 } // namespace skylark
