Send no caller back before an upstream is usable

Cause: a caller that an upstream had refused was told to return at once, also when the time at which the first upstream can be used was known.

Change: that time goes before the cause of the refusal.

Evidence: no_caller_returns_before_an_upstream_is_usable got 1 ms instead of 900 ms from the code before; it passes now.

--- a/src/limit/retry_after.cpp
+++ b/src/limit/retry_after.cpp
@@ -37,10 +37,10 @@
 } // namespace internal
 
 duration retry_after(const refusal& why, random_source& random) {
-    if (why.m_cause == refusal_cause::upstream_refused)
-        return internal::at_once;
     if (why.m_until_usable)
         return std::max(*why.m_until_usable, internal::at_once);
+    if (why.m_cause == refusal_cause::upstream_refused)
+        return internal::at_once;
     if (why.m_cause == refusal_cause::no_upstream)
         return internal::default_delay;
     const duration spare =
--- a/test/limit/retry_after.cpp
+++ b/test/limit/retry_after.cpp
@@ -73,6 +73,14 @@
     EXPECT_GT(delay(why), duration{0});
 }
 
+// Also after a refusal by the last upstream that was usable.
+TEST_F(retry_after_test, no_caller_returns_before_an_upstream_is_usable) {
+    refusal why = no_room(milliseconds{240}, 1.0);
+    why.m_cause = refusal_cause::upstream_refused;
+    why.m_until_usable = milliseconds{900};
+    EXPECT_EQ(delay(why), milliseconds{900});
+}
+
 TEST(retry_after_start, names_the_time_at_which_the_entry_is_ready) {
     constexpr duration first_call = milliseconds{100};
     const auto delay = [&](int since_start) {
