Send nothing to upstreams that leave or rest

Cause: an upstream says in its answers that it leaves, or asks with Retry-After on a 503 for a rest. The entry read neither: it went on sending requests, and forwarded both fields to callers.

Change: platform/dialect decodes both from answers and health checks. What an upstream said holds for its incarnation, also while the list has lost it; it gets no attempt, repeat, hedge or probe, and an attempt whose connection was still being opened writes nothing. A service without a usable upstream refuses at once, with the least time until one can be used. explain gives the reasons, and one event tells each change.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -22,6 +22,7 @@
     src/entry/fleet.cpp src/entry/upstream_table.cpp src/entry/router.cpp
     src/entry/router_probing.cpp
     src/entry/request_head.cpp src/entry/connection_pool.cpp
+    src/entry/availability_info.cpp
     src/entry/native_dialect.cpp platform/dialect.cpp src/entry/on_demand_prober.cpp
     src/entry/lookup.cpp src/entry/forwarder_probing.cpp
     src/entry/forwarder_admission.cpp src/entry/forwarder_attempt.cpp
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -57,7 +57,7 @@
                           matched->m_class, retry_after_without(service));
     else if (!m_router.has_eligible_upstream(service))
         refuse_on_arrival(key, from, io::status::unavailable,
-                          "service " + service + " has no upstream",
+                          "service " + service + " has no usable upstream",
                           matched->m_class, retry_after_without(service));
     else
         admit(key, from, *matched, service);
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -70,7 +70,10 @@
         complete_head(req.m_head, left, target.m_instance, m_shared.m_dialect);
     // Reads the clock again, as nothing may delay the write after the check.
     const time_point now = io::event_loop::now();
-    if (!req.m_machine.try_begin_send(which, now)) {
+    // The upstream may have said that it leaves or rests while the connection
+    // was opened.
+    const bool wanted = target.m_availability.usable(now);
+    if (!wanted || !req.m_machine.try_begin_send(which, now)) {
         end_attempt(key, which, not_run{not_run_proof::no_byte_sent}, false);
         return;
     }
@@ -131,6 +134,7 @@
     const response_info signs = std::visit(
         [&](const auto& kind) { return kind.read_answer(head, req.m_name); },
         m_shared.m_dialect);
+    apply_availability(signs.m_availability, target, m_shared.m_journal, now);
     if (signs.m_unusable) {
         end_attempt(key, which, may_have_run{attempt_step::request_sent},
                     false);
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -40,7 +40,7 @@
 duration forwarder::retry_after_without(const std::string& service) {
     refusal why;
     why.m_until_usable =
-        m_router.time_until_warm(service, io::event_loop::now());
+        m_router.time_until_usable(service, io::event_loop::now());
     return retry_after(why, m_router.random());
 }
 
@@ -57,7 +57,9 @@
     out.m_target_left = req.m_target_time - now;
     out.m_service_time = m_service_times[req.m_rule].service_time();
     out.m_room_share = m_services[req.m_service].m_room.share(now);
-    out.m_until_usable = m_router.time_until_warm(req.m_service, now);
+    out.m_until_usable = m_router.time_until_usable(req.m_service, now);
+    if (!m_router.has_eligible_upstream(req.m_service))
+        out.m_cause = refusal_cause::no_upstream;
     return out;
 }
 
--- a/src/entry/inspector.cpp
+++ b/src/entry/inspector.cpp
@@ -123,9 +123,8 @@
     const time_point now = io::event_loop::now();
     for (const auto& [key, item] : m_shared.m_upstreams.all()) {
         const upstream_state state = item.m_load.state(now);
-        const bool takes = item.m_listed && !item.m_leaving &&
-                           item.m_zone_active &&
-                           state != upstream_state::draining;
+        const bool takes =
+            item.eligible(now) && state != upstream_state::draining;
         out.m_rows.push_back(
             {item.m_address.text(), item.m_service, item.m_zone,
              std::string{name_of(state)}, text(item.m_load.in_flight()),
--- a/src/entry/on_demand_prober.cpp
+++ b/src/entry/on_demand_prober.cpp
@@ -104,10 +104,13 @@
     const bool other_instance =
         !signs.m_instance.empty() && signs.m_instance != target.m_instance;
     target.m_other_instance = other_instance;
-    if (!other_instance)
+    const time_point now = io::event_loop::now();
+    if (!other_instance) {
         target.m_health.checked(signs.m_healthy);
+        apply_availability(signs.m_availability, target, m_shared.m_journal,
+                           now);
+    }
     target.m_omits_load = !signs.m_report;
-    const time_point now = io::event_loop::now();
     if (signs.m_cold_start_left)
         target.m_cold_until = now + *signs.m_cold_start_left;
     if (signs.m_report && !other_instance)
--- a/src/entry/response_info.hpp
+++ b/src/entry/response_info.hpp
@@ -8,6 +8,8 @@
 #include <skylark/core/time.hpp>
 #include <skylark/load/report.hpp>
 
+#include "entry/availability_info.hpp"
+
 namespace skylark::entry {
 
 /*! @brief Information in the response to a forwarded request. */
@@ -16,6 +18,7 @@
     bool m_refused{};     //!< states that the request did not run
     bool m_misdirected{}; //!< another instance listens on the address
     std::optional<load_report> m_report;
+    availability_info m_availability; //!< of the upstream that was meant
 };
 
 /*! @brief Information in the response to a health check. */
@@ -25,6 +28,7 @@
     std::string m_instance; //!< id of the responding instance; may be empty
     std::optional<load_report> m_report;
     std::optional<duration> m_cold_start_left; //!< remaining cold start
+    availability_info m_availability;          //!< of the responding instance
 };
 
 } // namespace skylark::entry
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -20,6 +20,10 @@
         return "not in the instance list";
     case exclusion::leaving:
         return "leaving";
+    case exclusion::said_leaving:
+        return "leaving by its own word";
+    case exclusion::resting:
+        return "asked for a pause";
     case exclusion::zone_inactive:
         return "zone is not active";
     case exclusion::draining:
@@ -78,6 +82,10 @@
         return exclusion::leaving;
     if (!candidate.m_zone_active)
         return exclusion::zone_inactive;
+    if (candidate.m_availability.leaving())
+        return exclusion::said_leaving;
+    if (!candidate.m_availability.usable(now))
+        return exclusion::resting;
     const upstream_state state = candidate.m_load.state(now);
     if (state == upstream_state::draining)
         return exclusion::draining;
@@ -137,7 +145,7 @@
     const time_point now = io::event_loop::now();
     return std::any_of(keys.begin(), keys.end(), [&](upstream_id key) {
         const upstream* item = m_shared.m_upstreams.find(key);
-        return item->listed(now) && !item->m_leaving && item->m_zone_active;
+        return item->eligible(now);
     });
 }
 
@@ -147,7 +155,7 @@
     const time_point now = io::event_loop::now();
     return std::any_of(keys.begin(), keys.end(), [&](upstream_id key) {
         const upstream* item = m_shared.m_upstreams.find(key);
-        if (!item->listed(now) || item->m_leaving || !item->m_zone_active)
+        if (!item->eligible(now))
             return false;
         const auto share = share_for(*of, item->m_load.state(now), wanted);
         return !share ||
@@ -166,8 +174,7 @@
         const auto index = m_random(static_cast<std::uint32_t>(keys.size()));
         const upstream* item = m_shared.m_upstreams.find(keys[index]);
         const auto share = share_for(*of, item->m_load.state(now), wanted);
-        if (!share || !item->listed(now) || item->m_leaving ||
-            !item->m_zone_active)
+        if (!share || !item->eligible(now))
             continue;
         const std::uint32_t slot = m_random(limit_of(*of, *share));
         const auto id = m_shared.m_fleet.owner(item->m_id, *share, slot);
--- a/src/entry/router.hpp
+++ b/src/entry/router.hpp
@@ -27,6 +27,8 @@
     none,          //!< it can take the request
     unlisted,      //!< not in the instance list, or its record expired
     leaving,       //!< the instance list marks it as leaving
+    said_leaving,  //!< it said that it leaves
+    resting,       //!< it asked for a pause that is not over
     zone_inactive, //!< its zone is not declared or not active
     draining,      //!< it reports that it is draining
     cold,          //!< in cold start, for a service without shares
@@ -52,8 +54,8 @@
      *  service is unknown */
     std::optional<route_choice> choose(const request& of, time_point now);
 
-    /*! @brief Whether a service has an upstream that is listed, not leaving,
-     *  and in an active zone, whatever its present load. */
+    /*! @brief Whether a service has an upstream that is listed, not leaving
+     *  or resting, and in an active zone, whatever its present load. */
     bool has_eligible_upstream(std::string_view service);
 
     /*! @brief Whether this entry can serve a class of requests, at the latest
@@ -102,10 +104,11 @@
     std::vector<probe_candidate> probe_candidates(const request& of,
                                                   bool scarce, time_point now);
 
-    /*! @brief Time until the first upstream of a service ends its cold start;
-     *  nothing unless all upstreams that may be used are in cold start. */
-    std::optional<duration> time_until_warm(std::string_view service,
-                                            time_point now);
+    /*! @brief Time until the first upstream of a service ends its cold start
+     *  and its rest, in whole milliseconds.
+     *  @return nothing if one can be used now, or if all leave */
+    std::optional<duration> time_until_usable(std::string_view service,
+                                              time_point now);
 
     random_source& random() { return m_random; }
 
--- a/src/entry/router_probing.cpp
+++ b/src/entry/router_probing.cpp
@@ -86,16 +86,20 @@
     return out;
 }
 
-std::optional<duration> router::time_until_warm(std::string_view service,
-                                                time_point now) {
+std::optional<duration> router::time_until_usable(std::string_view service,
+                                                  time_point now) {
     std::optional<duration> out;
     for (const upstream_id key : m_shared.m_upstreams.of_service(service)) {
         const upstream& item = *m_shared.m_upstreams.find(key);
-        if (!item.listed(now) || item.m_leaving || !item.m_zone_active)
+        if (!item.listed(now) || item.m_leaving || !item.m_zone_active ||
+            item.m_availability.leaving())
             continue;
-        if (item.m_cold_until <= now)
+        const time_point from =
+            std::max(item.m_cold_until, item.m_availability.usable_from());
+        if (from <= now)
             return std::nullopt;
-        const duration left = item.m_cold_until - now;
+        // Rounded up: a caller that returns too early is refused again.
+        const duration left = std::chrono::ceil<milliseconds>(from - now);
         out = std::min(left, out.value_or(left));
     }
     return out;
--- a/src/entry/upstream.hpp
+++ b/src/entry/upstream.hpp
@@ -11,6 +11,7 @@
 #include <skylark/core/address.hpp>
 #include <skylark/core/id.hpp>
 #include <skylark/core/time.hpp>
+#include <skylark/load/availability.hpp>
 #include <skylark/load/health_record.hpp>
 #include <skylark/load/upstream_load.hpp>
 #include <skylark/share/kind.hpp>
@@ -45,6 +46,8 @@
     time_point m_cold_until;
     time_point m_listed_cold_until; //!< latest value in the instance list
     health_record m_health;
+    availability m_availability;
+    bool m_malformed_rest{}; //!< asked for one that could not be read
     bool m_other_instance{}; //!< another instance answered at its address
     //! Its health checks carry no load report, so probes give no load.
     bool m_omits_load{};
@@ -60,6 +63,13 @@
         return m_listed && (!m_gone_from || now < *m_gone_from);
     }
 
+    /*! @brief Whether it may get new requests at a time, by the instance list,
+     *  the configuration and its own word, whatever its load. */
+    [[nodiscard]] bool eligible(time_point now) const {
+        return listed(now) && !m_leaving && m_zone_active &&
+               m_availability.usable(now);
+    }
+
     /*! @brief Number of requests that use a share of a kind. */
     std::uint32_t& share_use(share_kind kind) {
         return m_share_use[static_cast<std::size_t>(kind)];
--- a/src/entry/upstream_table.cpp
+++ b/src/entry/upstream_table.cpp
@@ -27,12 +27,15 @@
         if (from.m_role == instance_role::upstream)
             update(from, config, joined);
     std::vector<upstream> removed;
+    const time_point now = io::event_loop::now();
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
         const bool unused = it->second.m_load.in_flight() == 0;
         if (it->second.m_listed || !unused) {
             ++it;
             continue;
         }
+        if (!it->second.m_availability.usable(now))
+            m_unlisted.add(it->first, it->second.m_availability);
         removed.push_back(std::move(it->second));
         it = m_upstreams.erase(it);
     }
@@ -45,8 +48,10 @@
     const upstream_id key = id_of(from);
     const auto [position, added] = m_upstreams.try_emplace(key);
     upstream& item = position->second;
-    if (added)
+    if (added) {
         item.m_joined = joined;
+        item.m_availability = m_unlisted.take(key);
+    }
     item.m_id = key;
     item.m_instance = from.m_id;
     if (from.m_cold_until > item.m_listed_cold_until) {
--- a/src/entry/upstream_table.hpp
+++ b/src/entry/upstream_table.hpp
@@ -10,6 +10,7 @@
 
 #include <skylark/config/document.hpp>
 #include <skylark/discovery/instance.hpp>
+#include <skylark/load/availability_history.hpp>
 
 #include "entry/upstream.hpp"
 
@@ -21,7 +22,8 @@
 upstream_id id_of(const instance& from);
 
 /*! @brief Owns the upstreams. One that is no longer listed is removed once it
- *  has no request in flight. */
+ *  has no request in flight; what it said of its availability stays known for
+ *  the case that it is listed again. */
 class upstream_table {
 public:
     /*! @brief Creates an empty table.
@@ -55,6 +57,8 @@
     entry_id m_self;
     std::string m_zone;
     std::map<upstream_id, upstream> m_upstreams;
+    // Invariant: holds no key of m_upstreams.
+    availability_history m_unlisted;
     // Invariant: holds exactly the keys of m_upstreams, by service.
     std::map<std::string, std::vector<upstream_id>, std::less<>> m_services;
 };
--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -18,6 +18,13 @@
     return speaks.read_answer(head, "r1");
 }
 
+entry::health_info health(int status, std::vector<io::header_view> fields) {
+    io::response_head head;
+    head.m_status = status;
+    head.m_headers = fields;
+    return speaks.read_health(head, "");
+}
+
 std::optional<load_report> load(std::string_view text) {
     return signs(500, {{"Server-Load", text}}).m_report;
 }
@@ -74,6 +81,38 @@
     ASSERT_TRUE(found.m_report);
 }
 
+TEST(platform_dialect, an_upstream_that_leaves_says_so_in_any_answer) {
+    const io::header_view leaving{"Server-Leaving", "1"};
+    EXPECT_TRUE(signs(200, {leaving}).m_availability.m_leaving);
+    EXPECT_TRUE(signs(500, {leaving}).m_availability.m_leaving);
+    EXPECT_TRUE(signs(503, {leaving}).m_availability.m_leaving);
+    EXPECT_TRUE(health(503, {leaving}).m_availability.m_leaving);
+    EXPECT_FALSE(signs(200, {}).m_availability.m_leaving);
+    EXPECT_FALSE(
+        signs(200, {{"Server-Leaving", "0"}}).m_availability.m_leaving);
+    EXPECT_FALSE(speaks.forwards_to_caller("server-leaving"));
+}
+
+TEST(platform_dialect, another_instance_does_not_speak_for_the_one_meant) {
+    const auto misdirected =
+        signs(421, {{"Server-Leaving", "1"}, {"Retry-After", "3"}});
+    EXPECT_FALSE(misdirected.m_availability.m_leaving);
+    EXPECT_FALSE(misdirected.m_availability.m_rest);
+}
+
+TEST(platform_dialect, only_503_asks_for_a_rest) {
+    const io::header_view rest{"Retry-After", "1.5"};
+    EXPECT_EQ(signs(503, {rest}).m_availability.m_rest, milliseconds{1500});
+    EXPECT_EQ(health(503, {rest}).m_availability.m_rest, milliseconds{1500});
+    for (const int status : {200, 301, 429, 500})
+        EXPECT_FALSE(signs(status, {rest}).m_availability.m_rest) << status;
+    EXPECT_FALSE(signs(503, {}).m_availability.m_rest);
+    const auto malformed = signs(503, {{"Retry-After", "soon"}});
+    EXPECT_FALSE(malformed.m_availability.m_rest);
+    EXPECT_TRUE(malformed.m_availability.m_malformed_rest);
+    EXPECT_FALSE(speaks.forwards_to_caller("Retry-After"));
+}
+
 TEST(platform_dialect, only_a_proven_refusal_says_when_to_return) {
     const auto refused = speaks.refusal_headers(
         not_run{not_run_proof::not_admitted}, milliseconds{300}, std::nullopt);
--- a/test/platform/node_fixture.hpp
+++ b/test/platform/node_fixture.hpp
@@ -35,17 +35,34 @@
 
     std::string record(const std::string& zone,
                        const std::string& state = "ready") const {
-        return R"({"address":")" + m_where.text() +
-               R"(","born":1,"info":{"service":"stock","zone":")" + zone +
+        return R"({"address":")" + m_where.text() + R"(","born":)" +
+               std::to_string(m_born) +
+               R"(,"info":{"service":"stock","zone":")" + zone +
                R"(","slots":6},"status":{"state":")" + state +
                R"(","seq_no":1,"warmup_left_ms":0}})";
     }
 
     const std::string& id() const { return m_id; }
 
+    // Requests and health checks that reached it.
+    int contacts() const { return m_requests + m_health_checks; }
+    bool holding() const { return bool{m_held}; }
+
     std::string m_load{"0,0,6,100"};
     int m_requests{};
-    int m_refusals{};       // refuses this many requests next
+    int m_health_checks{};
+    int m_health_refusals{};   // refuses this many health checks next
+    int m_refusals{};          // refuses this many requests next
+    std::string m_rest;        // Retry-After of its refusals, unless empty
+    bool m_leaving{};          // says in its answers to requests that it leaves
+    bool m_leaving_health{};   // says so in its health checks
+    std::string m_answers_for; // another instance at its address, unless empty
+    // Holds the next request until a health check comes. Then it refuses the
+    // request, and ends the check's connection with the answer.
+    bool m_holds{};
+    int m_born{1};
+    time_point m_refused_at;
+    time_point m_last_contact;
     std::string m_deadline; // of the last request
     std::string m_host;
     std::string m_path;
@@ -55,10 +72,9 @@
 
 private:
     void serve(exchange_id key, const io::request_view& request) {
+        m_last_contact = io::event_loop::now();
         if (request.m_path == "/health") {
-            const std::array headers{io::header{"Instance-Id", m_id},
-                                     io::header{"Server-Load", m_load}};
-            m_server.answer(key, 200, headers, "");
+            check_health(key);
             return;
         }
         ++m_requests;
@@ -69,10 +85,17 @@
         const auto wanted =
             io::find_header(request.m_headers, "Expected-Instance");
         m_misdirected |= wanted != m_id;
+        if (!m_answers_for.empty()) {
+            refuse(key, 421);
+            return;
+        }
+        if (std::exchange(m_holds, false)) {
+            m_held = key;
+            return;
+        }
         if (m_refusals > 0) {
             --m_refusals;
-            const std::array headers{io::header{"Not-Executed", "1"}};
-            m_server.answer(key, 503, headers, "");
+            refuse(key);
             return;
         }
         std::vector<io::header> headers{
@@ -80,10 +103,44 @@
              std::string{io::find_header(request.m_headers, "Request-Id")}}};
         if (!m_stamp.empty())
             headers.push_back({"Response-Stamp", m_stamp});
+        if (m_leaving)
+            headers.push_back({"Server-Leaving", "1"});
         m_server.answer(key, 200, headers, "whole body of " + m_id);
     }
 
+    void check_health(exchange_id key) {
+        ++m_health_checks;
+        if (m_health_refusals > 0) {
+            --m_health_refusals;
+            refuse(key);
+            return;
+        }
+        std::vector<io::header> headers{
+            {"Instance-Id", m_answers_for.empty() ? m_id : m_answers_for},
+            {"Server-Load", m_load}};
+        if (m_leaving_health)
+            headers.push_back({"Server-Leaving", "1"});
+        const int status = m_leaving_health ? 503 : 200;
+        // The loop handles the newest event of a turn first.
+        if (m_held) {
+            m_server.close_after_answer();
+            refuse(std::exchange(m_held, {}));
+        }
+        m_server.answer(key, status, headers, "");
+    }
+
+    void refuse(exchange_id key, int status = 503) {
+        m_refused_at = io::event_loop::now();
+        std::vector<io::header> headers{{"Not-Executed", "1"}};
+        if (!m_rest.empty())
+            headers.push_back({"Retry-After", m_rest});
+        if (m_leaving)
+            headers.push_back({"Server-Leaving", "1"});
+        m_server.answer(key, status, headers, "");
+    }
+
     io::http_server m_server;
+    exchange_id m_held;
     std::string m_id;
     address m_where;
 };
