Take ports in tests that are free for TCP and UDP

Cause: the start of an entry in a test failed at times with "bind: Address already in use". free_address() looked for a free TCP port, and the entry binds UDP there too, on an address that all test processes and their outgoing connections share. Also, io::udp_socket does not close its descriptor, so the sockets of earlier tests of the process stay bound.

Change: each test process has a loopback address of its own, and the port is tried for both. The descriptor is left as it is.

--- a/test/platform/node_fixture.hpp
+++ b/test/platform/node_fixture.hpp
@@ -14,6 +14,7 @@
 #include "entry/node.hpp"
 #include "io/fetcher.hpp"
 #include "standin/kv_store.hpp"
+#include "test/io/loopback.hpp"
 
 namespace skylark::test {
 
@@ -171,13 +172,7 @@
         m_settings.m_ready = free_address();
     }
 
-    // A port that was free a moment ago; the settings need it beforehand.
-    address free_address() {
-        io::http_server probe{m_loop, {}};
-        const address where = probe.listen({loopback, 0}).value();
-        probe.stop_listening();
-        return where;
-    }
+    static address free_address() { return test::free_address(); }
 
     void start() {
         m_node = std::make_unique<entry::node>(m_loop, m_settings);
