Honour a rest that a refusal of the native interface asks for

Cause: the native interface has refusals too, and its upstreams may add Retry-After. And requests in the admission queue, which the platform's services do not use, waited for their deadline once no upstream could be used.

Change: the native dialect reads the rest from refusals and from nothing else; the periodic poll of loads leaves out upstreams that rest. A queued request is refused as not run as soon as its service has no upstream that may be used, for whichever reason; a caller that came then would be refused as well.

Evidence: test/entry/resting.cpp plays a bulk request at work and one that waits.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -12,7 +12,7 @@
     test/limit/ratio_budget.cpp test/limit/retry_after.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
     test/discovery/list_guard.cpp test/discovery/instance_log.cpp test/event/ring.cpp test/io/http_client.cpp test/io/http_server.cpp test/entry/settings.cpp
-    test/entry/request_head.cpp
+    test/entry/request_head.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
     test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp test/peer/codec.cpp
     test/store/consul_protocol.cpp test/store/mirror.cpp test/store/lease_holder.cpp
     test/store/mirror_client.cpp test/platform/records.cpp
@@ -21,7 +21,7 @@
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
     test/route/room.cpp
-    test/standin/overload.cpp standin/kv_store.cpp
+    test/standin/overload.cpp standin/kv_store.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
     standin/entry_model.cpp)
 target_include_directories(skylark_test PRIVATE ${CMAKE_SOURCE_DIR})
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -191,11 +191,14 @@
         waiting.m_tried.clear();
         choice = m_router.choose(waiting, now);
     }
-    if (!choice)
+    if (!choice && m_router.has_eligible_upstream(name))
         return false;
     queue.pop_front();
     waiting.m_queued = false;
-    begin_attempt(key, waiting, *choice, false);
+    if (choice)
+        begin_attempt(key, waiting, *choice, false);
+    else // would wait in vain; its caller learns when to return
+        apply(key, waiting.m_machine.rejected());
     return true;
 }
 
--- a/src/entry/native_dialect.cpp
+++ b/src/entry/native_dialect.cpp
@@ -55,6 +55,9 @@
         out.m_report = report.value();
     out.m_refused = head.m_status == io::status::unavailable &&
                     !io::find_header(head.m_headers, refusal_header).empty();
+    if (out.m_refused)
+        read_rest(io::find_header(head.m_headers, rest_header),
+                  out.m_availability);
     return out;
 }
 
--- a/src/entry/native_dialect.hpp
+++ b/src/entry/native_dialect.hpp
@@ -25,6 +25,7 @@
 inline constexpr std::string_view other_entry_header = "Try-Entry";
 inline constexpr std::string_view load_header = "Upstream-Load";
 inline constexpr std::string_view refusal_header = "Upstream-Refused";
+inline constexpr std::string_view rest_header = "Retry-After";
 
 /*! @brief Value of the verdict header. */
 std::string_view verdict_text(const verdict& of);
--- a/src/entry/prober.cpp
+++ b/src/entry/prober.cpp
@@ -55,7 +55,8 @@
             m_buckets.erase(key);
             continue;
         }
-        if (item.m_load.report_age(now) >= fresh_report_age)
+        if (item.m_availability.usable(now) &&
+            item.m_load.report_age(now) >= fresh_report_age)
             due.push_back(&item);
     }
     // Oldest reports first, so that every upstream is probed at some time even
