Hand out each test port once

Cause: the port that free_address() found was free again at once, so the next call, or another listener on port 0, could get it: one "listen: Address already in use" in 475 tests.

Change: the ports are counted up, on the address of the process, below the range of the kernel, and tried for TCP and UDP as before.

--- a/test/io/loopback.hpp
+++ b/test/io/loopback.hpp
@@ -12,9 +12,7 @@
 
 namespace skylark::test {
 
-/*! @brief Address in 127.64.0.0/10 that no other test process uses. The kernel
- *  takes 127.0.0.1 for outgoing connections, so none of those can take a port
- *  here either. */
+/*! @brief Address in 127.64.0.0/10 that no other test process uses. */
 inline std::uint32_t process_loopback() {
     constexpr std::uint32_t network = 0x7f400000U;
     constexpr std::uint32_t host_mask = 0x003fffffU;
@@ -22,22 +20,21 @@
 }
 
 /*! @brief Address with a port that is free for TCP and UDP, for settings that
- *  must name one before their owner listens there. */
+ *  must name one before their owner listens there. Different in each call, and
+ *  below the ports that the kernel gives to outgoing connections. */
 inline address free_address() {
+    static std::uint16_t port = 10000;
+    const auto is_free = [](address where, int type) {
+        const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+        const sockaddr_in name = io::internal::to_native(where);
+        const bool bound = bind(fd, reinterpret_cast<const sockaddr*>(&name),
+                                sizeof name) == 0;
+        close(fd);
+        return bound;
+    };
     for (;;) {
-        const int stream = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const int datagram = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-        const auto take = [](int fd, address where) {
-            const sockaddr_in name = io::internal::to_native(where);
-            return bind(fd, reinterpret_cast<const sockaddr*>(&name),
-                        sizeof name) == 0;
-        };
-        const bool bound = take(stream, {process_loopback(), 0});
-        const address out = io::internal::local_address(stream);
-        const bool free = bound && take(datagram, out);
-        close(stream);
-        close(datagram);
-        if (free)
+        const address out{process_loopback(), ++port};
+        if (is_free(out, SOCK_STREAM) && is_free(out, SOCK_DGRAM))
             return out;
     }
 }
