--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -5,6 +5,7 @@
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
     test/attempt/machine.cpp test/rule/classify.cpp
+    test/load/availability.cpp test/load/availability_history.cpp
     test/load/report.cpp test/load/upstream_load.cpp
     test/load/service_time_estimator.cpp
     test/route/policy.cpp test/limit/token_bucket.cpp
@@ -14,17 +15,19 @@
     test/discovery/list_guard.cpp test/discovery/instance_log.cpp test/event/ring.cpp test/io/http_client.cpp test/io/http_server.cpp test/io/http_server_closing.cpp
     test/io/http_server_shutdown.cpp
     test/io/lingering_connections.cpp test/entry/settings.cpp
-    test/entry/request_head.cpp test/entry/log.cpp
+    test/entry/request_head.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
+    test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp
     test/entry/listener_shutdown.cpp test/ctl/query_command.cpp
     src/ctl/client.cpp src/ctl/query_command.cpp test/peer/codec.cpp
     test/store/consul_protocol.cpp test/store/mirror.cpp test/store/lease_holder.cpp
     test/store/mirror_client.cpp test/platform/records.cpp
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
-    test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp test/route/probe_step.cpp
+    test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
+    test/platform/leaving.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
     test/route/room.cpp
-    test/standin/overload.cpp standin/kv_store.cpp
+    test/standin/overload.cpp standin/kv_store.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
     standin/entry_model.cpp)
 target_include_directories(skylark_test PRIVATE ${CMAKE_SOURCE_DIR})
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -57,7 +57,7 @@
                           matched->m_class, retry_after_without(service));
     else if (!m_router.has_eligible_upstream(service))
         refuse_on_arrival(key, from, io::status::unavailable,
-                          "service " + service + " has no upstream",
+                          "service " + service + " has no usable upstream",
                           matched->m_class, retry_after_without(service));
     else
         admit(key, from, *matched, service);
@@ -195,11 +195,14 @@
         waiting.m_tried.clear();
         choice = m_router.choose(waiting, now);
     }
-    if (!choice)
+    if (!choice && m_router.has_eligible_upstream(name))
         return false;
     queue.pop_front();
     waiting.m_queued = false;
-    begin_attempt(key, waiting, *choice, false);
+    if (choice)
+        begin_attempt(key, waiting, *choice, false);
+    else // would wait in vain; its caller learns when to return
+        apply(key, waiting.m_machine.rejected());
     return true;
 }
 
--- a/test/platform/draining.cpp
+++ b/test/platform/draining.cpp
@@ -113,6 +113,54 @@
               "close");
 }
 
+// Its peers tell an entry that leaves nothing more.
+TEST_F(draining_node, a_change_is_in_force_within_its_limit) {
+    start_with_holding_upstream();
+    entry::settings other = m_settings;
+    other.m_name = "e2";
+    other.m_callers = test::own_address();
+    other.m_control = test::own_address();
+    other.m_peer = other.m_control;
+    other.m_lookup = test::own_address();
+    other.m_ready = test::own_address();
+    other.m_seeds = {m_settings.m_peer};
+    entry::node second{m_loop, other};
+    ASSERT_TRUE(second.start());
+    const auto status_at_second = [&](const std::string& path) {
+        io::fetch_request what;
+        what.m_to = other.m_callers;
+        what.m_path = path;
+        what.m_host = "none.example";
+        return status(call(what));
+    };
+    turn_until([&] { return status_at_second("/") == 404; });
+    turn_until([&] {
+        const auto got = get(*m_settings.m_lookup, "/resolve?name=x&zone=a");
+        const auto* answer = std::get_if<io::fetch_answer>(&got);
+        return answer &&
+               answer->m_body.find(other.m_callers.text()) != std::string::npos;
+    });
+    second.drain();
+    for (int i = 0; i < 300; ++i)
+        m_loop.run_once(milliseconds{1});
+    std::string changed = long_configuration;
+    changed.replace(changed.find("00000007"), 8, "00000008");
+    changed.replace(changed.find("/a/"), 3, "/c/");
+    m_store.put("op/config", changed);
+    const time_point limit = io::event_loop::now() + other.m_apply_limit;
+    const auto removed = [&] {
+        io::fetch_request what;
+        what.m_to = other.m_callers;
+        what.m_path = "/a/x";
+        what.m_host = "h.example";
+        what.m_headers = {{"Request-Id", "r2"}, {"Deadline-Ms", "1"}};
+        return status(call(what)) == 404;
+    };
+    while (!removed() && io::event_loop::now() < limit)
+        m_loop.run_once(milliseconds{1});
+    EXPECT_TRUE(removed());
+}
+
 TEST_F(draining_node, a_request_at_an_upstream_gets_its_answer) {
     start_with_holding_upstream();
     send("30000");
