Fail responses whose framing is uncertain

Callers got a whole 200 with an empty or short body where an upstream's head was damaged: "Content-Length: abc", "-1" or a number beyond 64 bits gave an empty body, "2,5" and two different lengths gave two or five bytes, "gzip, chunked" was passed on with its chunk sizes as the body.

Cause: determine_framing() did not look at the error of from_chars, read only the first field of each name, and compared Transfer-Encoding and Connection as whole texts. A 204 or 304 with a length, and any 204 or 304 with chunks, waited for a body, which the next response would have filled; a response to HEAD without a length counted as close-delimited.

Now a head is malformed, and fails its connection, unless Content-Length is one number (equal repetitions count as one), or Transfer-Encoding is exactly one "chunked" in HTTP/1.1 without a length beside it, or both are absent (RFC 9112, section 6.3). So is a head with a folded line (section 5.2) or a status that answers no request of ours (below 100, or 101). Responses to HEAD, 1xx, 204 and 304 have no body whatever their fields say. "close" is found in all items of all Connection fields.

--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -133,7 +133,7 @@
     response_head head;
     std::size_t consumed = 0;
     const auto state = conn.m_parser.read_head(
-        {(*input)->bytes, (*input)->size}, head, consumed);
+        {(*input)->bytes, (*input)->size}, conn.m_head_only, head, consumed);
     if (state == parse_state::more) {
         if ((*input)->size > m_limits.m_head_bytes)
             fail(conn, "response head without an end");
@@ -156,7 +156,7 @@
     if (!m_connections.find(key) || !conn.m_socket)
         return false;
     h2o_buffer_consume(&conn.m_socket->input, consumed);
-    if (conn.m_head_only || head.m_length == 0U) {
+    if (!conn.m_parser.expects_body()) {
         finish(conn, 0, false);
         return false;
     }
--- a/src/io/http_status.hpp
+++ b/src/io/http_status.hpp
@@ -4,6 +4,7 @@
 
 namespace skylark::io::status {
 
+inline constexpr int switching_protocols = 101;
 inline constexpr int ok = 200;
 inline constexpr int no_content = 204;
 inline constexpr int first_redirect = 300; //!< all 2xx are below
--- a/src/io/response_parser.cpp
+++ b/src/io/response_parser.cpp
@@ -31,13 +31,81 @@
 
 constexpr ssize_t incomplete = -2;
 
+enum class field_state : std::uint8_t { absent, valid, invalid };
+
+constexpr int first_status = 100;
+constexpr int first_final_status = 200;
+
 bool body_is_absent(int code) {
-    return code == status::no_content || code == status::not_modified;
+    return code < first_final_status || code == status::no_content ||
+           code == status::not_modified;
+}
+
+std::string_view trim(std::string_view text) {
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+// Visits each item of a list-based field, over all lines of that name.
+template <class Visit>
+void visit_items(std::span<const header_view> headers, std::string_view name,
+                 Visit visit) {
+    for (const header_view& field : headers) {
+        if (!equal_ignoring_case(field.m_name, name))
+            continue;
+        std::string_view rest = field.m_value;
+        for (auto comma = rest.find(','); comma != std::string_view::npos;
+             comma = rest.find(',')) {
+            visit(trim(rest.substr(0, comma)));
+            rest.remove_prefix(comma + 1);
+        }
+        visit(trim(rest));
+    }
+}
+
+bool says_close(std::span<const header_view> headers) {
+    bool out = false;
+    visit_items(headers, "connection", [&](std::string_view option) {
+        out |= equal_ignoring_case(option, "close");
+    });
+    return out;
+}
+
+// Equal repetitions of a length count as one.
+field_state read_length(std::span<const header_view> headers,
+                        std::uint64_t& length) {
+    field_state out = field_state::absent;
+    visit_items(headers, "content-length", [&](std::string_view item) {
+        std::uint64_t value = 0;
+        const char* last = item.data() + item.size();
+        const auto [end, code] = std::from_chars(item.data(), last, value);
+        const bool number = code == std::errc{} && end == last;
+        const bool differs = out == field_state::valid && value != length;
+        if (!number || differs || out == field_state::invalid)
+            out = field_state::invalid;
+        else
+            out = field_state::valid;
+        length = value;
+    });
+    return out;
+}
+
+// The body is decoded only if "chunked" is its one coding.
+field_state read_coding(std::span<const header_view> headers) {
+    field_state out = field_state::absent;
+    visit_items(headers, "transfer-encoding", [&](std::string_view coding) {
+        const bool known = out == field_state::absent &&
+                           equal_ignoring_case(coding, "chunked");
+        out = known ? field_state::valid : field_state::invalid;
+    });
+    return out;
 }
 
 } // namespace
 
-parse_state response_parser::read_head(std::string_view input,
+parse_state response_parser::read_head(std::string_view input, bool head_only,
                                        response_head& head,
                                        std::size_t& consumed) {
     std::array<phr_header, max_headers> raw;
@@ -50,39 +118,55 @@
         &message_size, raw.data(), &count, 0);
     if (result == incomplete)
         return parse_state::more;
-    if (result < 0)
+    if (result < 0 || head.m_status < first_status ||
+        head.m_status == status::switching_protocols)
         return parse_state::malformed;
-    for (std::size_t i = 0; i < count; ++i)
+    for (std::size_t i = 0; i < count; ++i) {
+        // A field without a name continues the line before it, which RFC 9112,
+        // section 5.2, has proxies discard or replace.
+        if (raw[i].name_len == 0)
+            return parse_state::malformed;
         m_headers[i] = {{raw[i].name, raw[i].name_len},
                         {raw[i].value, raw[i].value_len}};
+    }
     head.m_headers = {m_headers.data(), count};
     consumed = static_cast<std::size_t>(result);
-    determine_framing(head, minor_version);
-    return parse_state::found;
+    return determine_framing(head, head_only, minor_version)
+               ? parse_state::found
+               : parse_state::malformed;
 }
 
-void response_parser::determine_framing(response_head& head,
+bool response_parser::determine_framing(response_head& head, bool head_only,
                                         int minor_version) {
-    const auto connection = find_header(head.m_headers, "connection");
-    m_keep_alive =
-        minor_version >= 1 && !equal_ignoring_case(connection, "close");
-    const auto coding = find_header(head.m_headers, "transfer-encoding");
-    const auto length = find_header(head.m_headers, "content-length");
+    m_keep_alive = minor_version >= 1 && !says_close(head.m_headers);
     m_chunk = {};
     m_chunk.m_consume_trailer = 1;
     m_remaining = 0;
-    if (equal_ignoring_case(coding, "chunked")) {
+    const field_state coding = read_coding(head.m_headers);
+    const field_state length = read_length(head.m_headers, m_remaining);
+    const bool is_chunked = coding != field_state::absent;
+    if (head_only || body_is_absent(head.m_status)) {
+        m_framing = body_framing::none;
+        if (!head_only)
+            head.m_length = 0;
+        else if (length == field_state::valid && !is_chunked)
+            head.m_length = m_remaining;
+        return true;
+    }
+    if (coding == field_state::invalid || length == field_state::invalid ||
+        (is_chunked && (length != field_state::absent || minor_version < 1)))
+        return false;
+    if (is_chunked) {
         m_framing = body_framing::chunked;
-    } else if (!length.empty() || body_is_absent(head.m_status)) {
+    } else if (length == field_state::valid) {
         m_framing = body_framing::length;
-        std::from_chars(length.data(), length.data() + length.size(),
-                        m_remaining);
         head.m_length = m_remaining;
     } else {
         m_framing = body_framing::until_close;
         m_keep_alive = false;
         head.m_framed = false;
     }
+    return true;
 }
 
 parse_state response_parser::read_body(std::span<char> input, std::size_t& size,
@@ -90,6 +174,8 @@
     rest = 0;
     size = input.size();
     switch (m_framing) {
+    case body_framing::none:
+        return parse_state::found;
     case body_framing::until_close:
         return parse_state::more;
     case body_framing::length:
--- a/src/io/response_parser.hpp
+++ b/src/io/response_parser.hpp
@@ -16,18 +16,20 @@
 enum class parse_state : std::uint8_t { more, found, malformed };
 
 /*! @brief How the end of the body is determined. */
-enum class body_framing : std::uint8_t { length, chunked, until_close };
+enum class body_framing : std::uint8_t { none, length, chunked, until_close };
 
 /*! @brief Parses a response: first its head, then its body incrementally. */
 class response_parser {
 public:
     /*! @brief Tries to read the head.
      *  @param input all bytes received so far
+     *  @param head_only whether the request's method was HEAD
      *  @param head gets views into input
      *  @param consumed gets the head's length in bytes
-     *  @return found, more when it is incomplete, or malformed */
-    parse_state read_head(std::string_view input, response_head& head,
-                          std::size_t& consumed);
+     *  @return found, more when it is incomplete, or malformed, also when its
+     *  fields leave the end of the body uncertain (RFC 9112, section 6) */
+    parse_state read_head(std::string_view input, bool head_only,
+                          response_head& head, std::size_t& consumed);
 
     /*! @brief Decodes body bytes in place.
      *  @param input bytes after the head that were not yet read
@@ -37,6 +39,12 @@
     parse_state read_body(std::span<char> input, std::size_t& size,
                           std::size_t& rest);
 
+    /*! @brief Whether bytes of a body follow the head. */
+    [[nodiscard]] bool expects_body() const {
+        return m_framing != body_framing::none &&
+               (m_framing != body_framing::length || m_remaining > 0);
+    }
+
     /*! @brief Whether closing the connection marks the end of the body. */
     [[nodiscard]] bool ends_with_connection() const {
         return m_framing == body_framing::until_close;
@@ -54,7 +62,9 @@
         char m_state;
     };
 
-    void determine_framing(response_head& head, int minor_version);
+    // False when the framing is uncertain.
+    bool determine_framing(response_head& head, bool head_only,
+                           int minor_version);
 
     static constexpr std::size_t max_headers = 64;
     std::array<header_view, max_headers> m_headers;
