Close connections with bytes after a response without a body

A server that sent a second response together with one that has no body, such as a refusal of a load probe written twice, answered the next request on that connection before it ran: callers were told "not run" for work that a server did, or the work ran at a second server.

Cause: for a response without a body, advance_head() reported the end with no rest, whatever had been received after the head. The bytes stayed in the socket's input, usable() looks only at the kernel's buffer, and the next request took them for its response. Only responses with a body were checked.

Now the rest of the input counts, so the connection is closed as it is after a body, and usable() looks at both buffers.

Before: bytes_after_an_answer_without_a_body_end_the_connection failed with m_reusable and usable() both true, expected false. After: it passes, with the other 42 tests of the client.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -103,7 +103,8 @@
 
 bool http_client::usable(connection_id key) {
     connection* found = m_native->m_connections.find(key);
-    if (!found || found->m_phase != phase::idle)
+    if (!found || found->m_phase != phase::idle ||
+        found->m_socket->input->size > 0)
         return false;
     char byte{};
     const int fd = h2o_socket_get_fd(found->m_socket);
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -157,7 +157,7 @@
         return false;
     h2o_buffer_consume(&conn.m_socket->input, consumed);
     if (!conn.m_parser.expects_body()) {
-        finish(conn, 0, false);
+        finish(conn, conn.m_socket->input->size, false);
         return false;
     }
     return true;
--- a/test/io/http_client.cpp
+++ b/test/io/http_client.cpp
@@ -76,6 +76,17 @@
     EXPECT_FALSE(m_client.usable(m_connection));
 }
 
+// The next request must not be answered by the rest of the input.
+TEST_F(client_test, bytes_after_an_answer_without_a_body_end_the_connection) {
+    const std::string empty = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    begin(empty + "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    const auto log = ended();
+    EXPECT_EQ(log.m_status, 200);
+    EXPECT_TRUE(log.m_complete);
+    EXPECT_FALSE(log.m_reusable);
+    EXPECT_FALSE(m_client.usable(m_connection));
+}
+
 TEST_F(client_test, malformed_answers_fail) {
     EXPECT_TRUE(run("nonsense\r\n\r\n", false).m_failed);
 }
