Read again on a connection whose response ended while paused

An upstream that works in order seemed to hang: the next request on its connection got no answer until its deadline, or its load probe failed, although the upstream had answered at once.

Cause: the forwarder pauses an upstream's connection while the caller's is not ready for more. When the piece that made it pause was the last of the response, nothing resumed the connection: it went to the pool with reading stopped, so neither the next answer nor a close or stray bytes while idle were seen.

Now the end of a response that leaves its connection open starts reading again, which is what an idle connection needs.

Before: an_answer_that_ends_while_paused_leaves_a_reading_client got the first answer and never the second (run_until gave up). After: it passes, with the other 43 tests of the client.

--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -74,7 +74,7 @@
     /*! @brief Whether the write of the request is still in progress. */
     [[nodiscard]] bool writing(connection_id key);
 
-    /*! @brief Stops reading until resume(). */
+    /*! @brief Stops reading until resume() or the end of the response. */
     void pause(connection_id key);
 
     /*! @brief Continues reading after pause(). */
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -219,6 +219,8 @@
     conn.m_bytes_sent = false;
     if (!reusable)
         close_socket(conn);
+    else if (std::exchange(conn.m_paused, false))
+        h2o_socket_read_start(conn.m_socket, &native::on_read);
     report(conn, response_complete{reusable, close_delimited});
     if (!reusable)
         m_connections.erase(key);
--- a/test/io/http_client.cpp
+++ b/test/io/http_client.cpp
@@ -87,6 +87,27 @@
     EXPECT_FALSE(m_client.usable(m_connection));
 }
 
+// A connection that is still paused would never read its next answer.
+TEST_F(client_test, an_answer_that_ends_while_paused_leaves_a_reading_client) {
+    open();
+    const std::string answer = sized + "hello";
+    int answers = 0;
+    m_client.rebind(
+        m_connection, [&](connection_id key, const io::client_event& what) {
+            record(what);
+            if (std::holds_alternative<io::body_received>(what))
+                m_client.pause(key);
+            answers += std::holds_alternative<io::response_complete>(what);
+        });
+    for (int sent = 1; sent <= 2; ++sent) {
+        m_client.send(m_connection, request_bytes, false);
+        m_server.read_request();
+        m_server.write(answer);
+        run_until([&] { return answers == sent; });
+        EXPECT_TRUE(m_log.m_reusable);
+    }
+}
+
 TEST_F(client_test, malformed_answers_fail) {
     EXPECT_TRUE(run("nonsense\r\n\r\n", false).m_failed);
 }
