Test broken answers through a whole entry of either interface

Upstreams on bare sockets cut an answer after each byte, by FIN and by reset, with a length, in chunks and without either, for safe and unsafe requests. A cut in the head is a 502 for the caller; a cut in a framed body is never a whole 200; an unsafe request reaches one upstream once. Nine heads of uncertain framing are a 502.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -15,11 +15,12 @@
     test/store/consul_protocol.cpp test/store/mirror.cpp test/store/lease_holder.cpp
     test/store/mirror_client.cpp test/platform/records.cpp
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
-    test/platform/node.cpp test/platform/uploads.cpp test/route/probe_step.cpp
+    test/platform/node.cpp test/platform/uploads.cpp
+    test/platform/cut_answers.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
     test/route/room.cpp
-    test/standin/overload.cpp standin/kv_store.cpp
+    test/standin/overload.cpp standin/kv_store.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
     standin/entry_model.cpp)
 target_include_directories(skylark_test PRIVATE ${CMAKE_SOURCE_DIR})
