Close connections whose load probe was refused

Callers on the platform's interface were answered by an upstream's second copy of a refusal: their request counted as not run and ran at a second upstream, while the first one ran it too.

Cause: a refused request closes its connection, but a refused probe returned its connection to the pool as the newest one, so that the next request was sent on it. When the upstream wrote the refusal once more, it was read as the answer to that request.

The stand-in's fields are now found in any case, as the entry writes the names that it forwards in lower case; before, a success of the platform's interface echoed an empty id, which counted as none.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -16,7 +16,7 @@
     test/store/mirror_client.cpp test/platform/records.cpp
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/uploads.cpp
-    test/platform/cut_answers.cpp test/route/probe_step.cpp
+    test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
     test/route/room.cpp
--- a/src/entry/on_demand_prober.cpp
+++ b/src/entry/on_demand_prober.cpp
@@ -84,7 +84,10 @@
     m_probes.erase(key);
     m_shared.m_loop.cancel(ended.m_timer);
     upstream* target = m_shared.m_upstreams.find(ended.m_upstream);
-    if (target && reusable) {
+    // A faulty upstream may write a refusal once more, where the response to
+    // the next request is expected.
+    const bool refused = !ended.m_signs.m_healthy;
+    if (target && reusable && !refused) {
         m_pool.keep(*target, ended.m_connection);
     } else {
         m_client.close(ended.m_connection);
--- a/src/entry/on_demand_prober.hpp
+++ b/src/entry/on_demand_prober.hpp
@@ -17,7 +17,8 @@
 
 /*! @brief Requests the current load of one upstream over a pooled or new
  *  connection. A response also shows that the connection works; it returns to
- *  the pool as the newest one, so that the request that follows uses it. */
+ *  the pool as the newest one, so that the request that follows uses it, unless
+ *  the response was a refusal. */
 class on_demand_prober {
 public:
     using callback = std::function<void()>;
--- a/test/entry/scripted_upstream.hpp
+++ b/test/entry/scripted_upstream.hpp
@@ -3,18 +3,22 @@
 #ifndef TEST_ENTRY_SCRIPTED_UPSTREAM_HPP
 #define TEST_ENTRY_SCRIPTED_UPSTREAM_HPP
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 #include <skylark/core/address.hpp>
 
 #include "io/event_loop.hpp"
+#include "io/http_message.hpp"
 #include "io/native.hpp"
 
 namespace skylark::test {
@@ -27,14 +31,18 @@
     std::string m_path;
     std::string m_head; //!< request line and fields
 
-    /*! @brief Value of a field that is written as the entry writes it; empty
-     *  without one. */
-    [[nodiscard]] std::string field(const std::string& name) const {
-        const auto at = m_head.find("\r\n" + name + ": ");
-        if (at == std::string::npos)
-            return {};
-        const auto begin = at + name.size() + 4;
-        return m_head.substr(begin, m_head.find("\r\n", begin) - begin);
+    /*! @brief Value of a field, its name in any case; empty without one. */
+    [[nodiscard]] std::string field(std::string_view name) const {
+        std::string_view rest = m_head;
+        while (!rest.empty()) {
+            const auto line = rest.substr(0, rest.find("\r\n"));
+            rest.remove_prefix(std::min(rest.size(), line.size() + 2));
+            const auto colon = line.find(": ");
+            if (colon == name.size() &&
+                io::equal_ignoring_case(line.substr(0, colon), name))
+                return std::string{line.substr(colon + 2)};
+        }
+        return {};
     }
 };
 
--- a/test/platform/interfaces.hpp
+++ b/test/platform/interfaces.hpp
@@ -121,7 +121,8 @@
     /*! @brief A refusal of this interface; an id makes it name a request. */
     [[nodiscard]] std::string refusal(const std::string& id = {}) const {
         std::string out = "HTTP/1.1 503 Busy\r\n";
-        out += native() ? "Upstream-Refused: shed\r\n" : "Not-Executed: 1\r\n";
+        out += native() ? "Upstream-Refused: shed\r\n"
+                        : "Not-Executed: 1\r\nServer-Load: 0,0,6,100\r\n";
         if (!native() && !id.empty())
             out += "Request-Id: " + id + "\r\n";
         return out + "Content-Length: 0\r\n\r\n";
