Take no response from before the request on a new connection

An upstream that writes a refusal as soon as it accepts a connection, and then reads and runs the request, made callers believe "not run" on either interface, and unsafe requests ran at several upstreams.

Cause: a reused connection is checked for unread input before a request is written, a new one was not: bytes that were there before the request counted as its response.

Now a new connection is checked at the moment of writing as well; one with input, or closed already, counts as failed before anything was sent.

Before: before_any_request_on_a_new_connection failed on both interfaces; on the native one, unsafe requests ran three times and their callers got 503. After: it passes, with the other six tests of repeated_refusals. Bytes that arrive after the check can't be told from an answer here; that takes a tie between the two.

--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -122,6 +122,7 @@
     // Attempts.
     void begin_attempt(request_id key, request& req, const route_choice& choice,
                        bool is_hedge);
+    void handle_open(request_id key, attempt_id which);
     void write_request(request_id key, attempt_id which);
     void handle_event(request_id key, attempt_id which,
                       const io::client_event& what);
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -81,13 +81,24 @@
                   m_callers.body(req.m_exchange), req.m_head_only);
 }
 
+// What an upstream sends before it has a request is no response to it.
+void forwarder::handle_open(request_id key, attempt_id which) {
+    const attempt& current = m_requests.find(key)->m_attempts.at(which);
+    if (m_client.usable(current.m_connection)) {
+        write_request(key, which);
+        return;
+    }
+    m_shared.m_metrics.count(counter::connect_failures);
+    end_attempt(key, which, not_run{not_run_proof::connect_failed}, false);
+}
+
 void forwarder::handle_event(request_id key, attempt_id which,
                              const io::client_event& what) {
     request* req = m_requests.find(key);
     if (!req || !req->m_attempts.contains(which))
         return;
     std::visit(
-        overloaded{[&](const io::connected&) { write_request(key, which); },
+        overloaded{[&](const io::connected&) { handle_open(key, which); },
                    [&](const io::head_received& event) {
                        handle_head(key, which, event.m_head);
                    },
--- a/test/platform/interfaces.hpp
+++ b/test/platform/interfaces.hpp
@@ -150,7 +150,10 @@
     std::string m_last_id; // of the last request sent
 
 private:
-    static constexpr std::uint32_t ip = 0x7f000001U;
+    // Of this process alone: no other one's ports and no outgoing connections
+    // are on it.
+    static inline const std::uint32_t ip =
+        0x7f000000U + static_cast<std::uint32_t>(getpid());
     static constexpr auto longest_wait = seconds{20};
 
     void answer(std::size_t upstream, const scripted_request& got) {
--- a/test/platform/repeated_refusals.cpp
+++ b/test/platform/repeated_refusals.cpp
@@ -171,6 +171,15 @@
     EXPECT_GT(m_reused, 0);
 }
 
+TEST_P(repeated_refusals, before_any_request_on_a_new_connection) {
+    start(2);
+    m_refuses_requests = true; // their connections are closed
+    for (scripted_upstream& item : m_upstreams)
+        item.greet(refusal());
+    send_series(moment::before_request, 0);
+    check_ledger();
+}
+
 INSTANTIATE_TEST_SUITE_P(entry, repeated_refusals,
                          testing::Values(entry::deployment::native,
                                          entry::deployment::platform),
