Believe a refusal only if it names its request

Callers on the platform's interface were told "not run, try again" (503, 429, 408, 421) of requests that an upstream had run or was running, and unsafe requests ran at a second upstream as well: the upstream wrote an earlier refusal once more where the answer to the next request was expected.

Cause: a refusal without a Request-Id counted as that of the present request; only another request's id made an answer foreign. Refusals of health checks have no id, so their copies were believed on any connection. A 408, 429 or 503 without Not-Executed was passed on, though its status promises callers that the request has not run.

PROTOCOL says that servers echo Request-Id in their responses, that the id identifies an extra response, that no response but one with Not-Executed states "not run", and that callers take 408, 421, 429 and 503 for that promise. So a refusal without the request's own id, one of these statuses without a refusal, and a success that names no or another request, or that claims not to have run, are now unusable: the request may have run (502, safe ones may be repeated). A request that came without an id can't be tied, so no refusal of it is believed. Failures of other statuses pass without an id as before, as they promise nothing.

Changed stand-ins and checks: fake_upstream and raw_upstream sent refusals without Request-Id, which servers never do; they echo it now. Two cases of tells_refusals_and_foreign_answers that took such refusals for proofs carry the id now, and the same answers without it are checked to prove nothing. The success with a stamp of a_success_needs_its_stamp carries the id too; without it the test expects it to be unusable.

--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -37,18 +37,51 @@
 }
 
 TEST(platform_dialect, tells_refusals_and_foreign_answers) {
-    EXPECT_TRUE(signs(503, {{"Not-Executed", "1"}}).m_refused);
-    EXPECT_FALSE(signs(503, {}).m_refused);
-    EXPECT_TRUE(signs(421, {}).m_misdirected);
-    EXPECT_TRUE(signs(421, {}).m_refused);
+    const io::header_view own{"Request-Id", "r1"};
+    EXPECT_TRUE(signs(503, {{"Not-Executed", "1"}, own}).m_refused);
+    EXPECT_FALSE(signs(503, {{"Not-Executed", "1"}, own}).m_unusable);
+    EXPECT_FALSE(signs(503, {own}).m_refused);
+    EXPECT_TRUE(signs(421, {own}).m_misdirected);
+    EXPECT_TRUE(signs(421, {own}).m_refused);
     EXPECT_TRUE(signs(500, {{"Request-Id", "r2"}}).m_unusable);
-    EXPECT_FALSE(signs(500, {{"Request-Id", "r1"}}).m_unusable);
+    EXPECT_FALSE(signs(500, {own}).m_unusable);
 }
 
-TEST(platform_dialect, a_success_needs_its_stamp) {
+TEST(platform_dialect, a_refusal_that_names_no_request_proves_nothing) {
+    const io::header_view refused{"Not-Executed", "1"};
+    for (const int status : {400, 408, 421, 429, 503}) {
+        EXPECT_TRUE(signs(status, {refused}).m_unusable) << status;
+        EXPECT_FALSE(signs(status, {refused}).m_refused) << status;
+        const auto foreign = signs(status, {refused, {"Request-Id", "r2"}});
+        EXPECT_TRUE(foreign.m_unusable) << status;
+        EXPECT_FALSE(foreign.m_refused) << status;
+    }
+    EXPECT_FALSE(signs(421, {}).m_refused);
+    EXPECT_TRUE(signs(421, {}).m_unusable);
+}
+
+// Callers take the status alone for "not run".
+TEST(platform_dialect, a_promise_without_a_refusal_is_not_passed_on) {
+    for (const int status : {408, 429, 503})
+        for (const auto& fields :
+             {std::vector<io::header_view>{},
+              std::vector<io::header_view>{{"Request-Id", "r1"}}}) {
+            EXPECT_TRUE(signs(status, fields).m_unusable) << status;
+            EXPECT_FALSE(signs(status, fields).m_refused) << status;
+        }
+}
+
+TEST(platform_dialect, a_success_needs_its_stamp_and_its_id) {
+    const io::header_view own{"Request-Id", "r1"};
+    const io::header_view stamp{"Response-Stamp", "s"};
     EXPECT_TRUE(signs(200, {}).m_unusable);
-    EXPECT_FALSE(signs(200, {{"Response-Stamp", "s"}}).m_unusable);
+    EXPECT_TRUE(signs(200, {own}).m_unusable);
+    EXPECT_TRUE(signs(200, {stamp}).m_unusable);
+    EXPECT_FALSE(signs(200, {stamp, own}).m_unusable);
     EXPECT_FALSE(signs(404, {}).m_unusable);
+    const auto contradiction = signs(200, {stamp, own, {"Not-Executed", "1"}});
+    EXPECT_TRUE(contradiction.m_unusable);
+    EXPECT_FALSE(contradiction.m_refused);
 }
 
 TEST(platform_dialect, an_attempt_names_deadline_and_instance) {
--- a/test/platform/node_fixture.hpp
+++ b/test/platform/node_fixture.hpp
@@ -69,15 +69,15 @@
         const auto wanted =
             io::find_header(request.m_headers, "Expected-Instance");
         m_misdirected |= wanted != m_id;
+        std::vector<io::header> headers{
+            {"Request-Id",
+             std::string{io::find_header(request.m_headers, "Request-Id")}}};
         if (m_refusals > 0) {
             --m_refusals;
-            const std::array headers{io::header{"Not-Executed", "1"}};
+            headers.push_back({"Not-Executed", "1"});
             m_server.answer(key, 503, headers, "");
             return;
         }
-        std::vector<io::header> headers{
-            {"Request-Id",
-             std::string{io::find_header(request.m_headers, "Request-Id")}}};
         if (!m_stamp.empty())
             headers.push_back({"Response-Stamp", m_stamp});
         m_server.answer(key, 200, headers, "whole body of " + m_id);
--- a/test/platform/raw_upstream.hpp
+++ b/test/platform/raw_upstream.hpp
@@ -102,6 +102,7 @@
         }
         const bool question = bytes.starts_with("GET /health");
         const std::string rest = bytes.substr(end + 4);
+        const std::string id = request_id(bytes);
         bytes.clear();
         if (question) {
             say(peer, "HTTP/1.1 200 OK\r\nInstance-Id: i-raw\r\n"
@@ -112,11 +113,21 @@
         m_busy = peer;
         m_after_head = rest;
         if (m_habit == body_habit::early_answer)
-            say(peer, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
-                      "Content-Length: 0\r\n\r\n");
+            say(peer, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: " +
+                          id + "\r\nContent-Length: 0\r\n\r\n");
         return true;
     }
 
+    // The entry forwards names of fields in lower case.
+    static std::string request_id(const std::string& head) {
+        const std::string name = "\r\nrequest-id: ";
+        const auto at = head.find(name);
+        if (at == std::string::npos)
+            return {};
+        const auto begin = at + name.size();
+        return head.substr(begin, head.find("\r\n", begin) - begin);
+    }
+
     static bool hung_up(int peer) {
         int error = 0;
         socklen_t size = sizeof error;
--- a/test/platform/repeated_refusals.cpp
+++ b/test/platform/repeated_refusals.cpp
@@ -137,6 +137,8 @@
 constexpr std::array all_moments{moment::after_refusal, moment::before_request,
                                  moment::during_request};
 
+class tied_refusals : public repeated_refusals {};
+
 } // namespace
 
 TEST_P(repeated_refusals, of_requests_on_their_connections) {
@@ -186,3 +188,29 @@
                          [](const auto& tested) {
                              return name_of(tested.param);
                          });
+
+// Where answers name their request, copies are told on any connection.
+TEST_P(tied_refusals, on_other_connections) {
+    start(2);
+    m_on_any_connection = true;
+    const std::string end = "Content-Length: 0\r\n\r\n";
+    for (const std::string& copy :
+         {refusal(), refusal("other"), "HTTP/1.1 421 Misdirected\r\n" + end,
+          "HTTP/1.1 429 Busy\r\nNot-Executed: 1\r\n" + end,
+          "HTTP/1.1 429 Busy\r\n" + end, "HTTP/1.1 408 Late\r\n" + end,
+          "HTTP/1.1 503 Failing\r\nInstance-Id: i-0\r\n" + end}) {
+        m_copy = copy;
+        send_series(moment::before_request, 0);
+        send_series(moment::during_request, 3);
+        send_series(moment::after_answer, 3);
+    }
+    check_ledger();
+    EXPECT_GT(m_copies, 0);
+    EXPECT_GT(m_reused, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(entry, tied_refusals,
+                         testing::Values(entry::deployment::platform),
+                         [](const auto& tested) {
+                             return name_of(tested.param);
+                         });
