Fail buffered answers that only the close of the connection ends

A store, peer or control answer that had lost its framing fields, or was cut while it had none, was taken as whole: the beginning of a document counted as the document, "tr" as a refused write, an empty body as an empty value.

Cause: the fetcher did not look at m_close_delimited, which tells that a cut can't be seen.

Now such an answer is a failure that may have run, which callers of the fetcher handle already; stores, peers and the control interface frame their answers.

Before: a_body_that_only_the_close_ends_is_a_failure failed at its first body, "", which was a whole answer. After: it passes for "", "hel" and "hello".

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -10,7 +10,7 @@
     test/route/policy.cpp test/limit/token_bucket.cpp
     test/limit/ratio_budget.cpp test/limit/retry_after.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
-    test/discovery/list_guard.cpp test/discovery/instance_log.cpp test/event/ring.cpp test/io/http_client.cpp test/io/response_parser.cpp test/io/http_client_cuts.cpp test/io/http_server.cpp test/entry/settings.cpp
+    test/discovery/list_guard.cpp test/discovery/instance_log.cpp test/event/ring.cpp test/io/http_client.cpp test/io/response_parser.cpp test/io/http_client_cuts.cpp test/io/fetcher.cpp test/io/http_server.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/entry/log.cpp test/peer/codec.cpp
     test/store/consul_protocol.cpp test/store/mirror.cpp test/store/lease_holder.cpp
     test/store/mirror_client.cpp test/platform/records.cpp
--- a/src/io/fetcher.cpp
+++ b/src/io/fetcher.cpp
@@ -73,7 +73,11 @@
                        if (found->m_answer.m_body.size() > m_body_limit)
                            finish(key, fetch_failure{true, "answer too large"});
                    },
-                   [&](const response_complete&) {
+                   [&](const response_complete& end) {
+                       if (end.m_close_delimited) {
+                           finish(key, fetch_failure{true, "unframed answer"});
+                           return;
+                       }
                        finish(key, fetch_answer{std::move(found->m_answer)});
                    },
                    [&](const connection_failed& failure) {
--- a/src/io/fetcher.hpp
+++ b/src/io/fetcher.hpp
@@ -40,7 +40,8 @@
     [[nodiscard]] std::string_view header_value(std::string_view name) const;
 };
 
-/*! @brief No complete answer was received. */
+/*! @brief No complete answer was received. A body that only the close of the
+ *  connection ends is never known to be complete. */
 struct fetch_failure {
     bool m_may_have_run; //!< whether the server may have run the request
     std::string m_cause;
--- a/test/io/client_fixture.hpp
+++ b/test/io/client_fixture.hpp
@@ -60,6 +60,8 @@
             close(m_peer);
         m_peer = -1;
     }
+    // Unread input, which would turn a close into a reset, does not matter.
+    void close_writing() const { shutdown(m_peer, SHUT_WR); }
     void reset() {
         constexpr linger at_once{1, 0};
         setsockopt(m_peer, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
--- /dev/null
+++ b/test/io/fetcher.cpp
@@ -0,0 +1,55 @@
+// Buffered answers are whole or failures.
+#include "io/fetcher.hpp"
+
+#include <optional>
+
+#include "test/io/client_fixture.hpp"
+
+using namespace skylark;
+using skylark::test::client_test;
+
+namespace {
+
+class fetcher_test : public client_test {
+protected:
+    io::fetch_result fetch(const std::string& answer) {
+        std::optional<io::fetch_result> out;
+        io::fetch_request request;
+        request.m_to = m_server.where();
+        request.m_path = "/";
+        m_fetcher.run(request, [&](const io::fetch_result& got) { out = got; });
+        m_server.accept_one();
+        m_server.write(answer);
+        m_server.close_writing();
+        run_until([&] { return out.has_value(); });
+        m_server.end();
+        return *out;
+    }
+
+    io::fetcher m_fetcher{m_loop, 1U << 20U};
+};
+
+} // namespace
+
+TEST_F(fetcher_test, a_framed_answer_is_whole) {
+    const auto got = fetch("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+    const auto* answer = std::get_if<io::fetch_answer>(&got);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->m_body, "hello");
+}
+
+// A document cut short would be taken for another document.
+TEST_F(fetcher_test, a_body_that_only_the_close_ends_is_a_failure) {
+    for (const char* body : {"", "hel", "hello"}) {
+        const auto got = fetch("HTTP/1.1 200 OK\r\n\r\n" + std::string{body});
+        const auto* failure = std::get_if<io::fetch_failure>(&got);
+        ASSERT_TRUE(failure) << body;
+        EXPECT_TRUE(failure->m_may_have_run);
+    }
+}
+
+TEST_F(fetcher_test, an_answer_of_uncertain_length_is_a_failure) {
+    const auto got =
+        fetch("HTTP/1.1 200 OK\r\nContent-Length: 2,5\r\n\r\nhello");
+    EXPECT_TRUE(std::holds_alternative<io::fetch_failure>(got));
+}
