Reject load figures that do not fit

A server's load of running requests was taken for 0, so that a busy or faulty server seemed idle and was preferred.

Cause: the figures were read as 64 bits and cut to 32.

--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -32,7 +32,8 @@
     EXPECT_EQ(full->m_slots, 8U);
     EXPECT_EQ(full->m_slowness, 700U);
     EXPECT_EQ(load("3,0,8")->m_slowness, nominal_slowness);
-    for (const char* text : {"", "3", "3,0", "3,0,0", "a,0,8", "-1,0,8", ",,,"})
+    for (const char* text : {"", "3", "3,0", "3,0,0", "a,0,8", "-1,0,8", ",,,",
+                             "4294967296,0,8", "0,0,8,4294967297"})
         EXPECT_FALSE(load(text)) << text;
 }
 
