Reject revisions that are read only in part

A store's index of "9x" counted as 9, and a peer's document was taken as that revision. To operators, /in-force?revision=abc said that every entry had it, as if they had asked for revision 0, and a change with "If-Revision: 7x" was applied to revision 7, one with "abc" to whatever was in force.

Cause: from_chars stops at the first character that is no digit and leaves the number as it was on an error; the end and the error were not looked at. These places now read through parse_number(), which wants the whole text. Control answers 400; stores and peers count as unreadable.

Before: operators_learn_that_a_revision_is_no_number got 200 for all eight requests, consul_protocol.reads_answers read "9x" and "9 9" as 9. After: both pass. The reading of a peer's Config-Revision has no test of its own.

--- a/src/entry/configurator_peers.cpp
+++ b/src/entry/configurator_peers.cpp
@@ -1,6 +1,5 @@
 // Configuration and instance list from peers that have newer ones.
-#include <charconv>
-
+#include "core/parse_number.hpp"
 #include "entry/configurator.hpp"
 #include "peer/codec.hpp"
 
@@ -22,10 +21,8 @@
 namespace {
 
 std::uint64_t revision_of(const io::fetch_answer& answer) {
-    const auto text = answer.header_value("Config-Revision");
-    std::uint64_t out = 0;
-    std::from_chars(text.data(), text.data() + text.size(), out);
-    return out;
+    return parse_number<std::uint64_t>(answer.header_value("Config-Revision"))
+        .value_or(0);
 }
 
 } // namespace
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -2,13 +2,14 @@
 #include "entry/control.hpp"
 
 #include <array>
-#include <charconv>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
 #include <skylark/command/parse.hpp>
 
 #include "core/overloaded.hpp"
+#include "core/parse_number.hpp"
 #include "entry/lookup.hpp"
 #include "io/http_status.hpp"
 #include "peer/codec.hpp"
@@ -17,13 +18,20 @@
 
 namespace {
 
-// The number behind a sign in a path; 0 without one.
-std::uint64_t number_after(char sign, std::string_view path) {
-    std::uint64_t out = 0;
+// The number in a text; 0 if it is empty, nothing if it is no number.
+std::optional<std::uint64_t> number_or_zero(std::string_view text) {
+    return text.empty() ? 0 : parse_number<std::uint64_t>(text);
+}
+
+// As above, of what follows a sign in a path.
+std::optional<std::uint64_t> number_after(char sign, std::string_view path) {
     const auto at = path.find(sign);
-    if (at != std::string_view::npos)
-        std::from_chars(path.data() + at + 1, path.data() + path.size(), out);
-    return out;
+    return number_or_zero(at == std::string_view::npos ? ""
+                                                       : path.substr(at + 1));
+}
+
+input_error no_number(std::string place, std::string_view value) {
+    return {std::move(place), '"' + std::string{value} + '"', "a number"};
 }
 
 } // namespace
@@ -95,8 +103,13 @@
 
 // A peer names the index of the list that it has: /peer/instances?after=7.
 void control::answer_instances(exchange_id key, std::string_view path) {
-    const auto bytes = peer::encode(
-        m_config.changes_since(number_after('=', path)), io::event_loop::now());
+    const auto after = number_after('=', path);
+    if (!after) {
+        answer_error(key, io::status::bad_request, no_number("after", path));
+        return;
+    }
+    const auto bytes =
+        peer::encode(m_config.changes_since(*after), io::event_loop::now());
     const std::array headers{
         io::header{"Content-Type", "application/octet-stream"}};
     m_server.answer(
@@ -111,8 +124,12 @@
         return;
     }
     const auto number = io::find_header(request.m_headers, "if-revision");
-    std::uint64_t if_revision = 0;
-    std::from_chars(number.data(), number.data() + number.size(), if_revision);
+    const auto if_revision = number_or_zero(number);
+    if (!if_revision) {
+        answer_error(key, io::status::bad_request,
+                     no_number("If-Revision", number));
+        return;
+    }
     const std::string change_id{
         io::find_header(request.m_headers, "change-id")};
     std::visit(overloaded{[&](const show_query& query) {
@@ -128,7 +145,7 @@
                           },
                           [&](const change_statement& change) {
                               m_changer.run(
-                                  change, if_revision, change_id,
+                                  change, *if_revision, change_id,
                                   [this, key](const change_result& result) {
                                       answer_change(key, result);
                                   });
@@ -187,14 +204,18 @@
 
 // Which members are known to have adopted a revision, by their heartbeats.
 void control::answer_in_force(exchange_id key, std::string_view path) {
-    const std::uint64_t wanted = number_after('=', path);
+    const auto wanted = number_after('=', path);
+    if (!wanted) {
+        answer_error(key, io::status::bad_request, no_number("revision", path));
+        return;
+    }
     const time_point now = io::event_loop::now();
     auto behind = nlohmann::json::array();
     std::size_t members = 1;
-    std::size_t count = m_shared.m_config.revision() >= wanted ? 1 : 0;
+    std::size_t count = m_shared.m_config.revision() >= *wanted ? 1 : 0;
     for (const auto& [id, peer] : m_shared.m_fleet.peers()) {
         ++members;
-        if (peer.m_config.m_revision >= wanted)
+        if (peer.m_config.m_revision >= *wanted)
             ++count;
         else
             behind.push_back(
@@ -202,7 +223,7 @@
                  {"revision", peer.m_config.m_revision},
                  {"heard_ms_ago", to_ms(now - peer.m_last_heard)}});
     }
-    const nlohmann::json out{{"revision", wanted},
+    const nlohmann::json out{{"revision", *wanted},
                              {"in_force", count},
                              {"members", members},
                              {"behind", behind}};
--- a/src/store/consul_protocol.cpp
+++ b/src/store/consul_protocol.cpp
@@ -1,9 +1,9 @@
 // Consul's public key-value and catalogue API over HTTP.
 #include "store/consul_protocol.hpp"
+#include "core/parse_number.hpp"
 #include "io/http_status.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 #include <nlohmann/json.hpp>
 
@@ -25,10 +25,8 @@
 
 parsed<std::uint64_t> read_index(const io::fetch_answer& answer) {
     const auto text = answer.header_value("X-Consul-Index");
-    std::uint64_t index = 0;
-    const auto [end, code] =
-        std::from_chars(text.data(), text.data() + text.size(), index);
-    if (code != std::errc{} || index == 0)
+    const std::uint64_t index = parse_number<std::uint64_t>(text).value_or(0);
+    if (index == 0)
         return input_error{"platform, header X-Consul-Index",
                            '"' + std::string{text} + '"', "a number from 1 up"};
     return index;
--- a/test/platform/node.cpp
+++ b/test/platform/node.cpp
@@ -30,6 +30,25 @@
     EXPECT_EQ(status(ask("/a/x", "GET", "other.example")), 404);
 }
 
+// As 0 they would stand for any revision.
+TEST_F(platform_node, operators_learn_that_a_revision_is_no_number) {
+    start_with_upstreams();
+    for (const char* text : {"abc", "7x", "-1", "99999999999999999999"}) {
+        EXPECT_EQ(status(get(m_settings.m_control,
+                             "/in-force?revision=" + std::string{text})),
+                  400)
+            << text;
+        io::fetch_request what;
+        what.m_to = m_settings.m_control;
+        what.m_method = "POST";
+        what.m_path = "/query";
+        what.m_headers = {{"If-Revision", text}};
+        what.m_body = "show upstreams";
+        EXPECT_EQ(status(call(what)), 400) << text;
+    }
+    EXPECT_EQ(status(get(m_settings.m_control, "/in-force?revision=1")), 200);
+}
+
 TEST_F(platform_node, a_slow_near_upstream_is_passed_over) {
     start_with_upstreams();
     m_near.m_load = "1,0,6,700";
--- a/test/store/consul_protocol.cpp
+++ b/test/store/consul_protocol.cpp
@@ -33,7 +33,8 @@
     EXPECT_EQ(subject.read_value(answer(404, "9", "")).value().m_revision, 0U);
     EXPECT_FALSE(subject.read_value(answer(500, "9", "")));
     EXPECT_FALSE(subject.read_value(answer(200, "", "doc")));
-    EXPECT_FALSE(subject.read_value(answer(200, "x", "doc")));
+    for (const char* index : {"x", "9x", "9 9", "-9", "99999999999999999999"})
+        EXPECT_FALSE(subject.read_value(answer(200, index, "doc"))) << index;
     EXPECT_TRUE(subject.read_swap(answer(200, "", "true")).value());
     EXPECT_FALSE(subject.read_swap(answer(200, "", "false")).value());
 }
