Take only "true" and "false" for the end of a compare-and-swap

An empty or damaged answer of the store to a write counted as a conflict, so an operator was told that a change had not been made although it may have been.

Cause: every body that did not begin with "true" was read as false. Any other body is now an error, after which the outcome is unknown.

Before: consul_protocol.reads_answers took "", "tr", "fals" and "null" for a refused write. After: it passes.

--- a/src/store/consul_protocol.cpp
+++ b/src/store/consul_protocol.cpp
@@ -97,7 +97,12 @@
 parsed<bool> consul_protocol::read_swap(const io::fetch_answer& answer) const {
     if (answer.m_status != io::status::ok)
         return wrong_status(answer);
-    return answer.m_body.starts_with("true");
+    if (answer.m_body.starts_with("true"))
+        return true;
+    if (answer.m_body.starts_with("false"))
+        return false;
+    return input_error{"platform, swap", '"' + answer.m_body + '"',
+                       "true or false"};
 }
 
 parsed<instance_list>
--- a/test/store/consul_protocol.cpp
+++ b/test/store/consul_protocol.cpp
@@ -37,6 +37,8 @@
         EXPECT_FALSE(subject.read_value(answer(200, index, "doc"))) << index;
     EXPECT_TRUE(subject.read_swap(answer(200, "", "true")).value());
     EXPECT_FALSE(subject.read_swap(answer(200, "", "false")).value());
+    for (const char* body : {"", "tr", "fals", "null"})
+        EXPECT_FALSE(subject.read_swap(answer(200, "", body))) << body;
 }
 
 TEST(consul_protocol, reads_the_catalogue) {
