Fail chunked bodies whose chunk sizes are no numbers

An upstream's chunk size such as "0x5" or "0,5" gave callers a whole 200 without a body, and "5x" counted as 5.

Cause: picohttpparser's decoder in libh2o takes any text after the digits for a chunk extension. chunked_decoder replaces it: after the digits come blanks, an extension behind ";", or the end of the line (RFC 9112, section 7.1).

Before: four of the eight uncertain_chunks ("5x", "0x5", "0,5", "0 5") were found or waited for more instead of being malformed. After: all pass, and decodes_chunks_of_any_cut reads one body cut at every step from 1 byte up.

--- a/src/io/response_parser.cpp
+++ b/src/io/response_parser.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include <sys/types.h>
-
 extern "C" {
 // NOLINTBEGIN: names of picohttpparser
 struct phr_header {
@@ -16,20 +14,17 @@
     size_t value_len;
 };
 // NOLINTEND
-struct phr_chunked_decoder;
 int phr_parse_response(const char* buffer, size_t length, int* minor_version,
                        int* status, const char** message, size_t* message_len,
                        struct phr_header* headers, size_t* header_count,
                        size_t last_length);
-ssize_t phr_decode_chunked(struct phr_chunked_decoder* decoder, char* buffer,
-                           size_t* size);
 }
 
 namespace skylark::io {
 
 namespace {
 
-constexpr ssize_t incomplete = -2;
+constexpr int incomplete = -2;
 
 enum class field_state : std::uint8_t { absent, valid, invalid };
 
@@ -139,8 +134,7 @@
 bool response_parser::determine_framing(response_head& head, bool head_only,
                                         int minor_version) {
     m_keep_alive = minor_version >= 1 && !says_close(head.m_headers);
-    m_chunk = {};
-    m_chunk.m_consume_trailer = 1;
+    m_chunks = {};
     m_remaining = 0;
     const field_state coding = read_coding(head.m_headers);
     const field_state length = read_length(head.m_headers, m_remaining);
@@ -186,14 +180,7 @@
     case body_framing::chunked:
         break;
     }
-    auto* decoder = reinterpret_cast<phr_chunked_decoder*>(&m_chunk);
-    const ssize_t result = phr_decode_chunked(decoder, input.data(), &size);
-    if (result == incomplete)
-        return parse_state::more;
-    if (result < 0)
-        return parse_state::malformed;
-    rest = static_cast<std::size_t>(result);
-    return parse_state::found;
+    return m_chunks.decode(input, size, rest);
 }
 
 bool equal_ignoring_case(std::string_view left, std::string_view right) {
--- a/src/io/response_parser.hpp
+++ b/src/io/response_parser.hpp
@@ -8,13 +8,12 @@
 #include <span>
 #include <string_view>
 
+#include "io/chunked_decoder.hpp"
 #include "io/http_message.hpp"
+#include "io/parse_state.hpp"
 
 namespace skylark::io {
 
-/*! @brief Result of a parsing step. */
-enum class parse_state : std::uint8_t { more, found, malformed };
-
 /*! @brief How the end of the body is determined. */
 enum class body_framing : std::uint8_t { none, length, chunked, until_close };
 
@@ -54,21 +53,13 @@
     [[nodiscard]] bool keeps_alive() const { return m_keep_alive; }
 
 private:
-    // Same layout as picohttpparser's phr_chunked_decoder.
-    struct chunk_state {
-        std::size_t m_bytes_left;
-        char m_consume_trailer;
-        char m_hex_count;
-        char m_state;
-    };
-
     // False when the framing is uncertain.
     bool determine_framing(response_head& head, bool head_only,
                            int minor_version);
 
     static constexpr std::size_t max_headers = 64;
     std::array<header_view, max_headers> m_headers;
-    chunk_state m_chunk{};
+    chunked_decoder m_chunks;
     body_framing m_framing{body_framing::until_close};
     std::uint64_t m_remaining{}; // bytes of a body of known length
     bool m_keep_alive{};
--- a/test/io/response_parser.cpp
+++ b/test/io/response_parser.cpp
@@ -161,3 +161,42 @@
                     "Connection: x ,\tClose\r\n",
                     "Connection: x\r\nConnection: close\r\n",
                     "Connection:\r\nConnection: close\r\n"));
+
+TEST(response_parser, decodes_chunks_of_any_cut) {
+    const std::string input = "5;a=b\r\nhello\r\n1 \r\n,\r\nA\n0123456789"
+                              "\r\n000\r\nX: y\r\n\r\nrest";
+    for (std::size_t step = 1; step <= input.size(); ++step) {
+        auto found = read("Transfer-Encoding: chunked\r\n");
+        std::string body;
+        auto state = parse_state::more;
+        std::size_t rest = 0;
+        for (std::size_t at = 0;
+             at < input.size() && state == parse_state::more; at += step) {
+            std::string piece = input.substr(at, step);
+            std::size_t size = 0;
+            state = found.m_parser.read_body({piece.data(), piece.size()}, size,
+                                             rest);
+            body += piece.substr(0, size);
+        }
+        EXPECT_EQ(state, parse_state::found) << step;
+        EXPECT_EQ(body, "hello,0123456789") << step;
+        EXPECT_LE(rest, 4U) << step;
+    }
+}
+
+class uncertain_chunks : public testing::TestWithParam<const char*> {};
+
+TEST_P(uncertain_chunks, are_malformed) {
+    auto found = read("Transfer-Encoding: chunked\r\n");
+    ASSERT_EQ(found.m_state, parse_state::found);
+    parse_state state{};
+    found.body(GetParam(), state);
+    EXPECT_EQ(state, parse_state::malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    response_parser, uncertain_chunks,
+    testing::Values("5x\r\nhello\r\n0\r\n\r\n", "0x5\r\nhello\r\n0\r\n\r\n",
+                    "0,5\r\nhello\r\n0\r\n\r\n", "0 5\r\nhello\r\n0\r\n\r\n",
+                    "-5\r\nhello\r\n0\r\n\r\n", "\r\nhello\r\n0\r\n\r\n",
+                    "10000000000000005\r\nhello\r\n", "5\r\nhello0\r\n\r\n"));
