Test that late probes leave no connection to requests

A probe that got no answer in time ends its connection, so that its answer can't be taken for that to a request. This held before; the test showed no fault.

--- a/test/platform/repeated_refusals.cpp
+++ b/test/platform/repeated_refusals.cpp
@@ -28,10 +28,15 @@
 
     // Refuses each second probe while m_refuses_probes.
     void probed(std::size_t upstream, const scripted_request& got) override {
-        if (m_refuses_probes && ++m_probes % 2 == 0)
+        if (m_probe_delay > duration{0}) {
+            m_late.insert({upstream, got.m_connection});
+            m_upstreams[upstream].say_later(m_probe_delay, got.m_connection,
+                                            load(upstream));
+        } else if (m_refuses_probes && ++m_probes % 2 == 0) {
             refuse(upstream, got);
-        else
+        } else {
             whole_entry::probed(upstream, got);
+        }
     }
 
     // Refuses each fifth request while m_refuses_requests.
@@ -41,6 +46,7 @@
             return;
         }
         ++m_runs[got.field("Request-Id")];
+        m_on_late += m_late.contains({upstream, got.m_connection}) ? 1 : 0;
         m_reused += got.m_position > 0 ? 1 : 0;
         repeat(upstream, got);
         std::string answer = success(got) + "Content-Length: 0\r\n\r\n";
@@ -124,10 +130,13 @@
     moment m_when{moment::after_refusal};
     duration m_delay{};
     std::string m_copy{refusal()};
+    duration m_probe_delay{};
     std::vector<ended> m_ends;
     std::map<std::string, int> m_runs; // at both upstreams, by request
     // Connections that carried a refusal, by upstream.
     std::set<std::pair<std::size_t, int>> m_refused;
+    std::set<std::pair<std::size_t, int>> m_late; // carried a late probe
+    int m_on_late{}; // requests on these connections
     int m_probes{};
     int m_requests{};
     int m_copies{};
@@ -209,6 +218,20 @@
     EXPECT_GT(m_reused, 0);
 }
 
+TEST_P(tied_refusals, requests_avoid_connections_whose_probes_were_late) {
+    start(2);
+    m_probe_delay = milliseconds{400};
+    send_series(moment::after_refusal, 0);
+    m_probe_delay = duration{0};
+    const time_point end = io::event_loop::now() + milliseconds{500};
+    turn_until([&] { return io::event_loop::now() > end; });
+    send_series(moment::after_refusal, 0);
+    check_ledger();
+    EXPECT_FALSE(m_late.empty());
+    EXPECT_EQ(m_on_late, 0);
+    EXPECT_GT(m_reused, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(entry, tied_refusals,
                          testing::Values(entry::deployment::platform),
                          [](const auto& tested) {
