--- a/test/io/http_client_cuts.cpp
+++ b/test/io/http_client_cuts.cpp
@@ -6,7 +6,6 @@
 
 using namespace skylark;
 using skylark::test::client_test;
-using skylark::test::request_bytes;
 
 namespace {
 
