--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -133,7 +133,7 @@
     response_head head;
     std::size_t consumed = 0;
     const auto state = conn.m_parser.read_head(
-        {(*input)->bytes, (*input)->size}, head, consumed);
+        {(*input)->bytes, (*input)->size}, conn.m_head_only, head, consumed);
     if (state == parse_state::more) {
         if ((*input)->size > m_limits.m_head_bytes)
             fail(conn, "response head without an end");
@@ -156,8 +156,8 @@
     if (!m_connections.find(key) || !conn.m_socket)
         return false;
     h2o_buffer_consume(&conn.m_socket->input, consumed);
-    if (conn.m_head_only || head.m_length == 0U) {
-        finish(conn, 0, false);
+    if (!conn.m_parser.expects_body()) {
+        finish(conn, conn.m_socket->input->size, false);
         return false;
     }
     return true;
@@ -219,6 +219,8 @@
     conn.m_bytes_sent = false;
     if (!reusable)
         close_socket(conn);
+    else if (std::exchange(conn.m_paused, false))
+        h2o_socket_read_start(conn.m_socket, &native::on_read);
     report(conn, response_complete{reusable, close_delimited});
     if (!reusable)
         m_connections.erase(key);
--- a/test/platform/draining.cpp
+++ b/test/platform/draining.cpp
@@ -118,6 +118,7 @@
     start_with_holding_upstream();
     entry::settings other = m_settings;
     other.m_name = "e2";
+    other.m_zone = "b";
     other.m_callers = test::own_address();
     other.m_control = test::own_address();
     other.m_peer = other.m_control;
--- a/test/platform/node_fixture.hpp
+++ b/test/platform/node_fixture.hpp
@@ -69,7 +69,8 @@
     std::string m_path;
     bool m_misdirected{};
     std::string m_stamp{"stamp"};
-    std::string m_body; // of the last request
+    std::string m_body;       // of the last request
+    std::string m_request_id; // the same; empty for a health check
 
 private:
     void serve(exchange_id key, const io::request_view& request) {
@@ -86,6 +87,7 @@
         const auto wanted =
             io::find_header(request.m_headers, "Expected-Instance");
         m_misdirected |= wanted != m_id;
+        m_request_id = io::find_header(request.m_headers, "Request-Id");
         if (!m_answers_for.empty()) {
             refuse(key, 421);
             return;
@@ -99,9 +101,7 @@
             refuse(key);
             return;
         }
-        std::vector<io::header> headers{
-            {"Request-Id",
-             std::string{io::find_header(request.m_headers, "Request-Id")}}};
+        std::vector<io::header> headers{{"Request-Id", m_request_id}};
         if (!m_stamp.empty())
             headers.push_back({"Response-Stamp", m_stamp});
         if (m_leaving)
@@ -113,6 +113,7 @@
         ++m_health_checks;
         if (m_health_refusals > 0) {
             --m_health_refusals;
+            m_request_id.clear();
             refuse(key);
             return;
         }
@@ -132,7 +133,8 @@
 
     void refuse(exchange_id key, int status = 503) {
         m_refused_at = io::event_loop::now();
-        std::vector<io::header> headers{{"Not-Executed", "1"}};
+        std::vector<io::header> headers{{"Not-Executed", "1"},
+                                        {"Request-Id", m_request_id}};
         if (!m_rest.empty())
             headers.push_back({"Retry-After", m_rest});
         if (m_leaving)
