--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -94,7 +94,7 @@
 
 
 def run_once(args, bounds):
-    build = pathlib.Path(args.build or ROOT / "build")
+    build = pathlib.Path(args.build or ROOT / "build").resolve()
     out = build / "soak" / f"net-{args.net}" / f"seed-{args.seed}"
     evidence, began, failures = play(args, out, bounds)
     findings = judge(evidence)
