Test the soak's schedule, and count overlapping changes once

Changes of the configuration that overlap were counted as one window each, which lowered the rate of cuts beside them. A request that was answered before its last byte was noted stopped the judge of planned stops.

--- a/scripts/soaklib/evidence.py
+++ b/scripts/soaklib/evidence.py
@@ -155,17 +155,20 @@
 
 
 def config_windows(evidence):
-    """Spans of time in which a new configuration is planned work."""
+    """Spans of time, apart from each other, in which new configurations are
+    planned work."""
     sent = {}
     out = []
     for event in evidence.events_of[""]:
-        if event.word != "config" or "version" not in event.fields:
+        if event.word != "config":
             continue
+        version = event.fields["version"]
         if event.fields["phase"] == "sent":
-            sent[event.fields["version"]] = event.at
-        else:
-            out.append((sent.get(event.fields["version"], event.at),
-                        event.at + evidence.bounds.config_apply + 1.0))
+            sent[version] = event.at
+            continue
+        begin = sent.get(version, event.at)
+        end = event.at + evidence.bounds.config_apply + 1.0
+        if out and begin <= out[-1][1]:
+            begin = out.pop()[0]
+        out.append((begin, end))
     return out
-
-
--- a/scripts/soaklib/judge_stops.py
+++ b/scripts/soaklib/judge_stops.py
@@ -28,7 +28,7 @@
     """Whether a server was still at work in the last sixth of the grace on
     a request that was sent soon enough."""
     bounds = evidence.bounds
-    if call.sent > term.at + bounds.excused_sent:
+    if call.sent is None or call.sent > term.at + bounds.excused_sent:
         return False
     for run in evidence.runs(call.id):
         over = evidence.work_end(run)
--- a/test/soak/test_stops.py
+++ b/test/soak/test_stops.py
@@ -5,6 +5,7 @@
 from made_up import (call, configured, cut, event, evidence, line, refusal,
                      rules, SERVER)
 from soaklib import judge_stops as judge
+from soaklib.evidence import config_windows
 
 TERM = event(96.0, "SIGTERM")
 PASSED_ON = [line(100.05, "arrived"), line(100.05, "run")]
@@ -120,6 +121,10 @@
         lines = [*PASSED_ON, line(100.1, "answered", status="200")]
         self.assertEqual(in_stop([refusal(status=502)], lines), [])
 
+    def test_an_answer_before_the_last_byte_was_noted(self):
+        early = refusal(status=502, sent=None)
+        self.assertEqual(in_stop([early], PASSED_ON), ["LOST"])
+
     def test_a_true_refusal(self):
         self.assertEqual(in_stop([refusal()]), [])
 
@@ -160,6 +165,12 @@
                       end=110.3 + i) for i in range(8)]
         self.assertEqual(self.found(others), [])
 
+    def test_changes_that_overlap_are_one_window(self):
+        events = [*self.events, configured(100.0, "sent", 9),
+                  configured(100.1, "done", 9)]
+        self.assertEqual(config_windows(evidence((), (), events)),
+                         [(99.0, 103.1)])
+
     def test_most_of_its_time_was_used(self):
         calls = [cut(deadline=0.28), call("z", begin=130.0, end=130.0)]
         found = judge.lost_by_configuration(
