Tell requests whose answer is being written from those that probe

Found by the review: a request that had ended, whose answer was on its way to the caller, counted as "probing" in the drain lines, and a cut line was written for callers that got a whole 504 (frozen for 5.6 s, deadline 2 s). It has a stage of its own now: finished.

--- a/src/entry/request_stage.hpp
+++ b/src/entry/request_stage.hpp
@@ -16,11 +16,12 @@
     probing,    //!< waits for load reports
     connecting, //!< an attempt has begun, no byte was sent
     sent,       //!< passed on to an upstream, no answer yet
-    answering   //!< the answer is being relayed
+    answering,  //!< the answer is being relayed
+    finished    //!< its last byte was given to the caller's connection
 };
 
-inline constexpr std::array<std::string_view, 5> request_stage_names{
-    "queued", "probing", "connecting", "sent", "answering"};
+inline constexpr std::array<std::string_view, 6> request_stage_names{
+    "queued", "probing", "connecting", "sent", "answering", "finished"};
 
 /*! @brief Name of a stage in logs. */
 constexpr std::string_view name_of(request_stage stage) {
@@ -29,6 +30,8 @@
 
 /*! @brief Stage of a request. */
 inline request_stage stage_of(const request& of) {
+    if (of.m_machine.done())
+        return request_stage::finished;
     if (of.m_answering)
         return request_stage::answering;
     bool connecting = false;
