Deliver what became ready during a pause before the process ends

Found by the review: an entry that was frozen for 5.6 of its 6 s of grace ended in the turn in which it continued; 40 of 40 answers that were ready at its upstreams were cut.

--- a/include/skylark/limit/drain_schedule.hpp
+++ b/include/skylark/limit/drain_schedule.hpp
@@ -9,6 +9,8 @@
 #ifndef SKYLARK_LIMIT_DRAIN_SCHEDULE_HPP
 #define SKYLARK_LIMIT_DRAIN_SCHEDULE_HPP
 
+#include <algorithm>
+
 #include <skylark/core/time.hpp>
 #include <skylark/limit/fwd.hpp>
 
@@ -18,11 +20,17 @@
 class drain_schedule {
 public:
     /*! @brief Plans a shutdown.
-     *  @param began when the entry was told to end
-     *  @param named how long callers may use addresses that they got before
-     *  @param longest time within which the process must have ended */
-    constexpr drain_schedule(time_point began, duration named, duration longest)
-        : m_unnamed{began + named}, m_end{began + longest} {}
+     *  @param now current time
+     *  @param began when the entry was told to end; earlier than now after a
+     *  pause of the process
+     *  @param address_ttl how long callers may use addresses that they got
+     *  before
+     *  @param limit time within which the process must have ended; exceeded if
+     *  the pause left too little for what has become ready meanwhile */
+    constexpr drain_schedule(time_point now, time_point began,
+                             duration address_ttl, duration limit)
+        : m_addresses_expire{began + address_ttl},
+          m_end{std::max(began + limit, now + 2 * delivery_time)} {}
 
     /*! @brief Whether a request may be passed on to an upstream.
      *  @param deadline until when the upstream may work on it */
@@ -42,7 +50,7 @@
      *  @param since_last_request time since the last request arrived */
     [[nodiscard]] constexpr bool quiet(time_point now, bool idle,
                                        duration since_last_request) const {
-        return idle && now >= m_unnamed + quiet_time &&
+        return idle && now >= m_addresses_expire + quiet_time &&
                since_last_request >= quiet_time;
     }
 
@@ -58,8 +66,8 @@
     // Callers that are still using the entry send more often than this.
     static constexpr duration quiet_time = milliseconds{300};
 
-    time_point m_unnamed; // no caller has got its address later than allowed
-    time_point m_end;
+    time_point m_addresses_expire;
+    time_point m_end; // of the process
 };
 
 } // namespace skylark
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -211,9 +211,10 @@
     const duration told = 2 * m_shared.m_settings.m_timing.m_period;
     // A signal that came during a pause of the process was sent at its begin,
     // at the earliest; whoever sent it has counted from then.
-    const time_point began =
-        io::event_loop::now() - m_shared.m_loop.detect_pause();
-    m_shared.m_drain.emplace(began, m_shared.m_settings.m_entries_ttl + told,
+    const time_point now = io::event_loop::now();
+    const time_point began = now - m_shared.m_loop.detect_pause();
+    m_shared.m_drain.emplace(now, began,
+                             m_shared.m_settings.m_entries_ttl + told,
                              m_shared.m_settings.m_drain_limit);
     note_drain("began");
     m_shared.m_fleet.leave();
