Refuse at once what a leaving entry has no share for

They are withdrawn when the shutdown begins and refused on arrival as not run, with another entry to try. That entry is taken from those that a lookup would name: one that has a configuration and is in no drained zone.

--- a/src/entry/entry_list.cpp
+++ b/src/entry/entry_list.cpp
@@ -86,6 +86,14 @@
 
 } // namespace
 
+std::optional<address> other_entry(const context& shared,
+                                   random_source& random) {
+    const auto list = collect(shared);
+    if (list.empty())
+        return std::nullopt;
+    return list[random(static_cast<std::uint32_t>(list.size()))].m_address;
+}
+
 std::vector<caller_address> list_entries(const context& shared,
                                          std::string_view preferred_zone) {
     auto list = collect(shared);
--- a/src/entry/entry_list.hpp
+++ b/src/entry/entry_list.hpp
@@ -3,9 +3,12 @@
 #ifndef SKYLARK_ENTRY_ENTRY_LIST_HPP
 #define SKYLARK_ENTRY_ENTRY_LIST_HPP
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
+#include <skylark/core/random.hpp>
+
 #include "entry/context.hpp"
 #include "io/http_server.hpp"
 
@@ -18,6 +21,12 @@
 std::vector<caller_address> list_entries(const context& shared,
                                          std::string_view preferred_zone);
 
+/*! @brief A random entry that callers may use instead of this one.
+ *  @note Only for an entry that does not list itself.
+ *  @return nothing if none is known */
+std::optional<address> other_entry(const context& shared,
+                                   random_source& random);
+
 /*! @brief Answers a lookup of entry addresses.
  *  @param shared state of this entry
  *  @param server server of the exchange
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -68,9 +68,9 @@
     stage_counts stages();
     /*! @brief Logs a line for each request that has not ended. */
     void log_unfinished();
-    /*! @brief Handles the begin of the graceful shutdown: refuses requests that
-     *  have not been passed on and may no longer be. */
-    void drain_began();
+    /*! @brief During the graceful shutdown, refuses requests that have not been
+     *  passed on and may or can no longer be. */
+    void withdraw_requests();
     router& routing() { return m_router; }
     connection_pool& connections() { return m_pool; }
 
@@ -101,8 +101,6 @@
     // Refuses a request because this entry is shutting down.
     void refuse_leaving(exchange_id key, const io::request_view& from,
                         request_class wanted);
-    // A random entry that is not shutting down, if one is known.
-    [[nodiscard]] std::optional<address> other_entry();
     // Retry-After of an entry that has no configuration yet.
     [[nodiscard]] duration retry_after_starting() const;
     [[nodiscard]] refusal refusal_of(const request& req, const refuse& why);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -87,7 +87,12 @@
 
 void forwarder::admit(exchange_id key, const io::request_view& from,
                       const rule& matched, const std::string& service) {
-    if (!m_router.can_serve(service, matched.m_class)) {
+    const bool can_serve = m_router.can_serve(service, matched.m_class);
+    if (!can_serve && m_shared.m_drain) {
+        refuse_leaving(key, from, matched.m_class);
+        return;
+    }
+    if (!can_serve) {
         refuse_on_arrival(key, from, io::status::unavailable,
                           "this entry owns no slot of service " + service,
                           matched.m_class, retry_after_without(service),
--- a/src/entry/forwarder_drain.cpp
+++ b/src/entry/forwarder_drain.cpp
@@ -7,25 +7,19 @@
 
 namespace skylark::entry {
 
-void forwarder::drain_began() {
+void forwarder::withdraw_requests() {
     std::vector<request_id> late;
     for (const auto& [key, req] : m_requests)
-        if (!m_shared.may_pass_on(req.m_machine.terms().m_deadline))
+        if (!m_shared.may_pass_on(req.m_machine.terms().m_deadline) ||
+            !m_router.can_serve(req.m_service, req.m_class))
             late.push_back(key);
-    for (const request_id key : late)
-        if (request* req = m_requests.find(key))
-            apply(key, req->m_machine.withdrawn());
-}
-
-std::optional<address> forwarder::other_entry() {
-    const time_point now = io::event_loop::now();
-    std::optional<address> out;
-    std::uint32_t seen = 0;
-    for (const auto& [id, peer] : m_shared.m_fleet.peers())
-        if (peer.m_state == member_state::active &&
-            m_shared.m_fleet.live(peer, now) && m_router.random()(++seen) == 0)
-            out = peer.m_record.m_contact.m_callers;
-    return out;
+    for (const request_id key : late) {
+        request* req = m_requests.find(key);
+        if (!req)
+            continue;
+        req->m_withdrawn = true;
+        apply(key, req->m_machine.withdrawn());
+    }
 }
 
 stage_counts forwarder::stages() {
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -1,6 +1,7 @@
 // Refusals: answers of the entry itself, and when the caller should return.
 #include <skylark/config/watch_schedule.hpp>
 
+#include "entry/entry_list.hpp"
 #include "entry/forwarder.hpp"
 #include "io/http_status.hpp"
 
@@ -83,7 +84,7 @@
 
 void forwarder::refuse_leaving(exchange_id key, const io::request_view& from,
                                request_class wanted) {
-    const auto other = other_entry();
+    const auto other = other_entry(m_shared, m_router.random());
     refusal why;
     if (other)
         why.m_cause = refusal_cause::entry_leaving;
@@ -94,8 +95,7 @@
 void forwarder::refuse_caller(request& req, const refuse& why) {
     const bool ran = !std::holds_alternative<not_run>(why.m_verdict);
     const int status = status_of(why);
-    const bool leaving =
-        !ran && !m_shared.may_pass_on(req.m_machine.terms().m_deadline);
+    const bool leaving = !ran && req.m_withdrawn;
     const std::string reason =
         leaving ? std::string{leaving_reason} : reason_of(why);
     req.m_outcome = ran ? outcome::unknown : outcome::not_run;
@@ -104,7 +104,8 @@
                             std::string{verdict_text(why.m_verdict)} + ": " +
                                 reason);
     refusal load = refusal_of(req, why);
-    const auto other = leaving ? other_entry() : std::nullopt;
+    const auto other =
+        leaving ? other_entry(m_shared, m_router.random()) : std::nullopt;
     if (other)
         load.m_cause = refusal_cause::entry_leaving;
     const duration delay = retry_after(load, m_router.random());
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -217,11 +217,14 @@
                              m_shared.m_settings.m_entries_ttl + told,
                              m_shared.m_settings.m_drain_limit);
     note_drain("began");
+    m_callers.close_after_answer();
+    // Leaving gives up the shares and dispatches what waits, so requests are
+    // withdrawn for their deadlines before and for want of a share after it.
+    m_forwarder.withdraw_requests();
     m_shared.m_fleet.leave();
+    m_forwarder.withdraw_requests();
     if (m_place)
         m_place->stop();
-    m_callers.close_after_answer();
-    m_forwarder.drain_began();
     finish_drain_when_idle();
 }
 
--- a/test/entry/resting.cpp
+++ b/test/entry/resting.cpp
@@ -72,11 +72,13 @@
         ASSERT_TRUE(reached());
     }
 
-    void book(std::optional<io::fetch_result>& into) {
+    void book(std::optional<io::fetch_result>& into,
+              const std::string& wait_ms = "30000") {
         io::fetch_request what;
         what.m_to = m_settings.m_callers;
         what.m_method = "POST";
         what.m_path = "/x";
+        what.m_headers = {{"Request-Timeout-Ms", wait_ms}};
         what.m_timeout = seconds{60};
         m_fetcher.run(what, [&into](const io::fetch_result& is) { into = is; });
     }
@@ -159,3 +161,25 @@
     turn_until([&] { return m_load_queries > before; });
     EXPECT_GE(io::event_loop::now() - refused, seconds{1});
 }
+
+// A leaving entry has no shares, which bulk requests need.
+TEST_F(resting_upstream, waiting_callers_are_refused_when_the_entry_leaves) {
+    start();
+    std::optional<io::fetch_result> running;
+    std::optional<io::fetch_result> waiting;
+    std::optional<io::fetch_result> late;
+    const std::string wait_ms = "15000";
+    book(running, wait_ms);
+    turn_until([this] { return m_requests == 1; });
+    book(waiting, wait_ms);
+    turn_until([this] { return queued() == 1; });
+    const time_point began = io::event_loop::now();
+    m_node->drain();
+    book(late, wait_ms);
+    turn_until([&] { return waiting && late; });
+    EXPECT_LT(io::event_loop::now() - began, seconds{10});
+    EXPECT_EQ(std::get<io::fetch_answer>(*waiting).m_status, 503);
+    EXPECT_EQ(std::get<io::fetch_answer>(*late).m_status, 503);
+    EXPECT_EQ(m_requests, 1);
+    EXPECT_FALSE(running);
+}
--- a/test/platform/draining.cpp
+++ b/test/platform/draining.cpp
@@ -1,4 +1,5 @@
 // What callers of an entry on the users' platform get while it shuts down.
+#include "test/io/raw_caller.hpp"
 #include "test/platform/node_fixture.hpp"
 
 using namespace skylark;
@@ -164,6 +165,21 @@
     EXPECT_TRUE(removed());
 }
 
+TEST_F(draining_node, silent_connections_are_closed_and_not_reset) {
+    m_settings.m_drain_limit = milliseconds{500};
+    start_with_holding_upstream();
+    test::raw_caller silent{m_settings.m_callers};
+    m_node->drain();
+    bool open = true;
+    const time_point began = io::event_loop::now();
+    while (open && io::event_loop::now() - began < seconds{10}) {
+        m_loop.run_once(milliseconds{1});
+        open = silent.read();
+    }
+    EXPECT_FALSE(open);
+    EXPECT_EQ(silent.error(), 0);
+}
+
 TEST_F(draining_node, a_request_at_an_upstream_gets_its_answer) {
     start_with_holding_upstream();
     send("30000");
