Log who gave each answer, the age of the configuration, and rejects of h2o

Operators could not tell a final answer of an upstream from one of the entry: the line end had neither status nor source, refuse lines did not tell how old their configuration was, and what h2o writes by itself (400, 413, 417) as well as the entry's own 431 left no line and no count. h2o writes a malformed head's 400 past all filters; it is found by the bytes that belong to no answer when the connection ends. 100 Continue is excepted.

Tests: answer_lines, http_server_rejects (its 400 failed at first with the filter alone: no report). Lines of the new kind have a bound of their own.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -14,7 +14,7 @@
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
     test/discovery/list_guard.cpp test/discovery/instance_log.cpp test/event/ring.cpp test/io/http_client.cpp test/io/response_parser.cpp
     test/io/http_client_cuts.cpp test/io/fetcher.cpp test/io/http_server.cpp test/io/http_server_closing.cpp
-    test/io/http_server_shutdown.cpp
+    test/io/http_server_shutdown.cpp test/io/http_server_rejects.cpp
     test/io/lingering_connections.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
     test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp
@@ -25,6 +25,7 @@
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
     test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
+    test/platform/answer_lines.cpp
     test/platform/leaving.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -53,6 +53,11 @@
      *  passed meanwhile, except those that are being answered. */
     void process_paused();
 
+    /*! @brief Logs and counts a request that the HTTP server rejected.
+     *  @param status of the answer
+     *  @param from what could be read of the request */
+    void log_rejected(int status, const io::request_view& from);
+
     /*! @brief Closes the idle connections of removed upstreams. */
     void upstreams_removed(const std::vector<upstream>& gone);
 
@@ -161,6 +166,8 @@
                                 std::string_view reason,
                                 std::optional<duration> retry_after);
     void log_end(const request& req, outcome how, duration took);
+    // Adds the configuration that a refusal is based on, with its age.
+    void add_configuration(log_line& line) const;
 
     // Answers.
     void apply(request_id key, const actions& list);
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -187,6 +187,8 @@
     if (list.empty())
         return;
     req.m_answering = which;
+    req.m_status = head.m_status;
+    req.m_answerer = target.m_instance;
     req.m_body_left =
         req.m_head_only ? std::optional<std::uint64_t>{0} : head.m_length;
     req.m_last_progress = now;
--- a/src/entry/forwarder_log.cpp
+++ b/src/entry/forwarder_log.cpp
@@ -93,6 +93,14 @@
     m_shared.m_journal.decided(line, now);
 }
 
+void forwarder::add_configuration(log_line& line) const {
+    line.add("config", m_shared.m_config.revision());
+    const duration age = m_shared.m_config.age(io::event_loop::now());
+    if (age != duration::max())
+        line.add_ms("config_age_ms", age);
+    line.add("instances", m_shared.m_instances.m_index);
+}
+
 void forwarder::log_refusal(const request& req, int status,
                             std::string_view reason, const refusal& why,
                             duration retry_after) {
@@ -105,9 +113,8 @@
         .add("asked", req.m_probed.size())
         .add_ms("target_left_ms", why.m_target_left)
         .add("room", percent(why.m_room_share))
-        .add_ms("retry_after_ms", retry_after)
-        .add("config", m_shared.m_config.revision())
-        .add("instances", m_shared.m_instances.m_index);
+        .add_ms("retry_after_ms", retry_after);
+    add_configuration(line);
     m_shared.m_journal.decided(line, io::event_loop::now());
 }
 
@@ -118,8 +125,7 @@
     line.add("id", id).add("status", status).add("reason", reason);
     if (retry_after)
         line.add_ms("retry_after_ms", *retry_after);
-    line.add("config", m_shared.m_config.revision())
-        .add("instances", m_shared.m_instances.m_index);
+    add_configuration(line);
     m_shared.m_journal.decided(line, io::event_loop::now(),
                                status == io::status::not_found
                                    ? line_kind::unmatched
@@ -133,7 +139,25 @@
         .add("outcome", name_of(how))
         .add("attempts", req.m_machine.attempt_count())
         .add_ms("took_ms", took);
+    if (req.m_status != 0) {
+        line.add("status", req.m_status)
+            .add("by", req.m_answerer.empty() ? "entry" : "upstream");
+        if (!req.m_answerer.empty())
+            line.add("upstream", req.m_answerer);
+    }
     m_shared.m_journal.decided(line, io::event_loop::now());
 }
 
+void forwarder::log_rejected(int status, const io::request_view& from) {
+    m_shared.m_metrics.count(counter::rejected);
+    log_line line{"reject"};
+    line.add("id", request_name(from))
+        .add("status", status)
+        .add("method", from.m_method)
+        .add("path", from.m_path);
+    add_configuration(line);
+    m_shared.m_journal.decided(line, io::event_loop::now(),
+                               line_kind::rejected);
+}
+
 } // namespace skylark::entry
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -99,6 +99,7 @@
     const std::string reason =
         leaving ? std::string{leaving_reason} : reason_of(why);
     req.m_outcome = ran ? outcome::unknown : outcome::not_run;
+    req.m_status = status;
     m_services[req.m_service].m_last_refusal = io::event_loop::now();
     m_shared.m_journal.note(event_kind::request, req.m_rule,
                             std::string{verdict_text(why.m_verdict)} + ": " +
--- a/src/entry/line_kind.hpp
+++ b/src/entry/line_kind.hpp
@@ -14,10 +14,11 @@
     decision,  //!< on a request
     unmatched, //!< refusals of requests that no rule matches
     cut,       //!< requests that a shutdown ends without an answer
+    rejected,  //!< requests that the HTTP server rejected
     change     //!< of state
 };
 
-inline constexpr std::size_t line_kind_count = 4;
+inline constexpr std::size_t line_kind_count = 5;
 
 /*! @brief Name of a kind in the line that counts what was left out. */
 constexpr std::string_view name_of(line_kind kind) {
@@ -28,6 +29,8 @@
         return "unmatched";
     case line_kind::cut:
         return "cut";
+    case line_kind::rejected:
+        return "rejected";
     case line_kind::change:
         break;
     }
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -25,7 +25,7 @@
                               "abandoned"};
 
 // In the order of the enumerations.
-constexpr std::array<description, 16> counters{{
+constexpr std::array<description, 17> counters{{
     {"skylark_retries_total", "attempts after a failed one"},
     {"skylark_hedges_total", "second attempts beside a slow one"},
     {"skylark_hedges_won_total", "hedges that answered first"},
@@ -42,6 +42,7 @@
     {"skylark_store_failures_total", "reads without a usable answer"},
     {"skylark_pauses_total", "times this process did not run"},
     {"skylark_stale_connections_total", "silent connections closed"},
+    {"skylark_rejected_total", "requests that the HTTP server rejected"},
 }};
 
 constexpr std::array<description, 9> gauges{{
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -37,7 +37,8 @@
     store_reads,
     store_failures,
     pauses,
-    stale_connections_closed
+    stale_connections_closed,
+    rejected
 };
 
 /*! @brief Values that are set anew. */
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -37,6 +37,9 @@
          [this](exchange_id key) { m_forwarder.caller_writable(key); },
          [this](exchange_id key, bool complete) {
              m_forwarder.exchange_closed(key, complete);
+         },
+         [this](int status, const io::request_view& request) {
+             m_forwarder.log_rejected(status, request);
          }});
     loop.on_pause(defaults::pause_limit, [this](duration gap) { paused(gap); });
 }
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -64,8 +64,10 @@
     time_point m_probing_since;
     timer_id m_probe_timer;
     outcome m_outcome{outcome::answered}; //!< counted when the request ends
-    bool m_finishing{};                   //!< finish() is running
-    bool m_withdrawn{}; //!< may not be passed on as the entry shuts down
+    int m_status{};         //!< of the answer that was begun, 0 before
+    std::string m_answerer; //!< upstream that gave it; empty for this entry
+    bool m_finishing{};     //!< finish() is running
+    bool m_withdrawn{};     //!< may not be passed on as the entry shuts down
 
     // Relay of the answer to the caller.
     std::optional<std::uint64_t> m_body_left; //!< body bytes not received yet
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -47,6 +47,9 @@
         std::function<void(exchange_id)> m_ready;
         //! The exchange has ended; true if its answer was complete.
         std::function<void(exchange_id, bool)> m_closed;
+        //! A request was rejected with a status without being passed to
+        //! m_request. What could be read of it is valid during the call only.
+        std::function<void(int, const request_view&)> m_rejected;
     };
 
     http_server(event_loop& loop, const server_limits& limits);
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -3,11 +3,13 @@
 #include <cerrno>
 #include <netinet/tcp.h>
 #include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
+#include "io/http_status.hpp"
 #include "io/socket_queue.hpp"
 
 namespace skylark::io {
@@ -23,6 +25,9 @@
 constexpr int last_accept_batch = 8192;
 // Time that a new connection has for its first byte during a shutdown.
 constexpr auto first_input_time = milliseconds{50};
+// Size of the interim response that invites a body.
+constexpr std::size_t continue_size =
+    std::string_view{"HTTP/1.1 100 Continue\r\n\r\n"}.size();
 
 // Whether the caller waits for nothing: no part of a request has arrived, and
 // all that was sent is acknowledged.
@@ -80,7 +85,13 @@
 
 void http_server::native::on_socket_close(void* data) {
     const auto* self = static_cast<accepted_connection*>(data);
-    static_cast<native*>(self->m_server)->m_connections.erase(self->m_key);
+    auto& server = *static_cast<native*>(self->m_server);
+    // h2o answers a malformed head with bytes that pass no filter.
+    const std::size_t unaccounted =
+        self->m_socket->bytes_written - self->m_answer_bytes;
+    if (unaccounted > continue_size && server.m_handlers.m_rejected)
+        server.m_handlers.m_rejected(status::bad_request, {});
+    server.m_connections.erase(self->m_key);
 }
 
 // h2o rejects an unfinished head only at one exact size, which its input may
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -48,6 +48,12 @@
     return size;
 }
 
+request_view http_server::native::view_of(h2o_req_t* request) {
+    collect_headers(request);
+    return {view(request->method), view(request->path), view(request->entity),
+            m_headers, view(request->authority)};
+}
+
 void http_server::native::reject_head(h2o_req_t* request,
                                       std::size_t size) const {
     const std::string text = "header fields: got " + std::to_string(size) +
@@ -79,10 +85,7 @@
         return 0;
     }
     const exchange_id key = server.open(request);
-    const request_view seen{view(request->method), view(request->path),
-                            view(request->entity), server.m_headers,
-                            view(request->authority)};
-    server.m_handlers.m_request(key, seen);
+    server.m_handlers.m_request(key, server.view_of(request));
     return 0;
 }
 
@@ -91,6 +94,13 @@
     auto* guard = static_cast<answer_guard*>(h2o_mem_alloc_shared(
         &request->pool, sizeof(answer_guard), &native::on_answer_end));
     *guard = {reinterpret_cast<filter*>(self)->m_server, request};
+    auto& server = *static_cast<native*>(guard->m_server);
+    // Answers of exchanges have the generator that open() made.
+    const h2o_generator_t* source = request->_generator;
+    const bool of_exchange = source && source->proceed == &native::on_proceed;
+    if (!of_exchange && server.m_handlers.m_rejected)
+        server.m_handlers.m_rejected(request->res.status,
+                                     server.view_of(request));
     h2o_setup_next_ostream(request, slot);
 }
 
@@ -98,6 +108,9 @@
 // connection open.
 void http_server::native::on_answer_end(void* self) {
     const auto* guard = static_cast<answer_guard*>(self);
+    const h2o_socket_t* socket = socket_of(guard->m_request);
+    static_cast<internal::accepted_connection*>(socket->on_close.data)
+        ->m_answer_bytes = socket->bytes_written;
     if (guard->m_request->http1_is_persistent)
         return;
     const int fd = fcntl(h2o_socket_get_fd(socket_of(guard->m_request)),
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -61,6 +61,7 @@
     time_point m_accepted;
     connection_id m_key;
     bool m_ended{}; // shut down while idle; requests are not passed on
+    std::size_t m_answer_bytes{}; // written up to the end of the last answer
 };
 
 } // namespace internal
@@ -105,6 +106,8 @@
     static h2o_socket_t* socket_of(h2o_req_t* request);
     exchange_id open(h2o_req_t* request);
     std::size_t collect_headers(h2o_req_t* request);
+    // Valid until the next call.
+    request_view view_of(h2o_req_t* request);
     void reject_head(h2o_req_t* request, std::size_t size) const;
 };
 
--- a/test/io/http_server_fixture.hpp
+++ b/test/io/http_server_fixture.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -29,6 +30,9 @@
              [this](exchange_id, bool complete) {
                  ++m_closed;
                  m_complete = complete;
+             },
+             [this](int status, const io::request_view& request) {
+                 m_rejected.push_back({status, std::string{request.m_path}});
              }});
         m_where = m_server.listen({0x7f000001U, 0}).value();
     }
@@ -64,6 +68,8 @@
     address m_where;
     std::vector<exchange_id> m_exchanges; // in the order of their requests
     bool m_refuse_all{};
+    // Status and path of the requests that the server rejected.
+    std::vector<std::pair<int, std::string>> m_rejected;
     int m_closed{};
     bool m_complete{};
 };
