Pass on redirections and client errors of upstreams only with proof

Callers got a 3xx or 4xx that bears no stamp and gave up, as they do not return after 400, 401, 404, 413 or 431, although the request was proper. Such an answer may be that of a program at a reused address, of a fault, or to bytes that the upstream could not read. read_answer() asked for proof of a success and of a promise, but passed on 300 to 499 without any.

An answer that names another request was refused before. Not changed: 5xx, and the native interface, which has no proof to ask for.

platform_dialect.a_success_needs_its_stamp_and_its_id held that a bare 404 is usable, which is the fault; its successor asks the same of every status below 500, by value, and keeps the other checks.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -25,7 +25,7 @@
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
     test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
-    test/platform/answer_lines.cpp
+    test/platform/answer_lines.cpp test/platform/unproven_answers.cpp
     test/platform/leaving.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -79,14 +79,19 @@
         }
 }
 
-TEST(platform_dialect, a_success_needs_its_stamp_and_its_id) {
+TEST(platform_dialect, an_outcome_needs_its_stamp_and_its_id) {
     const io::header_view own{"Request-Id", "r1"};
     const io::header_view stamp{"Response-Stamp", "s"};
-    EXPECT_TRUE(signs(200, {}).m_unusable);
-    EXPECT_TRUE(signs(200, {own}).m_unusable);
-    EXPECT_TRUE(signs(200, {stamp}).m_unusable);
-    EXPECT_FALSE(signs(200, {stamp, own}).m_unusable);
-    EXPECT_FALSE(signs(404, {}).m_unusable);
+    for (const int status : {200, 204, 301, 400, 404, 413, 431, 499}) {
+        EXPECT_TRUE(signs(status, {}).m_unusable) << status;
+        EXPECT_TRUE(signs(status, {own}).m_unusable) << status;
+        EXPECT_TRUE(signs(status, {stamp}).m_unusable) << status;
+        EXPECT_FALSE(signs(status, {stamp, own}).m_unusable) << status;
+        EXPECT_FALSE(signs(status, {stamp, own}).m_refused) << status;
+    }
+    const auto refused = signs(400, {own, {"Not-Executed", "1"}});
+    EXPECT_FALSE(refused.m_unusable);
+    EXPECT_TRUE(refused.m_refused);
     const auto contradiction = signs(200, {stamp, own, {"Not-Executed", "1"}});
     EXPECT_TRUE(contradiction.m_unusable);
     EXPECT_FALSE(contradiction.m_refused);
