Deny a path only while the configuration is known to be in force

Callers of a route that was added while an entry heard nothing of the store could get 404, which is final for them: accept() took any adopted configuration for all that may be in force, however old. Such an entry does not know, so it answers 503 as not run, with Retry-After, and a reason of its own. The claim needs a confirmation, the store's or a peer's, within apply_limit_ms and no newer configuration announced by a peer: its announcement counts as a confirmation before the document has come. Where no limit is promised (native interface) only isolation bars the claim; an isolated entry answered 404 there.

stale_configuration.is_no_reason_to_deny_a_path without the decision: 404 for 20 s beside a silent store ('Which is: 404 ... 503'); with it 503, and 404 again after the store's return. Beside a store that answers, 404 throughout 4.5 s. The announced-newer and isolated cases are tested by value only.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -1,7 +1,7 @@
 # Tests mirror the module tree, one file for each header.
 add_executable(skylark_test
     test/core/address.cpp test/core/histogram.cpp test/core/suggest.cpp
-    test/config/document.cpp test/config/adoption.cpp test/config/poll_timer.cpp
+    test/config/document.cpp test/config/adoption.cpp test/config/absence_claim.cpp test/config/poll_timer.cpp
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
     test/attempt/machine.cpp test/rule/classify.cpp
@@ -26,6 +26,7 @@
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
     test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
     test/platform/answer_lines.cpp test/platform/unproven_answers.cpp
+    test/platform/stale_configuration.cpp
     test/platform/leaving.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -155,6 +155,7 @@
     };
     std::visit(
         overloaded{[&](const adopted&) {
+                       m_shared.m_newer_announced = false;
                        note("adopted");
                        note_zones(before);
                        m_changed();
@@ -166,6 +167,7 @@
                            note("ignored, older than what is in force,");
                    },
                    [&](const refused& why) {
+                       m_shared.m_newer_announced = false;
                        if (std::exchange(m_noted_revert, revision) != revision)
                            note("refused: " + why.m_error.text());
                    }},
--- a/src/entry/configurator_peers.cpp
+++ b/src/entry/configurator_peers.cpp
@@ -12,8 +12,10 @@
                                 io::event_loop::now() - theirs.m_confirmed_age);
     const bool refused_before =
         theirs.m_revision <= m_shared.m_config.refused_revision();
-    if (theirs.m_revision > m_shared.m_config.revision() && !refused_before)
+    if (theirs.m_revision > m_shared.m_config.revision() && !refused_before) {
+        m_shared.m_newer_announced = true;
         fetch_document(peer);
+    }
     if (theirs.m_instances > m_shared.m_instances.m_index)
         fetch_instances(peer);
 }
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -36,6 +36,7 @@
     journal m_journal;
     fleet m_fleet;
     config_adoption m_config;
+    bool m_newer_announced{};  //!< by a peer, and not offered yet
     instance_list m_instances; //!< latest list; index 0 until there is one
     upstream_table m_upstreams;
     //! Set from the begin of the graceful shutdown on.
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -99,7 +99,11 @@
                            int status, std::string_view reason,
                            request_class wanted,
                            std::optional<duration> retry_after,
-                           std::optional<address> other_entry = std::nullopt);
+                           std::optional<address> other_entry = std::nullopt,
+                           line_kind kind = line_kind::decision);
+    // Refuses a request that no rule matches; as unknown for now if a newer
+    // configuration may allow it.
+    void refuse_unmatched(exchange_id key, const io::request_view& from);
     void refuse_caller(request& req, const refuse& why);
     // Retry-After of a service none of whose upstreams can be used.
     [[nodiscard]] duration retry_after_without(const std::string& service);
@@ -164,7 +168,8 @@
                      const refusal& why, duration retry_after);
     void log_refusal_on_arrival(std::string_view id, int status,
                                 std::string_view reason,
-                                std::optional<duration> retry_after);
+                                std::optional<duration> retry_after,
+                                line_kind kind);
     void log_end(const request& req, outcome how, duration took);
     // Adds the configuration that a refusal is based on, with its age.
     void add_configuration(log_line& line) const;
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -44,10 +44,7 @@
                      return io::find_header(from.m_headers, name);
                  });
     if (!matched) {
-        refuse_on_arrival(key, from, io::status::not_found,
-                          "no rule matches " + std::string{from.m_method} +
-                              ' ' + std::string{from.m_path},
-                          request_class::normal, std::nullopt);
+        refuse_unmatched(key, from);
         return;
     }
     const std::string& service = select_service(*matched);
--- a/src/entry/forwarder_log.cpp
+++ b/src/entry/forwarder_log.cpp
@@ -1,7 +1,6 @@
 // Log lines of the data path: each decision on a request and its inputs.
 #include "core/overloaded.hpp"
 #include "entry/forwarder.hpp"
-#include "io/http_status.hpp"
 
 namespace skylark::entry {
 
@@ -120,16 +119,14 @@
 
 void forwarder::log_refusal_on_arrival(std::string_view id, int status,
                                        std::string_view reason,
-                                       std::optional<duration> retry_after) {
+                                       std::optional<duration> retry_after,
+                                       line_kind kind) {
     log_line line{"refuse"};
     line.add("id", id).add("status", status).add("reason", reason);
     if (retry_after)
         line.add_ms("retry_after_ms", *retry_after);
     add_configuration(line);
-    m_shared.m_journal.decided(line, io::event_loop::now(),
-                               status == io::status::not_found
-                                   ? line_kind::unmatched
-                                   : line_kind::decision);
+    m_shared.m_journal.decided(line, io::event_loop::now(), kind);
 }
 
 void forwarder::log_end(const request& req, outcome how, duration took) {
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -1,4 +1,5 @@
 // Refusals: answers of the entry itself, and when the caller should return.
+#include <skylark/config/absence_claim.hpp>
 #include <skylark/config/watch_schedule.hpp>
 
 #include "entry/entry_list.hpp"
@@ -70,7 +71,8 @@
                                   int status, std::string_view reason,
                                   request_class wanted,
                                   std::optional<duration> retry_after,
-                                  std::optional<address> other_entry) {
+                                  std::optional<address> other_entry,
+                                  line_kind kind) {
     const auto headers = std::visit(
         [&](const auto& kind) {
             return kind.refusal_headers(not_run{not_run_proof::not_admitted},
@@ -78,10 +80,34 @@
         },
         m_shared.m_dialect);
     m_shared.m_metrics.finished(wanted, outcome::not_run, duration{0});
-    log_refusal_on_arrival(request_name(from), status, reason, retry_after);
+    log_refusal_on_arrival(request_name(from), status, reason, retry_after,
+                           kind);
     m_callers.answer(key, status, headers, std::string{reason} + "\n");
 }
 
+void forwarder::refuse_unmatched(exchange_id key,
+                                 const io::request_view& from) {
+    const settings& own = m_shared.m_settings;
+    absence_grounds known;
+    known.m_age = m_shared.m_config.age(io::event_loop::now());
+    if (own.m_deployment == deployment::platform)
+        known.m_apply_limit = own.m_apply_limit;
+    known.m_newer_announced = m_shared.m_newer_announced;
+    known.m_isolated = m_shared.m_isolated;
+    const std::string what =
+        std::string{from.m_method} + ' ' + std::string{from.m_path};
+    if (may_claim_absence(known))
+        refuse_on_arrival(key, from, io::status::not_found,
+                          "no rule matches " + what, request_class::normal,
+                          std::nullopt, std::nullopt, line_kind::unmatched);
+    else
+        refuse_on_arrival(
+            key, from, io::status::unavailable,
+            "configuration not confirmed, no rule matches " + what,
+            request_class::normal, retry_after(refusal{}, m_router.random()),
+            std::nullopt, line_kind::unmatched);
+}
+
 void forwarder::refuse_leaving(exchange_id key, const io::request_view& from,
                                request_class wanted) {
     const auto other = other_entry(m_shared, m_router.random());
