Refuse large requests as not run before the first configuration

A caller with a body of more than 1 MiB got 413 from an entry that knew no configuration yet and whose operators allow such bodies: the limits of the start were defaults. They are now what the process bears (input_bytes), so that the entry sees the request and answers 503.

uploads.a_large_body_is_not_denied_before_the_limits_are_known before: 'Which is: 413 ... 503'.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -21,11 +21,19 @@
     return from.m_seed != 0 ? from.m_seed : hash(from.m_name);
 }
 
+// Until the first configuration nobody knows how large a request may be, so
+// only the process bounds it; the request is refused as not run.
+io::server_limits starting_limits(const settings& from) {
+    io::server_limits out;
+    out.m_body_bytes = from.m_input_bytes;
+    out.m_input_bytes = from.m_input_bytes;
+    return out;
+}
+
 } // namespace
 
 node::node(io::event_loop& loop, const settings& from)
-    : m_shared{loop, from}, m_callers{loop,
-                                      {defaults::body_bytes, seconds{60}}},
+    : m_shared{loop, from}, m_callers{loop, starting_limits(from)},
       m_forwarder{m_shared, m_callers, seed_of(from)},
       m_configurator{m_shared, [this] { adopt(); }}, m_prober{m_shared,
                                                               m_forwarder},
--- a/test/platform/uploads.cpp
+++ b/test/platform/uploads.cpp
@@ -141,6 +141,11 @@
     EXPECT_TRUE(caller.bytes().starts_with("HTTP/1.1 413"));
 }
 
+TEST_F(uploads, a_large_body_is_not_denied_before_the_limits_are_known) {
+    start();
+    EXPECT_EQ(status(upload(body_of(2 * defaults::body_bytes))), 503);
+}
+
 TEST_F(uploads, a_caller_that_leaves_in_the_middle_reaches_no_upstream) {
     start_with_upstreams();
     {
