--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -1,7 +1,7 @@
 # Tests mirror the module tree, one file for each header.
 add_executable(skylark_test
     test/core/address.cpp test/core/histogram.cpp test/core/suggest.cpp
-    test/config/document.cpp test/config/adoption.cpp test/config/poll_timer.cpp
+    test/config/document.cpp test/config/adoption.cpp test/config/absence_claim.cpp test/config/poll_timer.cpp
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
     test/attempt/machine.cpp test/rule/classify.cpp
@@ -14,7 +14,7 @@
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
     test/discovery/list_guard.cpp test/discovery/instance_log.cpp test/event/ring.cpp test/io/http_client.cpp test/io/response_parser.cpp
     test/io/http_client_cuts.cpp test/io/fetcher.cpp test/io/http_server.cpp test/io/http_server_closing.cpp
-    test/io/http_server_shutdown.cpp
+    test/io/http_server_shutdown.cpp test/io/http_server_rejects.cpp
     test/io/lingering_connections.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
     test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp
@@ -25,6 +25,8 @@
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
     test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
+    test/platform/answer_lines.cpp test/platform/unproven_answers.cpp
+    test/platform/stale_configuration.cpp
     test/platform/leaving.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -53,6 +53,11 @@
      *  passed meanwhile, except those that are being answered. */
     void process_paused();
 
+    /*! @brief Logs and counts a request that the HTTP server rejected.
+     *  @param status of the answer
+     *  @param from what could be read of the request */
+    void log_rejected(int status, const io::request_view& from);
+
     /*! @brief Closes the idle connections of removed upstreams. */
     void upstreams_removed(const std::vector<upstream>& gone);
 
@@ -94,7 +99,11 @@
                            int status, std::string_view reason,
                            request_class wanted,
                            std::optional<duration> retry_after,
-                           std::optional<address> other_entry = std::nullopt);
+                           std::optional<address> other_entry = std::nullopt,
+                           line_kind kind = line_kind::decision);
+    // Refuses a request that no rule matches; as unknown for now if a newer
+    // configuration may allow it.
+    void refuse_unmatched(exchange_id key, const io::request_view& from);
     void refuse_caller(request& req, const refuse& why);
     // Retry-After of a service none of whose upstreams can be used.
     [[nodiscard]] duration retry_after_without(const std::string& service);
@@ -159,8 +168,11 @@
                      const refusal& why, duration retry_after);
     void log_refusal_on_arrival(std::string_view id, int status,
                                 std::string_view reason,
-                                std::optional<duration> retry_after);
+                                std::optional<duration> retry_after,
+                                line_kind kind);
     void log_end(const request& req, outcome how, duration took);
+    // Adds the configuration that a refusal is based on, with its age.
+    void add_configuration(log_line& line) const;
 
     // Answers.
     void apply(request_id key, const actions& list);
