Bytes of others that are no UTF-8 no longer end the process

Operators saw: after another writer had left a record that isn't UTF-8 under servers/, each entry ended at the first `show events` or /events, with `terminate called after throwing ... type_error.316`.

Cause: the JSON parser's message carries the record's bytes into an event, and nlohmann's dump() throws on them inside a callback of h2o. The same holds for an operator's statement with such bytes (its error quotes them; a name in a change reaches format_document()) and for the header Change-Id.

Ruled out: deep nesting and numbers as the cause of this end; 29 such values were written before and the node answered after each.

Evidence: odd_entry.odd_values_among_the_servers_end_or_stop_no_entry without the fix: "[json.exception.type_error.316] invalid UTF-8 byte at index 163: 0xFF" thrown out of the loop's callback.

All JSON that an entry or skylark-ctl writes goes through json_text(), which replaces instead of throwing. A statement or a Change-Id that is no UTF-8 is refused, so that a name is not changed silently.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -1,6 +1,6 @@
 # Tests mirror the module tree, one file for each header.
 add_executable(skylark_test
-    test/core/address.cpp test/core/histogram.cpp test/core/suggest.cpp
+    test/core/address.cpp test/core/foreign_text.cpp test/core/histogram.cpp test/core/suggest.cpp
     test/config/document.cpp test/config/adoption.cpp test/config/poll_timer.cpp
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
@@ -22,7 +22,7 @@
     src/ctl/client.cpp src/ctl/query_command.cpp test/peer/codec.cpp
     test/store/consul_protocol.cpp test/store/mirror.cpp test/store/lease_holder.cpp
     test/store/mirror_client.cpp test/platform/records.cpp
-    test/platform/kv_protocol.cpp test/platform/dialect.cpp
+    test/platform/kv_protocol.cpp test/platform/odd_entry.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
     test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
     test/platform/leaving.cpp test/route/probe_step.cpp
--- a/src/command/parse.cpp
+++ b/src/command/parse.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "command/grammar.hpp"
+#include "core/foreign_text.hpp"
 
 namespace skylark {
 
@@ -256,16 +257,21 @@
     }
 };
 
+static constexpr std::size_t longest_excerpt = 200; // bytes in an error
+
 static std::string rest_from(std::string_view line, std::size_t column) {
     if (column > line.size())
         return "the end of the line";
-    return '"' + std::string{line.substr(column - 1)} + '"';
+    return '"' + clean_text(line.substr(column - 1), longest_excerpt) + '"';
 }
 
 } // namespace internal
 
 parsed<statement> parse_statement(std::string_view line) {
     namespace peg = tao::pegtl;
+    if (!is_utf8(line))
+        return input_error{
+            "statement", clean_text(line, internal::longest_excerpt), "UTF-8"};
     peg::memory_input in{line.data(), line.size(), "statement"};
     internal::parse_result out;
     try {
--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -4,6 +4,7 @@
 #include <skylark/config/document.hpp>
 
 #include "config/json_reader.hpp"
+#include "core/json_text.hpp"
 
 namespace skylark {
 
@@ -97,7 +98,7 @@
 static parsed<std::string> read_text(const json& from,
                                      const std::string& place) {
     if (!from.is_string())
-        return input_error{place, from.dump(), "a string"};
+        return input_error{place, json_excerpt(from), "a string"};
     return from.get<std::string>();
 }
 
@@ -203,7 +204,7 @@
         {"rules", internal::write_list(subject.m_rules)},
         {"limits", internal::write(subject.m_limits)}};
     constexpr int indent = 2;
-    return tree.dump(indent);
+    return json_text(tree, indent);
 }
 
 } // namespace skylark
--- a/src/config/json_reader.hpp
+++ b/src/config/json_reader.hpp
@@ -13,6 +13,8 @@
 #include <skylark/core/suggest.hpp>
 #include <skylark/core/time.hpp>
 
+#include "core/json_text.hpp"
+
 namespace skylark::internal {
 
 // Reads the fields of one object and records the first error. The
@@ -105,7 +107,7 @@
             return m_error;
         for (const auto& [key, value] : m_object.items()) {
             if (std::find(m_known.begin(), m_known.end(), key) == m_known.end())
-                return input_error{m_place + "/" + key, value.dump(),
+                return input_error{m_place + "/" + key, json_excerpt(value),
                                    expected_one_of(key, m_known)};
         }
         return std::nullopt;
@@ -115,7 +117,7 @@
               std::string expected) {
         if (!m_error)
             m_error = input_error{m_place + "/" + std::string{key},
-                                  value.dump(), std::move(expected)};
+                                  json_excerpt(value), std::move(expected)};
     }
 
 private:
--- a/src/core/address.cpp
+++ b/src/core/address.cpp
@@ -3,6 +3,8 @@
 
 #include <charconv>
 
+#include "core/foreign_text.hpp"
+
 namespace skylark {
 
 namespace internal {
@@ -50,9 +52,11 @@
 }
 
 parsed<address> parse_address(std::string_view text, std::string_view place) {
+    constexpr std::size_t longest = 200; // bytes in an error
     address out;
     if (!internal::parse_into(text, out))
-        return input_error{std::string{place}, '"' + std::string{text} + '"',
+        return input_error{std::string{place},
+                           '"' + clean_text(text, longest) + '"',
                            "an IPv4 address with port, such as "
                            "\"127.0.0.1:8080\""};
     return out;
--- a/src/ctl/query_command.cpp
+++ b/src/ctl/query_command.cpp
@@ -11,6 +11,8 @@
 #include <skylark/command/parse.hpp>
 #include <skylark/command/table.hpp>
 
+#include "core/json_text.hpp"
+
 namespace skylark::ctl {
 
 namespace {
@@ -122,7 +124,7 @@
         return exit_code::unreachable;
     }
     if (m_options.m_json)
-        std::cout << (every_entry ? all : all.front()).dump(1) << '\n';
+        std::cout << json_text(every_entry ? all : all.front(), 1) << '\n';
     else
         std::cout << format_table(out);
     print_silent(answers);
@@ -172,9 +174,8 @@
         m_client.wait(poll_period);
     }
     if (m_options.m_json) {
-        std::cout
-            << nlohmann::json{{"accepted", revision}, {"state", state}}.dump(1)
-            << '\n';
+        std::cout << json_text({{"accepted", revision}, {"state", state}}, 1)
+                  << '\n';
     } else {
         std::cout << "accepted at revision " << revision;
         if (!state.is_null())
--- a/src/ctl/timeline.cpp
+++ b/src/ctl/timeline.cpp
@@ -12,6 +12,8 @@
 
 #include <skylark/event/hybrid_clock.hpp>
 
+#include "core/json_text.hpp"
+
 namespace skylark::ctl {
 
 namespace {
@@ -60,7 +62,7 @@
                                  {"kind", row.m_kind},
                                  {"subject", row.m_subject},
                                  {"detail", row.m_detail}});
-    std::cout << out.dump(1) << '\n';
+    std::cout << json_text(out, 1) << '\n';
 }
 
 } // namespace
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -8,6 +8,8 @@
 
 #include <skylark/command/parse.hpp>
 
+#include "core/foreign_text.hpp"
+#include "core/json_text.hpp"
 #include "core/overloaded.hpp"
 #include "core/parse_number.hpp"
 #include "entry/lookup.hpp"
@@ -132,6 +134,11 @@
     }
     const std::string change_id{
         io::find_header(request.m_headers, "change-id")};
+    if (!is_utf8(change_id)) {
+        answer_error(key, io::status::bad_request,
+                     {"Change-Id", clean_text(change_id), "UTF-8"});
+        return;
+    }
     std::visit(overloaded{[&](const show_query& query) {
                               const auto shown = m_inspector.show(query);
                               if (shown)
@@ -161,7 +168,7 @@
         {"confirmed_ms_ago", age == duration::max() ? -1 : to_ms(age)},
         {"columns", subject.m_columns},
         {"rows", subject.m_rows}};
-    json(key, m_shared.m_config.revision(), out.dump());
+    json(key, m_shared.m_config.revision(), json_text(out));
 }
 
 void control::answer_error(exchange_id key, int status,
@@ -172,7 +179,7 @@
                                {"expected", why.m_expected}}},
                              {"entry", m_shared.m_settings.m_name},
                              {"in_force", m_shared.m_config.revision()}};
-    text(key, status, out.dump());
+    text(key, status, json_text(out));
 }
 
 void control::answer_change(exchange_id key, const change_result& result) {
@@ -181,13 +188,13 @@
         const nlohmann::json out{{"change", how},
                                  {"cause", cause},
                                  {"in_force", m_shared.m_config.revision()}};
-        text(key, status, out.dump());
+        text(key, status, json_text(out));
     };
     std::visit(
         overloaded{
             [&](const change_accepted& accepted) {
                 const nlohmann::json out{{"accepted", accepted.m_revision}};
-                json(key, accepted.m_revision, out.dump());
+                json(key, accepted.m_revision, json_text(out));
             },
             [&](const change_rejected& rejected) {
                 answer_error(key, io::status::conflict, rejected.m_error);
@@ -227,7 +234,7 @@
                              {"in_force", count},
                              {"members", members},
                              {"behind", behind}};
-    json(key, m_shared.m_config.revision(), out.dump());
+    json(key, m_shared.m_config.revision(), json_text(out));
 }
 
 void control::answer_events(exchange_id key) {
@@ -243,7 +250,7 @@
                                  {"kind", name_of(item.m_kind)},
                                  {"subject", item.m_subject},
                                  {"detail", item.m_detail}});
-    json(key, m_shared.m_config.revision(), out.dump());
+    json(key, m_shared.m_config.revision(), json_text(out));
 }
 
 } // namespace skylark::entry
--- a/src/entry/inspector.cpp
+++ b/src/entry/inspector.cpp
@@ -5,6 +5,8 @@
 
 #include <skylark/rule/classify.hpp>
 
+#include "core/foreign_text.hpp"
+
 namespace skylark::entry {
 
 namespace {
@@ -18,6 +20,14 @@
     return age > std::chrono::hours{24} ? "never" : text(to_ms(age));
 }
 
+// Names and texts of others end in a terminal.
+table clean(table of) {
+    for (auto& row : of.m_rows)
+        for (std::string& cell : row)
+            cell = clean_text(cell);
+    return of;
+}
+
 std::string yes_no(bool value) {
     return value ? "yes" : "no";
 }
@@ -58,7 +68,8 @@
         out = events();
         break;
     }
-    return select(std::move(out), query.m_filters);
+    BOOST_OUTCOME_TRY(chosen, select(std::move(out), query.m_filters));
+    return clean(std::move(chosen));
 }
 
 table inspector::services() {
@@ -252,7 +263,7 @@
                               share ? std::string{name_of(*share)} : "-",
                               std::string{name_of(why)}});
     }
-    return out;
+    return clean(std::move(out));
 }
 
 } // namespace skylark::entry
--- a/src/entry/journal.cpp
+++ b/src/entry/journal.cpp
@@ -11,6 +11,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include "core/foreign_text.hpp"
 #include "entry/log_sink.hpp"
 #include "io/event_loop.hpp"
 
@@ -22,6 +23,9 @@
 
 namespace {
 
+constexpr std::size_t longest_subject = 200; // bytes
+constexpr std::size_t longest_detail = 500;
+
 // log4cplus starts once for each process and cannot start again.
 void start_logging() {
     static const log4cplus::Initializer initializer;
@@ -53,10 +57,12 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-void journal::note(event_kind kind, std::string subject, std::string detail) {
+void journal::note(event_kind kind, std::string_view subject,
+                   std::string_view detail) {
     const time_point now = io::event_loop::now();
     const event& kept =
-        m_ring.add(wall_ms(), kind, std::move(subject), std::move(detail));
+        m_ring.add(wall_ms(), kind, clean_text(subject, longest_subject),
+                   clean_text(detail, longest_detail));
     // Verdicts of single requests have lines of their own, see decided().
     if (kept.m_kind == event_kind::request ||
         !may_write(line_kind::change, now))
--- a/src/entry/journal.hpp
+++ b/src/entry/journal.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <skylark/config/config.hpp>
 #include <skylark/event/ring.hpp>
@@ -26,8 +27,13 @@
     journal(const journal&) = delete;
     journal& operator=(const journal&) = delete;
 
-    /*! @brief Records a change of state. */
-    void note(event_kind kind, std::string subject, std::string detail);
+    /*! @brief Records a change of state.
+     *  @param kind subject area of the change
+     *  @param subject object that changed
+     *  @param detail what happened; both may hold bytes of others, which are
+     *  made one line of UTF-8 and cut */
+    void note(event_kind kind, std::string_view subject,
+              std::string_view detail);
 
     /*! @brief Logs a decision on a request.
      *  @param line what was decided, on what grounds
--- a/src/entry/log_line.cpp
+++ b/src/entry/log_line.cpp
@@ -5,13 +5,15 @@
 #include <array>
 #include <cstdio>
 
+#include "core/foreign_text.hpp"
+
 namespace skylark::entry {
 
 namespace {
 constexpr std::size_t longest_value = 200; // bytes; callers choose some values
 
 bool plain(char c) {
-    return c > ' ' && c != '"' && c != '=' && c != '\x7f';
+    return c != ' ' && c != '"' && c != '=';
 }
 } // namespace
 
@@ -21,15 +23,14 @@
 }
 
 log_line& log_line::add(std::string_view key, std::string_view value) {
-    value = value.substr(0, longest_value);
-    if (!value.empty() && std::all_of(value.begin(), value.end(), plain))
-        return raw(key, value);
+    const std::string clean = clean_text(value, longest_value);
+    if (!clean.empty() && std::all_of(clean.begin(), clean.end(), plain))
+        return raw(key, clean);
     std::string quoted{'"'};
-    for (const char c : value) {
-        const bool control = static_cast<unsigned char>(c) < ' ' || c == '\x7f';
+    for (const char c : clean) {
         if (c == '"' || c == '\\')
             quoted += '\\';
-        quoted += control ? '?' : c;
+        quoted += c;
     }
     return raw(key, quoted + '"');
 }
--- a/src/entry/log_line.hpp
+++ b/src/entry/log_line.hpp
@@ -11,7 +11,8 @@
 namespace skylark::entry {
 
 /*! @brief Collects the fields of a line. Text that holds blanks or quotes is
- *  quoted, control characters become '?', so that a line stays one line. */
+ *  quoted; control characters and what is no UTF-8 become '?', so that a line
+ *  stays one line. */
 class log_line {
 public:
     /*! @param what is reported, one word */
--- a/src/entry/native_dialect.cpp
+++ b/src/entry/native_dialect.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
 #include "io/http_status.hpp"
 
 namespace skylark::entry {
@@ -123,7 +124,7 @@
     for (const caller_address& item : addresses)
         out["entries"].push_back(
             {{"address", item.m_address.text()}, {"zone", item.m_zone}});
-    return out.dump() + "\n";
+    return json_text(out) + "\n";
 }
 
 } // namespace skylark::entry
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -241,7 +241,7 @@
     detail += " last_request_ms_ago=" +
               std::to_string(to_ms(m_callers.time_since_last_request()));
     m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
-                            std::move(detail));
+                            detail);
 }
 
 void node::finish_drain_when_idle() {
--- a/test/entry/log.cpp
+++ b/test/entry/log.cpp
@@ -70,6 +70,23 @@
               "send id=\"a?b=\\\"c\\\"\" empty=\"\" count=7 took_ms=1.2");
 }
 
+TEST(log_line, bytes_of_others_do_not_reach_a_line) {
+    log_line line{"send"};
+    line.add("host", "a\xff\xc3\xbc")
+        .add("path", "/\xc2\x9b"
+                     "31m");
+    EXPECT_EQ(line.text(), "send host=a?\xc3\xbc path=/?31m");
+}
+
+TEST(journal, events_hold_bounded_lines_of_utf8) {
+    entry::journal journal{"journal_foreign", "off"};
+    journal.note(event_kind::zone, "z\xff\n", std::string(100'000, '\xfe'));
+    const event& kept = journal.ring().events().front();
+    EXPECT_EQ(kept.m_subject, "z??");
+    EXPECT_LE(kept.m_detail.size(), 500U);
+    EXPECT_EQ(kept.m_detail.find('\xfe'), std::string::npos);
+}
+
 TEST(log_line, long_values_are_cut) {
     log_line line{"send"};
     line.add("id", std::string(100'000, 'x'));
