Refuse numbers out of range in records of the platform's store

What could be seen: a server's record with a start of -5 or 5.5, port 0 or a warm-up of 1e300 ms was taken for a server; a route's priority of -1 wrapped to the lowest rank, a time limit of 1e300 ms went through llround() (undefined) and a warm-up near 2^63 us was added to the present (overflow).

Cause: nlohmann's get<Number>() casts without a check, and takes true for 1.

Limits of 0 bytes are refused too. A warm-up below 0 still means a warm server, and 2.0 is still a whole number in a configuration.

--- a/test/platform/odd_entry.cpp
+++ b/test/platform/odd_entry.cpp
@@ -45,6 +45,7 @@
         expect_answers_and_follows(++round);
         if (HasFatalFailure())
             return;
+        EXPECT_EQ(shown("show upstreams").at("rows").size(), 2U);
     }
     const auto events = shown("");
     std::size_t told = 0;
--- a/test/platform/records.cpp
+++ b/test/platform/records.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include "core/foreign_text.hpp"
+#include "test/platform/odd_values.hpp"
+
 using namespace skylark;
 
 namespace {
@@ -125,6 +128,65 @@
         EXPECT_FALSE(platform::read_configuration(text, terms, {})) << text;
 }
 
+TEST(platform_records, numbers_out_of_range_are_refused_with_place_and_value) {
+    const auto row = [](const std::string& timeout, const std::string& target,
+                        const std::string& priority, const std::string& weight,
+                        const std::string& attempts) {
+        return configuration(R"(["r1","h","/a/","safe",)" + timeout + "," +
+                             target + "," + priority +
+                             R"(,[{"service":"stock","weight":)" + weight +
+                             "}]," + attempts + ",null]");
+    };
+    ASSERT_TRUE(platform::read_configuration(row("1", "1", "2.0", "1", "2"),
+                                             terms, {}));
+    for (const char* odd : {"-1", "1e300", "9223372036854775807",
+                            "18446744073709551615", "\"7\"", "[[7]]", "true"}) {
+        for (const std::string& text :
+             {row(odd, "1", "2", "1", "2"), row("1", odd, "2", "1", "2"),
+              row("1", "1", odd, "1", "2"), row("1", "1", "2", odd, "2"),
+              row("1", "1", "2", "1", odd)}) {
+            const auto read = platform::read_configuration(text, terms, {});
+            ASSERT_FALSE(read) << text;
+            EXPECT_NE(read.error().m_value.find("routes/0"), std::string::npos)
+                << read.error().text();
+        }
+        for (const std::string place :
+             {"16384", "67108864", "15000", "90,\"plans\""}) {
+            std::string text = configuration(read_row);
+            std::string to = odd;
+            if (place.ends_with('"'))
+                to += ",\"plans\"";
+            text.replace(text.find(place), place.size(), to);
+            EXPECT_FALSE(platform::read_configuration(text, terms, {})) << text;
+        }
+    }
+    for (const std::string place : {"16384", "67108864", "15000"}) {
+        std::string text = configuration(read_row);
+        text.replace(text.find(place), place.size(), "0");
+        EXPECT_FALSE(platform::read_configuration(text, terms, {})) << text;
+    }
+    EXPECT_FALSE(platform::read_configuration(row("1", "1", "2.5", "1", "2"),
+                                              terms, {}));
+}
+
+TEST(platform_records, a_warm_up_below_zero_is_over) {
+    std::string text = good_upstream;
+    text.replace(text.find("1500"), 4, "-20.5");
+    const auto found = upstream(text);
+    ASSERT_TRUE(found) << found.error().text();
+    EXPECT_EQ(found.value().m_cold_until, time_point{});
+}
+
+TEST(platform_records, odd_values_name_no_upstream) {
+    ASSERT_TRUE(upstream(test::odd_record("5", "5")));
+    for (const std::string& text : test::odd_values()) {
+        const auto read = upstream(text);
+        ASSERT_FALSE(read) << text.substr(0, 300);
+        EXPECT_TRUE(is_utf8(read.error().text()));
+        EXPECT_LT(read.error().text().size(), 500U);
+    }
+}
+
 TEST(platform_records, reads_an_upstream) {
     const auto found = upstream(good_upstream);
     ASSERT_TRUE(found) << found.error().text();
