One odd item no longer fails a page or a watch answer of the store

What could be seen: with one item whose key, revision or value can't be read, each listing failed, and with it the store counted as lost: entries stopped following it for as long as the item was there.

Cause: read_records() threw for the first such item. decode_base64() in turn took "====", "YW=j" or a value with line breaks for something else silently.

Why it works: an item without a readable key is left out and told as an event. A watch answer with odd items alone does not count as one that blocked for its whole wait. An odd address under skylark/entries/ is told once for each revision, not with each list.

--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t max_answer_bytes = std::size_t{8} << 20U;
 // No store holds this many pages; protects against a listing that never ends.
 constexpr std::size_t max_pages = 1000;
+constexpr std::size_t most_told = 10; // odd items of one answer
 
 } // namespace
 
@@ -97,6 +98,7 @@
         return;
     }
     m_reachability.call_succeeded();
+    tell_odd(page.value().m_odd);
     m_mirror.add_page(page.value());
     const auto& records = page.value().m_records;
     if (page.value().m_more && !records.empty()) {
@@ -151,9 +153,11 @@
                               // Without changes the store blocked for the whole
                               // wait, so the mirror was current at its end.
                               m_confirmed_at =
-                                  m_call_start + (list.m_records.empty()
-                                                      ? m_call_wait
-                                                      : duration{0});
+                                  m_call_start +
+                                  (list.m_records.empty() && list.m_odd.empty()
+                                       ? m_call_wait
+                                       : duration{0});
+                              tell_odd(list.m_odd);
                               m_mirror.apply(list, now);
                           },
                           [&](const history_lost&) { m_listed = false; }},
@@ -170,6 +174,12 @@
     start_next_call();
 }
 
+void mirror_client::tell_odd(std::span<const input_error> items) {
+    for (const input_error& item :
+         items.first(std::min(items.size(), most_told)))
+        m_on_invalid(item);
+}
+
 // Fails all pending reads; the next read starts the next call.
 void mirror_client::fail_reads(const std::string& cause) {
     m_mirror.call_failed();
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -80,6 +81,7 @@
     void request_changes();
     void handle_page(const io::fetch_result& got);
     void handle_changes(const io::fetch_result& got);
+    void tell_odd(std::span<const input_error> items);
     void fail_reads(const std::string& cause);
     void complete_reads(time_point confirmed);
     void schedule_removals();
--- a/src/store/mirror_values.cpp
+++ b/src/store/mirror_values.cpp
@@ -62,8 +62,12 @@
     for (auto it = records.lower_bound(prefix);
          it != records.end() && it->first.starts_with(prefix); ++it) {
         const auto where = parse_address(it->second.m_value, it->first);
+        decoded_record& kept = m_decoded[it->first];
+        const bool fresh = kept.m_revision != it->second.m_revision;
+        kept.m_revision = it->second.m_revision;
         if (!where) {
-            m_on_invalid(where.error());
+            if (fresh)
+                m_on_invalid(where.error());
             continue;
         }
         instance found;
--- a/src/store/record.hpp
+++ b/src/store/record.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include <skylark/core/error.hpp>
+
 namespace skylark::store {
 
 /*! @brief One key at one revision. */
@@ -20,14 +22,16 @@
  *  revisions. */
 struct record_page {
     std::vector<record> m_records;
-    bool m_more{};              //!< further keys follow
-    std::uint64_t m_revision{}; //!< of the store when the page was read
+    bool m_more{};                    //!< further keys follow
+    std::uint64_t m_revision{};       //!< of the store when the page was read
+    std::vector<input_error> m_odd{}; //!< items that could not be read
 };
 
 /*! @brief Changes after a revision, in the order of their revisions. */
 struct record_changes {
     std::vector<record> m_records;
-    std::uint64_t m_revision{}; //!< request further changes after it
+    std::uint64_t m_revision{};       //!< request further changes after it
+    std::vector<input_error> m_odd{}; //!< items that could not be read
 };
 
 /*! @brief The store no longer has the requested changes; a new listing is
