One odd instance no longer fails the catalogue's list

What could be seen (native interface): an instance with a port of 65536 or without its metadata made each read of the list fail, so that no entry followed the catalogue.

Cause: parse_instances() gave up at the first instance that it couldn't read, and read_instance() called value() on a refused address.

Why it works: such an instance is left out and told once as an event while it stays. If most are left out at once, the guard of the list holds back as before.

--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -60,15 +60,15 @@
 
 store::client configurator::open_store() {
     const settings& from = m_shared.m_settings;
-    if (from.m_deployment == deployment::native)
-        return store::client{std::in_place_type<store::polling_client>,
-                             m_shared.m_loop, from.m_platform};
     const platform::deployment_terms terms{from.m_zones,
                                            from.m_questions_per_upstream};
     const auto note = [this](const input_error& why) {
         m_shared.m_journal.note(event_kind::configuration, "store record",
                                 "cannot be used: " + why.text());
     };
+    if (from.m_deployment == deployment::native)
+        return store::client{std::in_place_type<store::polling_client>,
+                             m_shared.m_loop, from.m_platform, note};
     return store::client{std::in_place_type<store::mirror_client>,
                          m_shared.m_loop,
                          from.m_platform,
--- a/src/store/consul_protocol.cpp
+++ b/src/store/consul_protocol.cpp
@@ -1,5 +1,7 @@
 // Consul's public key-value and catalogue API over HTTP.
 #include "store/consul_protocol.hpp"
+#include "core/foreign_text.hpp"
+#include "core/json_text.hpp"
 #include "core/parse_number.hpp"
 #include "io/http_status.hpp"
 
@@ -36,14 +38,14 @@
     return {"platform, status", std::to_string(answer.m_status), "200"};
 }
 
-instance read_instance(const json& from) {
+parsed<instance> read_instance(const json& from, const std::string& place) {
     const json& meta = from.at("ServiceMeta");
     const std::string where = from.at("ServiceAddress").get<std::string>() +
-                              ":" +
-                              std::to_string(from.at("ServicePort").get<int>());
+                              ":" + json_excerpt(from.at("ServicePort"));
     instance out;
     out.m_id = from.at("ServiceID").get<std::string>();
-    out.m_address = parse_address(where, "instance").value();
+    BOOST_OUTCOME_TRY(reached, parse_address(where, place));
+    out.m_address = reached;
     out.m_role = meta.at("role").get<std::string>() == "entry"
                      ? instance_role::entry
                      : instance_role::upstream;
@@ -53,6 +55,16 @@
     return out;
 }
 
+parsed<instance> read_placed(const json& from, const std::string& place) {
+    constexpr std::size_t longest = 300; // bytes
+    try {
+        return read_instance(from, place);
+    } catch (const std::exception& error) {
+        return input_error{place, clean_text(error.what(), longest),
+                           "an instance of the catalogue"};
+    }
+}
+
 } // namespace
 
 io::fetch_request consul_protocol::get(std::string_view key,
@@ -106,24 +118,30 @@
 }
 
 parsed<instance_list>
-consul_protocol::read_instances(const io::fetch_answer& answer) const {
+consul_protocol::read_instances(const io::fetch_answer& answer,
+                                const odd_handler& on_odd) const {
     if (answer.m_status != io::status::ok)
         return wrong_status(answer);
     BOOST_OUTCOME_TRY(index, read_index(answer));
-    return parse_instances(answer.m_body, index);
+    return parse_instances(answer.m_body, index, on_odd);
 }
 
 parsed<instance_list> parse_instances(std::string_view text,
-                                      std::uint64_t index) {
+                                      std::uint64_t index,
+                                      const odd_handler& on_odd) {
     instance_list out;
     out.m_index = index;
-    try {
-        const json tree = json::parse(text);
-        for (const json& item : tree)
-            out.m_instances.push_back(read_instance(item));
-    } catch (const std::exception& error) {
-        return input_error{"platform, instance list", error.what(),
-                           "the catalogue's JSON"};
+    const std::string place = "platform, instance list";
+    BOOST_OUTCOME_TRY(tree, parse_json(text, place));
+    if (!tree.is_array())
+        return input_error{place, json_excerpt(tree), "an array"};
+    for (std::size_t i = 0; i < tree.size(); ++i) {
+        const std::string at = place + '/' + std::to_string(i);
+        auto read = read_placed(tree[i], at);
+        if (read)
+            out.m_instances.push_back(std::move(read).value());
+        else if (on_odd)
+            on_odd(read.error());
     }
     return out;
 }
--- a/src/store/consul_protocol.hpp
+++ b/src/store/consul_protocol.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_STORE_CONSUL_PROTOCOL_HPP
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include <skylark/core/error.hpp>
@@ -13,6 +14,9 @@
 
 namespace skylark::store {
 
+/*! @brief Gets what could not be used of an answer. */
+using odd_handler = std::function<void(const input_error&)>;
+
 /*! @brief Formats requests and parses answers; stateless. */
 struct consul_protocol {
     /*! @brief Formats a read of one key.
@@ -41,17 +45,21 @@
     /*! @brief Parses the answer to swap(); false: the revision has changed. */
     [[nodiscard]] parsed<bool> read_swap(const io::fetch_answer& answer) const;
 
-    /*! @brief Parses the answer to instances(). */
+    /*! @brief Parses the answer to instances(), see parse_instances(). */
     [[nodiscard]] parsed<instance_list>
-    read_instances(const io::fetch_answer& answer) const;
+    read_instances(const io::fetch_answer& answer,
+                   const odd_handler& on_odd) const;
 };
 
 /*! @brief Parses the catalogue's JSON.
  *  @param text JSON array of instances
  *  @param index index of the list
- *  @return the list, or an error if any instance cannot be parsed */
+ *  @param on_odd called for each instance that cannot be parsed; the list
+ *  does without it
+ *  @return the list, or an error if the text is no array */
 parsed<instance_list> parse_instances(std::string_view text,
-                                      std::uint64_t index);
+                                      std::uint64_t index,
+                                      const odd_handler& on_odd = {});
 
 } // namespace skylark::store
 
--- a/src/store/polling_client.cpp
+++ b/src/store/polling_client.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view document_key = "skylark/config";
 constexpr std::size_t max_answer_bytes = 2 * defaults::document_bytes;
+constexpr std::size_t most_told = 10; // odd instances of one answer
 
 template <class Result, class Read>
 Result convert(const io::fetch_result& from, Read read) {
@@ -32,8 +33,10 @@
 
 } // namespace
 
-polling_client::polling_client(io::event_loop& loop, address where)
-    : m_fetcher{loop, max_answer_bytes}, m_where{where} {}
+polling_client::polling_client(io::event_loop& loop, address where,
+                               odd_handler on_odd)
+    : m_fetcher{loop, max_answer_bytes}, m_where{where}, m_on_odd{std::move(
+                                                             on_odd)} {}
 
 void polling_client::read(std::uint64_t index, duration wait,
                           std::function<void(const read_result&)> done) {
@@ -70,10 +73,19 @@
                                std::function<void(const list_result&)> done) {
     auto request = m_protocol.instances(index, wait);
     request.m_to = m_where;
-    m_fetcher.run(request, [protocol = m_protocol, done = std::move(done)](
+    m_fetcher.run(request, [this, done = std::move(done)](
                                const io::fetch_result& result) {
         done(convert<list_result>(result, [&](const auto& answer) {
-            return protocol.read_instances(answer);
+            std::set<std::string> odd;
+            auto list =
+                m_protocol.read_instances(answer, [&](const input_error& why) {
+                    const bool fresh = odd.insert(why.text()).second &&
+                                       !m_told.contains(why.text());
+                    if (fresh && odd.size() <= most_told)
+                        m_on_odd(why);
+                });
+            m_told = std::move(odd);
+            return list;
         }));
     });
 }
--- a/src/store/polling_client.hpp
+++ b/src/store/polling_client.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_STORE_POLLING_CLIENT_HPP
 
 #include <functional>
+#include <set>
 #include <string>
 
 #include "io/fetcher.hpp"
@@ -16,8 +17,9 @@
 class polling_client {
 public:
     /*! @param loop event loop
-     *  @param where address of the store */
-    polling_client(io::event_loop& loop, address where);
+     *  @param where address of the store
+     *  @param on_odd called once for each instance that cannot be parsed */
+    polling_client(io::event_loop& loop, address where, odd_handler on_odd);
 
     /*! @brief See client::read. */
     void read(std::uint64_t index, duration wait,
@@ -49,6 +51,8 @@
 private:
     io::fetcher m_fetcher;
     address m_where;
+    odd_handler m_on_odd;
+    std::set<std::string> m_told; // odd instances of the last list
     consul_protocol m_protocol;
 };
 
