A deeply nested document no longer ends the process; fuzz what others write

What could be seen (native interface): a document, or an answer of a peer, of 100,000 nested arrays ended the process with a segmentation fault.

Cause: json_reader writes the odd value into its error by nlohmann's dump(), which recurses once a level.

Evidence: without the fix odd_records.documents_and_statements_are_read_or_refused ends with signal 11 (exit 139).

Why it works: parse_document() reads by parse_json(), which refuses more than 64 levels before it parses, as do the readers of the store's answers.

test/platform/odd_records.cpp feeds the 41 odd values and seeded changes of valid texts to every decoder of what comes from the store, peers and operators; SKYLARK_ODD_ROUNDS makes it run longer.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -22,7 +22,8 @@
     src/ctl/client.cpp src/ctl/query_command.cpp test/peer/codec.cpp
     test/store/consul_protocol.cpp test/store/mirror.cpp test/store/lease_holder.cpp
     test/store/mirror_client.cpp test/platform/records.cpp
-    test/platform/kv_protocol.cpp test/platform/odd_entry.cpp test/platform/dialect.cpp
+    test/platform/kv_protocol.cpp test/platform/odd_entry.cpp
+    test/platform/odd_records.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
     test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
     test/platform/leaving.cpp test/route/probe_step.cpp
--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -183,13 +183,7 @@
 } // namespace internal
 
 parsed<document> parse_document(std::string_view text) {
-    nlohmann::json tree;
-    try {
-        tree = nlohmann::json::parse(text);
-    } catch (const nlohmann::json::parse_error& error) {
-        return input_error{"document, byte " + std::to_string(error.byte),
-                           "text that is no JSON", "a JSON object"};
-    }
+    BOOST_OUTCOME_TRY(tree, parse_json(text, "document"));
     BOOST_OUTCOME_TRY(out, internal::read_document(tree));
     BOOST_OUTCOME_TRYV(check(out));
     return out;
