Refuse peers' messages with odd ports, ages or sizes

What could be seen: a peer's message with a port out of range was taken for that port modulo 65536, a negative age of its configuration confirmed ours in the future, a time left near 2^63 us overflowed the present, and only Thrift's own exceptions were caught, not those of containers that cannot be that large.

Evidence: without the fix, with SKYLARK_ODD_ROUNDS=20000, odd_records.messages_of_peers_are_read_or_refused fails (negative age). The other three are by reading.

Why it works: such a message is refused as a whole with its value, ages count from 0, times left are bounded by a year, and each exception of the decoder is an error of the message.

--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -1,6 +1,8 @@
 // Encodes and decodes heartbeats.
 #include "peer/codec.hpp"
 
+#include <algorithm>
+
 #include "peer/compact.hpp"
 #include "peer/gen/peer_types.h"
 
@@ -10,6 +12,7 @@
 
 using internal::deserialize;
 using internal::from_wire;
+using internal::is_port;
 using internal::make_address;
 using internal::serialize;
 using internal::to_wire;
@@ -55,7 +58,7 @@
 
 silence from_wire(const wire::silence& from) {
     return {{entry_id{from_wire(from.id)}, from_wire(from.incarnation)},
-            duration{from.age_us}};
+            duration{std::max<std::int64_t>(0, from.age_us)}};
 }
 
 wire::load_digest to_wire(const load_digest& from) {
@@ -173,7 +176,8 @@
     out.m_settled_hash = from_wire(from.settled_hash);
     out.m_config.m_revision = from_wire(from.config_revision);
     out.m_config.m_instances = from_wire(from.instances_index);
-    out.m_config.m_confirmed_age = duration{from.confirmed_age_us};
+    out.m_config.m_confirmed_age =
+        duration{std::max<std::int64_t>(0, from.confirmed_age_us)};
     out.m_config.m_store_lost = from.store_lost;
     out.m_requests = static_cast<std::uint32_t>(from.requests);
     out.m_clock = from_wire(from.clock);
@@ -199,6 +203,14 @@
     BOOST_OUTCOME_TRY(out, deserialize<wire::heartbeat>(bytes, "heartbeat"));
     if (out.sender.id == 0)
         return input_error{"heartbeat", "sender 0", "a member's id"};
+    const auto fits = [](const wire::member_record& item) {
+        return is_port(item.reach.peer_port) &&
+               is_port(item.reach.callers_port) &&
+               is_port(item.reach.control_port);
+    };
+    if (!fits(out.sender) ||
+        !std::all_of(out.members.begin(), out.members.end(), fits))
+        return input_error{"heartbeat", "a port out of range", "0 to 65535"};
     return from_wire(out);
 }
 
--- a/src/peer/compact.hpp
+++ b/src/peer/compact.hpp
@@ -3,7 +3,9 @@
 #ifndef SKYLARK_PEER_COMPACT_HPP
 #define SKYLARK_PEER_COMPACT_HPP
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <span>
 #include <string>
@@ -15,6 +17,7 @@
 
 #include <skylark/core/address.hpp>
 #include <skylark/core/error.hpp>
+#include <skylark/core/time.hpp>
 
 namespace skylark::peer::internal {
 
@@ -26,6 +29,16 @@
     return static_cast<std::uint64_t>(value);
 }
 
+inline bool is_port(std::int32_t value) {
+    return value >= 0 && value <= std::numeric_limits<std::uint16_t>::max();
+}
+
+// An age or a time left; beyond a year it says no more.
+inline duration make_duration(std::int64_t us) {
+    constexpr duration longest = std::chrono::hours{24 * 365};
+    return std::clamp(duration{us}, -longest, longest);
+}
+
 inline address make_address(std::int32_t ip, std::int32_t port) {
     return {static_cast<std::uint32_t>(ip), static_cast<std::uint16_t>(port)};
 }
@@ -54,7 +67,8 @@
     Message out;
     try {
         out.read(&protocol);
-    } catch (const apache::thrift::TException& error) {
+    } catch (const std::exception& error) {
+        // Thrift's own, and those of containers that cannot be that large.
         return input_error{std::string{what}, std::to_string(size) + " bytes",
                            std::string{"a Thrift message: "} + error.what()};
     }
--- a/src/peer/instance_codec.cpp
+++ b/src/peer/instance_codec.cpp
@@ -11,7 +11,9 @@
 
 using internal::deserialize;
 using internal::from_wire;
+using internal::is_port;
 using internal::make_address;
+using internal::make_duration;
 using internal::serialize;
 using internal::to_wire;
 
@@ -47,9 +49,9 @@
     out.m_leaving = from.leaving;
     out.m_incarnation = from_wire(from.incarnation);
     if (from.cold_us > 0)
-        out.m_cold_until = now + duration{from.cold_us};
+        out.m_cold_until = now + make_duration(from.cold_us);
     if (from.__isset.gone_in_us)
-        out.m_gone_from = now + duration{from.gone_in_us};
+        out.m_gone_from = now + make_duration(from.gone_in_us);
     return out;
 }
 
@@ -79,8 +81,12 @@
     out.m_index = from_wire(from.index);
     if (out.m_index == 0)
         return input_error{"instance list", "index 0", "the list's index"};
-    for (const wire::instance& item : from.present)
+    for (const wire::instance& item : from.present) {
+        if (!is_port(item.port))
+            return input_error{"instance list, port", std::to_string(item.port),
+                               "0 to 65535"};
         out.m_present.push_back(from_wire(item, now));
+    }
     for (const wire::instance_name& item : from.removed)
         out.m_removed.emplace_back(role_from_wire(item.role), item.id);
     return out;
