--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -4,6 +4,7 @@
 #include <skylark/config/document.hpp>
 
 #include "config/json_reader.hpp"
+#include "core/json_text.hpp"
 
 namespace skylark {
 
@@ -97,7 +98,7 @@
 static parsed<std::string> read_text(const json& from,
                                      const std::string& place) {
     if (!from.is_string())
-        return input_error{place, from.dump(), "a string"};
+        return input_error{place, json_excerpt(from), "a string"};
     return from.get<std::string>();
 }
 
@@ -182,13 +183,7 @@
 } // namespace internal
 
 parsed<document> parse_document(std::string_view text) {
-    nlohmann::json tree;
-    try {
-        tree = nlohmann::json::parse(text);
-    } catch (const nlohmann::json::parse_error& error) {
-        return input_error{"document, byte " + std::to_string(error.byte),
-                           "text that is no JSON", "a JSON object"};
-    }
+    BOOST_OUTCOME_TRY(tree, parse_json(text, "document"));
     BOOST_OUTCOME_TRY(out, internal::read_document(tree));
     BOOST_OUTCOME_TRYV(check(out));
     return out;
@@ -203,7 +198,7 @@
         {"rules", internal::write_list(subject.m_rules)},
         {"limits", internal::write(subject.m_limits)}};
     constexpr int indent = 2;
-    return tree.dump(indent);
+    return json_text(tree, indent);
 }
 
 } // namespace skylark
