Chunk answers of unknown length also when the status is not 200

Callers saw: an answer with neither Content-Length nor chunks that ended with its connection, so one that was cut off looked complete.

Cause: h2o 2.2 chunks a body of unknown length only if the status is 200. For any other status it ends the connection after the body instead.

Ruled out: the abort. With status 200 the same calls leave a chunked body without its last chunk (a_broken_chunked_answer_ends_with_what_was_sent).

Evidence: without the fix, a_cut_answer_other_than_200_does_not_look_complete fails for 201, 404, 500 and 504, whole and cut. For the cut 201:

HTTP/1.1 201 - Date: Sat, 05 Dec 2026 09:17:53 GMT Connection: close Server: skylarkspindle

abc Expected equality of these values: all.substr(all.find("\r\n\r\n") + 4) Which is: "abc" body Which is: "3\r\nabc\r\n"

an_answer_that_has_no_body_is_not_chunked (GET 204, GET 304, HEAD 404) passes without the fix too; it guards the answers that must stay as they are.

Why it works: h2o's filter reads the status only while the filters are set up. Our filter stands before it, shows 200 during that call and restores the status before the head is written. The pieces are still streamed: nothing is collected and no limit on the size is added.

--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -1,4 +1,5 @@
 // Callbacks that h2o runs for the exchanges of the HTTP server.
+#include <cstdint>
 #include <fcntl.h>
 #include <string>
 
@@ -20,6 +21,20 @@
     return {from.base, from.len};
 }
 
+// h2o would end a body of unknown length with the connection unless the status
+// is 200, so a cut answer would look complete. Its chunked filter reads the
+// status only during this call; the head is written later.
+void set_up_chunks(h2o_req_t* request, h2o_ostream_t** slot) {
+    const int status = request->res.status;
+    const bool has_body = status >= io::status::ok &&
+                          status != io::status::no_content &&
+                          status != io::status::not_modified;
+    if (has_body && request->res.content_length == SIZE_MAX)
+        request->res.status = io::status::ok;
+    h2o_setup_next_ostream(request, slot);
+    request->res.status = status;
+}
+
 } // namespace
 
 h2o_socket_t* http_server::native::socket_of(h2o_req_t* request) {
@@ -91,7 +106,7 @@
     auto* guard = static_cast<answer_guard*>(h2o_mem_alloc_shared(
         &request->pool, sizeof(answer_guard), &native::on_answer_end));
     *guard = {reinterpret_cast<filter*>(self)->m_server, request};
-    h2o_setup_next_ostream(request, slot);
+    set_up_chunks(request, slot);
 }
 
 // h2o closes its descriptor of the connection next; a duplicate keeps the
--- a/test/io/http_server.cpp
+++ b/test/io/http_server.cpp
@@ -226,3 +226,56 @@
     run_until([this] { return m_closed == 1; });
     EXPECT_FALSE(m_complete);
 }
+
+TEST_F(server_test, a_cut_answer_other_than_200_does_not_look_complete) {
+    for (const int status : {201, 404, 500, 504}) {
+        for (const bool cut : {false, true}) {
+            m_exchange = {};
+            m_ready = m_closed = 0;
+            raw_caller caller{m_where};
+            caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            run_until([this] { return bool{m_exchange}; });
+            m_server.start(m_exchange, status, {}, std::nullopt);
+            m_server.send(m_exchange, "abc", false);
+            run_until([this] { return m_ready > 0; });
+            if (cut)
+                m_server.abort(m_exchange);
+            else
+                m_server.send(m_exchange, "de", true);
+            run_until([this] { return m_closed == 1; });
+            EXPECT_EQ(m_complete, !cut);
+            const std::string body =
+                cut ? "3\r\nabc\r\n" : "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+            run_until([&] {
+                return !caller.read() || caller.bytes().ends_with(body);
+            });
+            const std::string& all = caller.bytes();
+            EXPECT_TRUE(all.starts_with("HTTP/1.1 " + std::to_string(status)));
+            EXPECT_NE(all.find("transfer-encoding: chunked"), std::string::npos)
+                << all;
+            EXPECT_EQ(all.substr(all.find("\r\n\r\n") + 4), body);
+        }
+    }
+}
+
+TEST_F(server_test, an_answer_that_has_no_body_is_not_chunked) {
+    const auto seen = [this](const std::string& method, int status) {
+        m_exchange = {};
+        m_closed = 0;
+        raw_caller caller{m_where};
+        caller.write(method + " / HTTP/1.1\r\nHost: h\r\n\r\n");
+        run_until([this] { return bool{m_exchange}; });
+        m_server.start(m_exchange, status, {}, std::nullopt);
+        m_server.send(m_exchange, "", true);
+        run_until([this] { return m_closed == 1; });
+        run_until([&] {
+            return !caller.read() || caller.bytes().ends_with("\r\n\r\n");
+        });
+        return caller.bytes();
+    };
+    for (const auto& all :
+         {seen("GET", 204), seen("GET", 304), seen("HEAD", 404)}) {
+        EXPECT_EQ(all.find("transfer-encoding"), std::string::npos) << all;
+        EXPECT_TRUE(all.ends_with("\r\n\r\n")) << all;
+    }
+}
