Send uploads again that a stalled process refuses

What was seen: beside four busy processes and others' builds, in the complete test program and in runs of the uploads alone, uploads.an_upstream_that_answers_early_gets_nothing_else failed (one request at the upstream, expected two), and uploads.are_cut_at_the_upstream_when_the_caller_leaves did not end within the 200 s that a run was given (once).

Cause: supposed to be that of the tests of cut answers, which was traced (see there): the answer to a probe is late, the entry refuses, and nothing reaches the upstream. The first test took the entry's own 503 for the upstream's, the second waits for a request that no caller sends any more. These two were not traced on their own.

Each refusal must be 503 and must have waited for a probe (8 ms); the request is sent again, ten times at the most. The checks of the request that arrives are unchanged, the count of requests at the upstream too.

--- a/test/platform/node_fixture.hpp
+++ b/test/platform/node_fixture.hpp
@@ -223,11 +223,33 @@
         return call(what);
     }
 
+    /*! @brief Repeats a call until an upstream has got the request.
+     *
+     *  A process that gets no processor time receives the answers to its probes
+     *  late, and refuses. Each refusal must have waited for a probe. */
+    io::fetch_result
+    until_received(const std::function<io::fetch_result()>& attempt) {
+        const int before = m_near.m_requests + m_far.m_requests;
+        for (int i = 0; i < most_refusals; ++i) {
+            const time_point began = io::event_loop::now();
+            auto got = attempt();
+            if (status(got) != 503 ||
+                m_near.m_requests + m_far.m_requests > before)
+                return got;
+            EXPECT_GE(io::event_loop::now() - began, probe_wait);
+        }
+        return attempt();
+    }
+
     static int status(const io::fetch_result& of) {
         const auto* answer = std::get_if<io::fetch_answer>(&of);
         return answer ? answer->m_status : 0;
     }
 
+    static constexpr int most_refusals = 10;
+    // Least time for which the entry waits for the answer to a probe.
+    static constexpr auto probe_wait = milliseconds{8};
+
     io::event_loop m_loop;
     standin::kv_store m_store;
     fake_upstream m_near;
