Let the stand-in store return from a copy

save_copy() remembers items, revision and lease ids, restore_copy() goes back to a copy of some age: leases end with their keys, the history is gone, waiting watches are cut, revisions and lease ids are given out again. All answers bear Store-Era, which rises each time. A watch from a revision above the present one gets 410.

--- a/cmake/standin.cmake
+++ b/cmake/standin.cmake
@@ -7,8 +7,8 @@
 add_executable(standin-overload standin/overload_model.cpp
                standin/service_model.cpp standin/entry_model.cpp
                standin/overload_main.cpp)
-add_executable(standin-store standin/kv_store.cpp standin/store_operator.cpp
-               standin/store_main.cpp)
+add_executable(standin-store standin/kv_store.cpp standin/kv_restore.cpp
+               standin/store_operator.cpp standin/store_main.cpp)
 target_link_libraries(standin-store PRIVATE skylark_store)
 add_executable(standin-server standin/server.cpp standin/registration.cpp
                standin/server_main.cpp)
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -29,7 +29,8 @@
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
     test/route/room.cpp
-    test/standin/overload.cpp standin/kv_store.cpp standin/platform.cpp
+    test/standin/overload.cpp test/standin/kv_store.cpp
+    standin/kv_store.cpp standin/kv_restore.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
     standin/entry_model.cpp)
 target_include_directories(skylark_test PRIVATE ${CMAKE_SOURCE_DIR})
--- a/standin/kv_store.cpp
+++ b/standin/kv_store.cpp
@@ -64,13 +64,6 @@
     answer_watchers();
 }
 
-void kv_store::drop_history() {
-    m_history.clear();
-    m_history_from = ++m_revision;
-    for (const auto& [key, waiting] : std::exchange(m_watchers, {}))
-        reply(key, io::status::gone, json::object());
-}
-
 void kv_store::write(const std::string& key, const std::string& value,
                      std::uint64_t lease) {
     item& kept = m_items[key];
@@ -127,7 +120,9 @@
 void kv_store::reply(exchange_id key, int status, const json& body) {
     if (m_faults.m_losing)
         return;
-    const std::array headers{io::header{"Content-Type", "application/json"}};
+    const std::string era = std::to_string(m_era);
+    const std::array headers{io::header{"Content-Type", "application/json"},
+                             io::header{"Store-Era", era}};
     m_server.answer(key, status, headers, body.dump());
 }
 
@@ -156,7 +151,7 @@
 
 void kv_store::watch(exchange_id key, std::string_view path) {
     const std::uint64_t after = number(query{path}.text("after"));
-    if (after < m_history_from) {
+    if (after < m_history_from || after > m_revision) {
         reply(key, io::status::gone, json::object());
         return;
     }
@@ -272,11 +267,6 @@
         erase(key);
 }
 
-void kv_store::end_all_leases() {
-    while (!m_leases.empty())
-        end_lease(m_leases.begin()->first);
-}
-
 void kv_store::expire() {
     const auto now = io::event_loop::now();
     std::vector<std::uint64_t> over;
--- a/standin/kv_store.hpp
+++ b/standin/kv_store.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_STANDIN_KV_STORE_HPP
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -52,8 +53,19 @@
     /*! @brief Ends all leases with their keys, as an outage may. */
     void end_all_leases();
 
+    /*! @brief Remembers what the store holds; leases are in no copy. Copies
+     *  older than a quarter of a minute are dropped. */
+    void save_copy();
+
+    /*! @brief Returns to the newest copy of at least an age: items, revision
+     *  and lease ids go back, leases end with their keys, the history is
+     *  gone, waiting watches are cut, and the era rises.
+     *  @return false, and nothing changes, if no copy is that old */
+    bool restore_copy(duration age = duration{0});
+
     void set_faults(const kv_faults& faults) { m_faults = faults; }
 
+    [[nodiscard]] std::uint64_t era() const { return m_era; }
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
     [[nodiscard]] std::size_t calls() const { return m_calls; }
     [[nodiscard]] std::size_t keys() const { return m_items.size(); }
@@ -73,6 +85,12 @@
         item m_item;
         bool m_deleted{};
     };
+    struct copy {
+        skylark::time_point m_saved;
+        std::map<std::string, item> m_items; // without those of leases
+        std::uint64_t m_revision{};
+        std::uint64_t m_last_lease{};
+    };
     struct watcher {
         std::string m_prefix;
         std::uint64_t m_after{};
@@ -89,6 +107,7 @@
     void renew(exchange_id key, std::uint64_t lease);
     void end_lease(std::uint64_t lease);
     void answer_watchers();
+    void cut_watchers();
     void expire();
     bool conditions_hold(const nlohmann::json& call) const;
     void write(const std::string& key, const std::string& value,
@@ -112,6 +131,8 @@
     std::map<exchange_id, watcher> m_watchers;
     std::map<std::uint64_t, lease> m_leases;
     std::uint64_t m_last_lease{};
+    std::uint64_t m_era{1};    // rises when the store returns from a copy
+    std::deque<copy> m_copies; // oldest first
     std::size_t m_calls{};
 };
 
