Let operators of the stand-in store restore it from a copy

PUT /standin/restore returns to one of a given age; after a settable delay operators write and remove again under op/ and servers/ what was lost. Servers write their records again with their next heartbeat: a put is left out only if the store holds the value, no longer if it was the last one written. A server's seq_no rises with its state.

--- a/standin/kv_store.cpp
+++ b/standin/kv_store.cpp
@@ -64,6 +64,20 @@
     answer_watchers();
 }
 
+bool kv_store::holds(const std::string& key, const std::string& value) const {
+    const auto found = m_items.find(key);
+    return found != m_items.end() &&
+           found->second.m_value == skylark::platform::encode_base64(value);
+}
+
+std::vector<std::string> kv_store::keys(std::string_view prefix) const {
+    std::vector<std::string> out;
+    for (const auto& [key, one] : m_items)
+        if (key.starts_with(prefix))
+            out.push_back(key);
+    return out;
+}
+
 void kv_store::write(const std::string& key, const std::string& value,
                      std::uint64_t lease) {
     item& kept = m_items[key];
--- a/standin/kv_store.hpp
+++ b/standin/kv_store.hpp
@@ -72,6 +72,9 @@
     [[nodiscard]] bool has(const std::string& key) const {
         return m_items.contains(key);
     }
+    [[nodiscard]] bool holds(const std::string& key,
+                             const std::string& value) const;
+    [[nodiscard]] std::vector<std::string> keys(std::string_view prefix) const;
 
 private:
     struct item {
--- a/standin/registration.cpp
+++ b/standin/registration.cpp
@@ -37,6 +37,7 @@
 void registration::set_state(const std::string& state,
                              std::function<void(int)> done) {
     m_state = state;
+    ++m_seq_no;
     call("PUT", std::move(done));
 }
 
@@ -54,7 +55,8 @@
           {"zone", m_record.m_zone},
           {"version", "v1"},
           {"slots", m_record.m_slots}}},
-        {"status", {{"state", m_state}, {"seq_no", 1}, {"warmup_left_ms", 0}}}};
+        {"status",
+         {{"state", m_state}, {"seq_no", m_seq_no}, {"warmup_left_ms", 0}}}};
     return out.dump();
 }
 
--- a/standin/registration.hpp
+++ b/standin/registration.hpp
@@ -44,7 +44,8 @@
     skylark::address m_store;
     server_record m_record;
     std::string m_state{"ready"};
-    std::int64_t m_born; // wall clock, ms
+    std::int64_t m_seq_no{1}; // of the present state
+    std::int64_t m_born;      // wall clock, ms
     bool m_withdrawn{};
 };
 
--- a/standin/store_operator.cpp
+++ b/standin/store_operator.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t largest_value = std::size_t{1} << 20U;
+constexpr auto copy_period = milliseconds{250};
 
 kv_faults read_faults(const query& from) {
     kv_faults out;
@@ -27,22 +28,32 @@
 } // namespace
 
 store_operator::store_operator(io::event_loop& loop, kv_store& store)
-    : m_store{store}, m_server{loop, {largest_value, seconds{60}}} {
+    : m_loop{loop}, m_store{store}, m_server{loop,
+                                             {largest_value, seconds{60}}} {
     m_server.set_handlers(
         {[this](exchange_id key, const io::request_view& request) {
              serve(key, request);
          },
          {},
          {}});
+    loop.every(copy_period, [this] { m_store.save_copy(); });
 }
 
 // A renewed record that says nothing new is no change.
 void store_operator::put(const std::string& name, const std::string& value) {
-    const auto found = m_written.find(name);
-    if (found != m_written.end() && found->second == value)
-        return;
     m_written[name] = value;
-    m_store.put(name, value);
+    if (!m_store.holds(name, value))
+        m_store.put(name, value);
+}
+
+void store_operator::write_again() {
+    for (const auto& [name, value] : m_written)
+        if (name.starts_with("op/"))
+            put(name, value);
+    for (const std::string_view prefix : {"op/", "servers/"})
+        for (const std::string& name : m_store.keys(prefix))
+            if (!m_written.contains(name))
+                m_store.erase(name);
 }
 
 void store_operator::serve(exchange_id key, const io::request_view& request) {
@@ -59,6 +70,10 @@
         m_store.set_faults(read_faults(target));
     } else if (target.path() == "/standin/forget") {
         m_store.drop_history();
+    } else if (target.path() == "/standin/restore" &&
+               m_store.restore_copy(milliseconds{target.number("age_ms", 0)})) {
+        m_loop.after(milliseconds{target.number("rewrite_ms", 0)},
+                     [this] { write_again(); });
     } else {
         status = io::status::not_found;
     }
