Play returns of the store from a copy in the soak

--restores N adds them to a seed's schedule, drawn from a generator of their own: the other scenes of a seed stay as they are, but for disturbances of the store within 8 s of a restore. Changes come before and after each, and callers ask for added routes.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -24,6 +24,8 @@
 
 KINDS = ["book", "read", "pipelined", "upload", "book", "idle", "heavy",
          "upload_chunked", "read", "bulk", "follow", "follow"]
+# Mean pause of callers on added routes, in seconds.
+ADDED_THINK = 0.1
 # Callers of one worker process.
 WORKER_SIZE = 150
 
@@ -40,6 +42,12 @@
                 "zone": ZONES[index % len(ZONES)],
                 "seed": args.seed * 100_000 + index, "think": args.think,
                 "keep": 3 if index % 5 == 0 else 1})
+    # Requests on added routes tell whether a configuration is in force.
+    for entry in fleet.entries if args.restores else ():
+        specs.append({"name": f"s{args.seed}-a{len(specs)}", "kind": "added",
+                      "entry": entry, "zone": ZONES[0],
+                      "seed": args.seed * 100_000 + len(specs),
+                      "think": ADDED_THINK, "keep": 1})
     return specs
 
 
@@ -52,6 +60,7 @@
                 "callers_of": {e: fleet.callers_of(e) for e in fleet.entries},
                 "directory_of": {e: fleet.address(e, 8083)
                                  for e in fleet.entries},
+                "added": str(fleet.added),
                 "records": str(fleet.out / f"{name}.jsonl")}
         path = fleet.out / f"{name}.json"
         path.write_text(json.dumps(plan), encoding="utf-8")
@@ -69,7 +78,8 @@
         began = time.monotonic()
         player = Player(fleet, bounds)
         player.play(Schedule(args.seed, args.seconds, fleet.entries,
-                             args.servers, args.pace).scenes())
+                             args.servers, args.pace,
+                             args.restores).scenes())
         player.calm()
         time.sleep(args.calm)
         for worker in workers:
@@ -132,6 +142,8 @@
                         help="mean pause between two requests, in seconds")
     parser.add_argument("--pace", type=float, default=0.6,
                         help="scenes a second")
+    parser.add_argument("--restores", type=int, default=0,
+                        help="returns of the store from a copy")
     parser.add_argument("--calm", type=float, default=3.0)
     parser.add_argument("--net", type=int, default=150)
     parser.add_argument("--build", default=None)
--- a/scripts/soaklib/callers.py
+++ b/scripts/soaklib/callers.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
 import random
 import sys
 import time
@@ -23,6 +24,7 @@
 HEAVY = Form("heavy", "POST", "/heavy/", True, upload=100, chunked=True)
 QUICK = Form("pipelined", "GET", "/quick/", False, deadline=4.0)
 UPLOAD = Form("upload", "POST", "/put/", True, upload=30_000)
+ADDED = Form("added", "GET", "/new/", False, size=100, deadline=2.0)
 FOLLOW = [dataclasses.replace(READ, kind="follow-read"),
           dataclasses.replace(BOOK, kind="follow-book")]
 
@@ -72,6 +74,13 @@
                 UPLOAD, kind=kind, upload_chunked=kind == "upload_chunked",
                 upload=self.random.randrange(2_000, 60_000),
                 upload_time=self.random.uniform(0.2, 2.5))
+        if kind == "added":
+            known = json.loads(pathlib.Path(
+                self.worker.plan["added"]).read_text("utf-8"))
+            if known:
+                return dataclasses.replace(
+                    ADDED, prefix=self.random.choice(known))
+            kind = "read"
         if kind == "idle":
             return dataclasses.replace(
                 self.random.choice([READ, BOOK]), kind="idle")
--- a/scripts/soaklib/configuration.py
+++ b/scripts/soaklib/configuration.py
@@ -45,6 +45,10 @@
         elif what == "timeout":
             read["timeout_ms"] = 12000 - read["timeout_ms"]
 
+    def added(self):
+        """Prefixes of the routes that were added."""
+        return [r["prefix"] for r in self.routes[len(base_routes()):]]
+
     def timeouts(self):
         """Time limit of each prefix in seconds."""
         return {r["prefix"]: r["timeout_ms"] / 1000 for r in self.routes}
--- a/scripts/soaklib/fleet.py
+++ b/scripts/soaklib/fleet.py
@@ -63,11 +63,13 @@
         self.configuration = Configuration(HOST)
         self.lock = threading.Lock()
         self.settings = {"entries_ttl_ms": 2000}
+        self.added = out / "added.json"  # prefixes of added routes in force
 
     def __enter__(self):
         if self.out.exists():
             shutil.rmtree(self.out)
         (self.out / "ledger").mkdir(parents=True)
+        self.added.write_text("[]", encoding="utf-8")
         try:
             self.start()
         except BaseException:
@@ -130,6 +132,18 @@
     def set_faults(self, query):
         call("PUT", self.operators, f"/standin/faults?{query}", "")
 
+    def restore(self, age, rewrite):
+        """Lets the store return from a copy; ages in seconds."""
+        status, _ = call("PUT", self.operators, "/standin/restore"
+                         f"?age_ms={int(age * 1000)}"
+                         f"&rewrite_ms={int(rewrite * 1000)}", "")
+        return status == 200
+
+    def publish_added(self, prefixes):
+        fresh = self.added.with_suffix(".new")
+        fresh.write_text(json.dumps(prefixes), encoding="utf-8")
+        fresh.replace(self.added)
+
     # Entries.
 
     def zone_of(self, entry):
--- a/scripts/soaklib/judge.py
+++ b/scripts/soaklib/judge.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from . import (judge_operator, judge_requests, judge_servers,
+from . import (judge_kept, judge_operator, judge_requests, judge_servers,
                judge_stops)
 from .records import Finding
 
@@ -26,7 +26,7 @@
 
 
 RULES = [*judge_requests.RULES, *judge_stops.RULES, *judge_servers.RULES,
-         *judge_operator.RULES, progress]
+         *judge_operator.RULES, *judge_kept.RULES, progress]
 
 
 def judge(evidence):
--- a/scripts/soaklib/judge_servers.py
+++ b/scripts/soaklib/judge_servers.py
@@ -38,7 +38,8 @@
                     "Server-Leaving was passed on", entry, instance, call.id)
 
 
-def drain_by_store(evidence):
+def departures(evidence):
+    """When the store, in order, took each server's leave."""
     left = {}
     for line in evidence.lines:
         if line.word in ("draining", "withdrawn") and \
@@ -46,7 +47,11 @@
             since = line.at - evidence.bounds.stable_window
             if evidence.store_stable(since, line.at):
                 left.setdefault(line.instance, line.at)
-    for instance, at in left.items():
+    return left
+
+
+def drain_by_store(evidence):
+    for instance, at in departures(evidence).items():
         for arrival in evidence.arrivals_at[instance]:
             call = evidence.call_of.get(arrival.id)
             if call and arrival.at > at + evidence.bounds.drain and \
--- a/scripts/soaklib/player.py
+++ b/scripts/soaklib/player.py
@@ -9,6 +9,7 @@
 
 STORE_FAULTS = {"store_refuses": "refusing", "store_slow": "delay_ms=700",
                 "store_silent": "silent"}
+HEARTBEAT = 1.2  # servers write their records again within it, in seconds
 CHANGES = {"add_route": "add", "move_route": "move",
            "change_timeout": "timeout"}
 
@@ -155,6 +156,21 @@
         self.fleet.set_faults("none")
         self.fleet.note("store-good", "store")
 
+    def restore(self, scene):
+        """The store is away and returns from a copy. It is good once all is
+        written again."""
+        age = 6.0 + 3.0 * scene.amount
+        rewrite = 0.2 + 1.8 * (scene.amount * 13 % 1.0)
+        self.fleet.note("store-fault", scene.name, age=age)
+        self.fleet.set_faults("silent")
+        time.sleep(0.5 + 1.5 * (scene.amount * 7 % 1.0))
+        if not self.fleet.restore(age, rewrite):
+            raise RuntimeError(f"no copy of {age:.1f} s ago")
+        self.fleet.set_faults("none")
+        self.fleet.note("store-restored", "store")
+        time.sleep(rewrite + HEARTBEAT)
+        self.fleet.note("store-good", "store")
+
     def configure(self, change):
         with self.changing:
             configuration = self.fleet.configuration
@@ -163,6 +179,16 @@
             self.fleet.note("config", "", phase="sent", **fields)
             self.fleet.put("op/config", configuration.text())
             self.fleet.note("config", "", phase="done", **fields)
+            added = configuration.added()
+        if change == "add":
+            time.sleep(self.bounds.config_apply)
+            self.fleet.publish_added(added)
+
+    def change_often(self, scene):
+        """A series of which only the last change is written again."""
+        for _ in range(6 + int(6 * scene.amount)):
+            self.configure("timeout")
+            time.sleep(0.08)
 
     def evacuate(self, scene):
         zone = ZONES[scene.places[0]]
--- a/scripts/soaklib/schedule.py
+++ b/scripts/soaklib/schedule.py
@@ -23,6 +23,15 @@
 ENTRY_SPAN = 9.0
 TWO_STOPS_SPAN = 17.0
 SERVER_SPAN = 9.0
+# Restores, in seconds: the first one, from one to the next, and what happens
+# beside each.
+FIRST_RESTORE = 9.0
+RESTORE_SPAN = 16.0
+BESIDE_RESTORE = [
+    (-7.0, "evacuate"), (-6.5, "add_route"), (-5.0, "drain"),
+    (-4.2, "add_route"), (-3.9, "move_route"), (-3.6, "change_often"),
+    (0.0, "restore"),
+    (5.5, "add_route"), (5.7, "move_route")]
 
 
 @dataclasses.dataclass
@@ -37,12 +46,15 @@
 class Schedule:
     """Draws scenes so that none disturbs what another one works on."""
 
-    def __init__(self, seed, seconds, entries, servers, pace):
+    def __init__(self, seed, seconds, entries, servers, pace, restores=0):
         self.random = random.Random(seed)
         self.seconds = seconds
         self.entries = entries
         self.servers = servers
         self.pace = pace
+        self.restores = restores
+        # Restores are drawn apart: the other scenes of a seed stay the same.
+        self.apart = random.Random(f"restores of {seed}")
         self.busy = {}  # entry or place to the time until which it is busy
 
     def scenes(self):
@@ -57,7 +69,34 @@
                 [ENTRY_SCENES, SERVER_SCENES, OTHER_SCENES], [4, 3, 2])[0]
             out += self.draw_scene(at, group)
             at += self.random.expovariate(self.pace)
-        return out
+        return self.add_restores(out)
+
+    def add_restores(self, scenes):
+        """Adds restores, each beside changes before and after it. The store
+        has no other disturbance near one."""
+        for count in range(self.restores):
+            at = FIRST_RESTORE + RESTORE_SPAN * count + self.apart.random()
+            scenes = [scene for scene in scenes
+                      if not scene.name.startswith("store") or
+                      abs(scene.at - at) > RESTORE_SPAN / 2]
+            for offset, name in BESIDE_RESTORE:
+                amount = self.apart.random()
+                places = []
+                if name == "evacuate":
+                    places, amount = [self.apart.randrange(len(ZONES))], 0.95
+                elif name == "drain":
+                    places = self.place_for(scenes, at + offset)
+                    if not places:
+                        continue
+                scenes.append(Scene(at + offset, name, [], places, amount))
+        return scenes
+
+    def place_for(self, scenes, at):
+        """A place that no scene near a time uses."""
+        used = {place for scene in scenes if scene.name in SERVER_SCENES and
+                abs(scene.at - at) < SERVER_SPAN for place in scene.places}
+        open_to = [p for p in range(self.servers) if p not in used]
+        return [self.apart.choice(open_to)] if open_to else []
 
     def draw_scene(self, at, group):
         name = self.random.choices(list(group), list(group.values()))[0]
--- a/test/soak/test_schedule.py
+++ b/test/soak/test_schedule.py
@@ -10,8 +10,8 @@
 SEEDS = range(1, 51)
 
 
-def scenes(seed):
-    return Schedule(seed, 30.0, ENTRIES, 12, 0.6).scenes()
+def scenes(seed, restores=0):
+    return Schedule(seed, 30.0, ENTRIES, 12, 0.6, restores).scenes()
 
 
 def uses(seed, names):
@@ -45,6 +45,35 @@
                     gaps = [b - a for a, b in zip(times, times[1:])]
                     self.assertTrue(all(gap >= span for gap in gaps), seed)
 
+    def test_restores_leave_the_other_scenes_as_they_are(self):
+        for seed in SEEDS:
+            plain = [scene for scene in scenes(seed)
+                     if not scene.name.startswith("store")]
+            restored = scenes(seed, 2)
+            self.assertEqual(restored, scenes(seed, 2))
+            kept = [scene for scene in restored
+                    if not scene.name.startswith("store")]
+            self.assertEqual(kept[:len(plain)], plain)
+
+    def test_the_store_has_no_other_disturbance_near_a_restore(self):
+        for seed in SEEDS:
+            found = scenes(seed, 2)
+            restores = [s.at for s in found if s.name == "restore"]
+            others = [s.at for s in found if s.name.startswith("store")]
+            self.assertEqual(len(restores), 2)
+            for at in restores:
+                self.assertTrue(all(abs(at - one) > 8.0 for one in others))
+
+    def test_drains_beside_restores_use_places_that_are_free(self):
+        for seed in SEEDS:
+            places = [(s.at, s.places[0]) for s in scenes(seed, 2)
+                      if s.name in SERVER_SCENES]
+            for index, (at, place) in enumerate(places):
+                for other_at, other in places[:index]:
+                    if place == other:
+                        self.assertGreaterEqual(abs(at - other_at),
+                                                SERVER_SPAN)
+
     def test_all_scenes_are_played_by_some_seed(self):
         played = {scene.name for seed in SEEDS for scene in scenes(seed)}
         self.assertLessEqual({*ENTRY_SCENES, *SERVER_SCENES}, played)
