--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -1,6 +1,7 @@
 # Tests mirror the module tree, one file for each header.
 add_executable(skylark_test
     test/core/address.cpp test/core/histogram.cpp test/core/suggest.cpp
+    test/core/store_position.cpp
     test/config/document.cpp test/config/adoption.cpp test/config/poll_timer.cpp
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
@@ -25,7 +26,8 @@
     test/platform/kv_protocol.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
     test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
-    test/platform/leaving.cpp test/route/probe_step.cpp
+    test/platform/leaving.cpp test/platform/restored.cpp
+    test/store/restored_store.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
     test/route/room.cpp
--- a/include/skylark/config/document.hpp
+++ b/include/skylark/config/document.hpp
@@ -4,6 +4,7 @@
 #ifndef SKYLARK_CONFIG_DOCUMENT_HPP
 #define SKYLARK_CONFIG_DOCUMENT_HPP
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,9 @@
     //! Change id of the write that created this revision. A writer that lost
     //! the response finds out from it whether its write took effect.
     std::string m_change_id;
+    //! Number that the operators give this configuration, rising with each
+    //! change; 0: they give none, and the store's position alone orders it.
+    std::uint64_t m_version{};
     //! Ids of earlier changes, newest first.
     std::vector<std::string> m_recent_changes;
     std::vector<zone> m_zones;
--- a/include/skylark/discovery/instance.hpp
+++ b/include/skylark/discovery/instance.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <skylark/core/address.hpp>
+#include <skylark/core/store_position.hpp>
 #include <skylark/core/time.hpp>
 
 namespace skylark {
@@ -26,6 +27,8 @@
     bool m_leaving{};
     //! Changes when an instance restarts under its id; 0: unknown.
     std::uint64_t m_incarnation{};
+    //! Number of the report within the incarnation, rising; 0: unknown.
+    std::uint64_t m_sequence{};
     //! End of its cold start; the epoch when it is warm.
     time_point m_cold_until;
     //! Set when its record expired around an outage of the store: it must not
@@ -37,7 +40,7 @@
 
 /*! @brief One version of the list. */
 struct instance_list {
-    std::uint64_t m_index{}; //!< increases with each change
+    store_position m_index; //!< increases with each change
     std::vector<instance> m_instances;
 
     bool operator==(const instance_list&) const = default;
--- a/include/skylark/discovery/instance_log.hpp
+++ b/include/skylark/discovery/instance_log.hpp
@@ -22,8 +22,8 @@
 
 /*! @brief Difference between a list and a later one. */
 struct instance_changes {
-    std::uint64_t m_base{};  //!< index of the earlier list; 0: whole list
-    std::uint64_t m_index{}; //!< index of the later list
+    store_position m_base;  //!< index of the earlier list; 0: whole list
+    store_position m_index; //!< index of the later list
     std::vector<instance> m_present; //!< new or changed
     std::vector<instance_name> m_removed;
 
@@ -40,11 +40,11 @@
      *  @param index of the peer's list
      *  @return the changes; the whole list when the index is newer than the
      *  current list or older than the recorded changes */
-    [[nodiscard]] instance_changes since(std::uint64_t index) const;
+    [[nodiscard]] instance_changes since(const store_position& index) const;
 
 private:
     struct record {
-        std::uint64_t m_changed{};          //!< index of its last change
+        store_position m_changed;           //!< index of its last change
         std::optional<instance> m_instance; //!< none: removed
     };
 
@@ -52,9 +52,9 @@
 
     std::map<instance_name, record> m_records;
     std::size_t m_removed{}; // records without an instance
-    std::uint64_t m_index{}; // of the current list
+    store_position m_index;  // of the current list
     // Invariant: m_records holds every change after this index.
-    std::uint64_t m_complete_since{};
+    store_position m_complete_since;
 };
 
 /*! @brief Applies changes to the list that they start from.
--- a/include/skylark/member/heartbeat.hpp
+++ b/include/skylark/member/heartbeat.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <vector>
 
+#include <skylark/config/config_order.hpp>
 #include <skylark/core/address.hpp>
 #include <skylark/core/id.hpp>
 #include <skylark/core/time.hpp>
@@ -75,9 +76,10 @@
     //! The relay that it subscribed to no longer receives its heartbeats.
     bool m_missed{};
     member_state m_state{};
-    std::uint64_t m_revision{}; //!< of its configuration; 0: none adopted yet
+    store_position m_revision;  //!< of its configuration, see config_mark
     std::uint32_t m_requests{}; //!< in progress at the member
     bool m_store_lost{};        //!< see config_mark
+    std::uint64_t m_version{};  //!< see config_mark
 };
 
 /*! @brief An upstream's load report, forwarded by a peer. */
@@ -89,13 +91,16 @@
 
 /*! @brief State of an entry's configuration, compared between peers. */
 struct config_mark {
-    std::uint64_t m_revision{};  //!< 0: none adopted yet
-    std::uint64_t m_instances{}; //!< index of the instance list
+    store_position m_revision;  //!< 0: none adopted yet
+    store_position m_instances; //!< index of the instance list
     //! Time since the store confirmed this, directly or through peers.
     duration m_confirmed_age{};
     //! The store does not answer this entry, so another entry should watch the
     //! store instead.
     bool m_store_lost{};
+    std::uint64_t m_version{}; //!< see config_order
+
+    [[nodiscard]] config_order order() const { return {m_version, m_revision}; }
 };
 
 /*! @brief One heartbeat message. */
--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -105,6 +105,7 @@
     json_reader reader{from, "document"};
     document out;
     reader.read("change_id", out.m_change_id);
+    reader.read("version", out.m_version);
     reader.read_list("recent_changes", out.m_recent_changes, read_text);
     reader.read_list("zones", out.m_zones, read_zone);
     reader.read_list("services", out.m_services, read_service);
@@ -197,6 +198,7 @@
 std::string format_document(const document& subject) {
     const nlohmann::json tree{
         {"change_id", subject.m_change_id},
+        {"version", subject.m_version},
         {"recent_changes", subject.m_recent_changes},
         {"zones", internal::write_list(subject.m_zones)},
         {"services", internal::write_list(subject.m_services)},
--- a/src/config/json_reader.hpp
+++ b/src/config/json_reader.hpp
@@ -54,6 +54,15 @@
         }
     }
 
+    void read(std::string_view key, std::uint64_t& out) {
+        if (const auto* value = take(key)) {
+            if (value->is_number_unsigned())
+                out = value->get<std::uint64_t>();
+            else
+                fail(key, *value, "a whole number");
+        }
+    }
+
     void read_ms(std::string_view key, duration& out) {
         auto ms = static_cast<std::uint32_t>(to_ms(out));
         read(key, ms);
--- a/src/discovery/instance_log.cpp
+++ b/src/discovery/instance_log.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 void instance_log::update(const instance_list& list) {
-    if (m_index == 0)
+    if (!m_index.known())
         m_complete_since = list.m_index;
     std::set<instance_name> present;
     for (const instance& item : list.m_instances) {
@@ -25,7 +25,7 @@
         record& known = m_records[name_of(item)];
         if (known.m_instance == item)
             continue;
-        if (!known.m_instance && known.m_changed != 0)
+        if (!known.m_instance && known.m_changed.known())
             --m_removed;
         known = {list.m_index, item};
     }
@@ -47,17 +47,17 @@
     m_complete_since = m_index;
 }
 
-instance_changes instance_log::since(std::uint64_t index) const {
+instance_changes instance_log::since(const store_position& index) const {
     const bool complete = index >= m_complete_since && index <= m_index;
     instance_changes out;
-    out.m_base = complete ? index : 0;
+    out.m_base = complete ? index : store_position{};
     out.m_index = m_index;
     for (const auto& [name, known] : m_records) {
         if (known.m_changed <= out.m_base)
             continue;
         if (known.m_instance)
             out.m_present.push_back(*known.m_instance);
-        else if (out.m_base != 0)
+        else if (out.m_base.known())
             out.m_removed.push_back(name);
     }
     return out;
@@ -65,7 +65,7 @@
 
 std::optional<instance_list> apply(const instance_list& base,
                                    const instance_changes& changes) {
-    if (changes.m_base == 0)
+    if (!changes.m_base.known())
         return instance_list{changes.m_index, changes.m_present};
     if (changes.m_base != base.m_index)
         return std::nullopt;
--- a/src/entry/changer.cpp
+++ b/src/entry/changer.cpp
@@ -45,36 +45,37 @@
 
 void changer::try_on(const change_ptr& of, const store::stored_value& base) {
     // A store that went back in time must not make operators go back.
-    if (base.m_revision < m_shared.m_config.revision()) {
+    const std::uint64_t revision = base.m_position.m_revision;
+    if (base.m_position < m_shared.m_config.position()) {
         failed(of, "the store returned old revision " +
-                       std::to_string(base.m_revision));
+                       std::to_string(revision));
         return;
     }
     document current;
-    if (base.m_revision != 0) {
+    if (base.m_position.known()) {
         const auto read = parse_document(base.m_text);
         if (!read) {
-            of->m_done(change_rejected{read.error(), base.m_revision});
+            of->m_done(change_rejected{read.error(), revision});
             return;
         }
         current = read.value();
     }
     if (current.has_change(of->m_id)) {
-        m_configurator.offer(base.m_revision, base.m_text, "own write");
-        of->m_done(change_accepted{base.m_revision});
+        m_configurator.offer(base.m_position, base.m_text, "own write");
+        of->m_done(change_accepted{revision});
         return;
     }
-    if (of->m_if_revision != 0 && of->m_if_revision != base.m_revision) {
+    if (of->m_if_revision != 0 && of->m_if_revision != revision) {
         of->m_done(change_rejected{
             {"revision", std::to_string(of->m_if_revision),
-             std::to_string(base.m_revision) + ", which is in force, made by " +
+             std::to_string(revision) + ", which is in force, made by " +
                  current.m_change_id},
-            base.m_revision});
+            revision});
         return;
     }
     auto next = apply(current, of->m_what, m_shared.m_instances);
     if (!next) {
-        of->m_done(change_rejected{next.error(), base.m_revision});
+        of->m_done(change_rejected{next.error(), revision});
         return;
     }
     next.value().begin_change(of->m_id);
@@ -83,10 +84,10 @@
         of->m_done(change_rejected{
             {"document", std::to_string(text.size()) + " bytes",
              "at most " + std::to_string(defaults::document_bytes)},
-            base.m_revision});
+            revision});
         return;
     }
-    m_configurator.store().write(base.m_revision, std::move(text),
+    m_configurator.store().write(revision, std::move(text),
                                  [this, of](const store::write_result& result) {
                                      written_result(of, result);
                                  });
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -89,7 +89,7 @@
 }
 
 bool configurator::knows_all() const {
-    return m_shared.m_config.ready() && m_shared.m_instances.m_index > 0;
+    return m_shared.m_config.ready() && m_shared.m_instances.m_index.known();
 }
 
 duration configurator::next_check() const {
@@ -113,7 +113,11 @@
     }
     m_shared.m_metrics.count(counter::store_reads);
     const time_point asked = io::event_loop::now();
-    m_store.read(m_shared.m_config.revision(), m_store.max_read_wait(),
+    // The store's document may be older than the one in force, at a later
+    // position.
+    const store_position seen = std::max(m_shared.m_config.position(),
+                                         m_shared.m_config.reverted_position());
+    m_store.read(seen, m_store.max_read_wait(),
                  [this, asked](const store::read_result& result) {
                      take_document(result, asked);
                  });
@@ -123,34 +127,38 @@
                                  time_point asked) {
     duration wait{0};
     std::visit(
-        overloaded{
-            [&](const store::stored_value& value) {
-                const bool usable =
-                    value.m_revision >= m_shared.m_config.revision();
-                const bool absent = value.m_revision == 0;
-                if (!absent)
-                    offer(value.m_revision, value.m_text, "store");
-                m_shared.m_config.confirmed(value.m_revision,
+        overloaded{[&](const store::stored_value& value) {
+                       config_adoption& config = m_shared.m_config;
+                       const store_position& at = value.m_position;
+                       const bool usable = at >= config.position();
+                       const bool absent = !at.known();
+                       if (!absent)
+                           offer(at, value.m_text, "store");
+                       const bool is_older = at == config.reverted_position();
+                       if (!is_older || absent)
+                           config.confirmed({config.order().m_version, at},
                                             m_store.confirmed_at(asked));
-                if (!usable || (absent && !m_store.authoritative_instances()) ||
-                    value.m_revision == m_shared.m_config.refused_revision())
-                    wait = retry_wait;
-            },
-            [&](const store::store_failure&) {
-                m_shared.m_metrics.count(counter::store_failures);
-                wait = retry_wait;
-            }},
+                       if (!usable ||
+                           (absent && !m_store.authoritative_instances()) ||
+                           at == config.refused_position())
+                           wait = retry_wait;
+                   },
+                   [&](const store::store_failure&) {
+                       m_shared.m_metrics.count(counter::store_failures);
+                       wait = retry_wait;
+                   }},
         result);
     note_store();
     m_shared.m_loop.after(wait, [this] { watch_document(); });
 }
 
-void configurator::offer(std::uint64_t revision, const std::string& text,
-                         std::string_view source) {
+void configurator::offer(const store_position& position,
+                         const std::string& text, std::string_view source) {
+    note_era(position.m_era);
     const document before = m_shared.m_config.current();
     const auto note = [&](const std::string& detail) {
         m_shared.m_journal.note(event_kind::configuration,
-                                "revision " + std::to_string(revision),
+                                "revision " + text_of(position),
                                 detail + " from " + std::string{source});
     };
     std::visit(
@@ -166,10 +174,19 @@
                            note("ignored, older than what is in force,");
                    },
                    [&](const refused& why) {
-                       if (std::exchange(m_noted_revert, revision) != revision)
+                       if (std::exchange(m_noted_revert, position) != position)
                            note("refused: " + why.m_error.text());
                    }},
-        m_shared.m_config.offer(revision, text));
+        m_shared.m_config.offer(position, text));
+}
+
+void configurator::note_era(std::uint64_t era) {
+    const std::uint64_t before = m_noted_era.value_or(era);
+    m_noted_era = std::max(before, era);
+    if (era > before)
+        m_shared.m_journal.note(event_kind::configuration, "store",
+                                "restored from a copy, era " +
+                                    std::to_string(era));
 }
 
 void configurator::note_zones(const document& before) {
@@ -217,11 +234,12 @@
         if (!doubted)
             m_shared.m_journal.note(
                 event_kind::configuration,
-                "instance list " + std::to_string(list.m_index),
+                "instance list " + text_of(list.m_index),
                 "held back: it drops most upstreams at once");
         return;
     }
-    const std::uint64_t before = m_shared.m_instances.m_index;
+    const store_position before = m_shared.m_instances.m_index;
+    note_era(list.m_index.m_era);
     drop_resurrected(list, m_shared.m_instances);
     m_shared.m_instances = std::move(list);
     m_log.update(m_shared.m_instances);
@@ -232,13 +250,13 @@
 // One line for each upstream whose use changes; the first list is counted.
 void configurator::note_instances(const instance_changes& changes,
                                   std::string_view source) {
-    const std::string grounds = " in list " + std::to_string(changes.m_index) +
-                                " from " + std::string{source};
+    const std::string grounds =
+        " in list " + text_of(changes.m_index) + " from " + std::string{source};
     const auto note = [&](const std::string& subject, std::string_view what) {
         m_shared.m_journal.note(event_kind::upstream, subject,
                                 std::string{what} + grounds);
     };
-    if (changes.m_base == 0) {
+    if (!changes.m_base.known()) {
         note(std::to_string(changes.m_present.size()) + " instances", "listed");
         return;
     }
@@ -253,8 +271,10 @@
 config_mark configurator::mark() const {
     constexpr duration unknown = std::chrono::hours{24};
     const time_point now = io::event_loop::now();
-    return {m_shared.m_config.revision(), m_shared.m_instances.m_index,
-            std::min(m_shared.m_config.age(now), unknown), m_store.lost(now)};
+    const config_order& order = m_shared.m_config.order();
+    return {order.m_position, m_shared.m_instances.m_index,
+            std::min(m_shared.m_config.age(now), unknown), m_store.lost(now),
+            order.m_version};
 }
 
 } // namespace skylark::entry
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -4,6 +4,7 @@
 #define SKYLARK_ENTRY_CONFIGURATOR_HPP
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <skylark/config/watch_schedule.hpp>
@@ -32,12 +33,13 @@
 
     /*! @brief What a peer lacks of the instance list.
      *  @param index of the list that it has */
-    [[nodiscard]] instance_changes changes_since(std::uint64_t index) const {
+    [[nodiscard]] instance_changes
+    changes_since(const store_position& index) const {
         return m_log.since(index);
     }
 
     /*! @brief Offers a document that was read or written elsewhere. */
-    void offer(std::uint64_t revision, const std::string& text,
+    void offer(const store_position& position, const std::string& text,
                std::string_view source);
 
     store::client& store() { return m_store; }
@@ -59,6 +61,7 @@
     void fetch_instances(const member& from);
     void take_changes(std::string_view body);
     void note_zones(const document& before);
+    void note_era(std::uint64_t era);
 
     context& m_shared;
     std::function<void()> m_changed;
@@ -72,7 +75,8 @@
     bool m_peer_knows{}; // one with document and list was heard
     bool m_fetching_document{};
     bool m_fetching_instances{};
-    std::uint64_t m_noted_revert{}; // store revision that was told last
+    store_position m_noted_revert; // that was told last
+    std::optional<std::uint64_t> m_noted_era;
 };
 
 } // namespace skylark::entry
--- a/src/entry/configurator_peers.cpp
+++ b/src/entry/configurator_peers.cpp
@@ -7,12 +7,12 @@
 
 void configurator::peer_mark(const member& peer) {
     const config_mark& theirs = peer.m_config;
-    m_peer_knows |= theirs.m_revision > 0 && theirs.m_instances > 0;
-    m_shared.m_config.confirmed(theirs.m_revision,
+    m_peer_knows |= theirs.m_revision.known() && theirs.m_instances.known();
+    m_shared.m_config.confirmed(theirs.order(),
                                 io::event_loop::now() - theirs.m_confirmed_age);
     const bool refused_before =
-        theirs.m_revision <= m_shared.m_config.refused_revision();
-    if (theirs.m_revision > m_shared.m_config.revision() && !refused_before)
+        theirs.m_revision <= m_shared.m_config.refused_position();
+    if (theirs.order() > m_shared.m_config.order() && !refused_before)
         fetch_document(peer);
     if (theirs.m_instances > m_shared.m_instances.m_index)
         fetch_instances(peer);
@@ -20,9 +20,9 @@
 
 namespace {
 
-std::uint64_t revision_of(const io::fetch_answer& answer) {
-    return parse_number<std::uint64_t>(answer.header_value("Config-Revision"))
-        .value_or(0);
+store_position position_of(const io::fetch_answer& answer) {
+    return parse_position(answer.header_value("Config-Revision"))
+        .value_or(store_position{});
 }
 
 } // namespace
@@ -36,8 +36,8 @@
     m_peers.run(request, [this](const io::fetch_result& result) {
         m_fetching_document = false;
         const auto* answer = std::get_if<io::fetch_answer>(&result);
-        if (answer && revision_of(*answer) > 0)
-            offer(revision_of(*answer), answer->m_body, "peer");
+        if (answer && position_of(*answer).known())
+            offer(position_of(*answer), answer->m_body, "peer");
     });
 }
 
@@ -47,7 +47,7 @@
     io::fetch_request request;
     request.m_to = from.m_record.m_contact.m_control;
     request.m_path =
-        "/peer/instances?after=" + std::to_string(m_shared.m_instances.m_index);
+        "/peer/instances?after=" + text_of(m_shared.m_instances.m_index);
     m_peers.run(request, [this](const io::fetch_result& result) {
         m_fetching_instances = false;
         const auto* answer = std::get_if<io::fetch_answer>(&result);
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -23,10 +23,10 @@
     return text.empty() ? 0 : parse_number<std::uint64_t>(text);
 }
 
-// As above, of what follows a sign in a path.
-std::optional<std::uint64_t> number_after(char sign, std::string_view path) {
+// The position that follows a sign in a path.
+std::optional<store_position> position_after(char sign, std::string_view path) {
     const auto at = path.find(sign);
-    return number_or_zero(at == std::string_view::npos ? ""
+    return parse_position(at == std::string_view::npos ? ""
                                                        : path.substr(at + 1));
 }
 
@@ -81,11 +81,11 @@
     m_server.answer(key, status, headers, body);
 }
 
-void control::json(exchange_id key, std::uint64_t revision,
-                   std::string_view body) {
+void control::json(exchange_id key, std::string_view body) {
     const std::array headers{
         io::header{"Content-Type", "application/json"},
-        io::header{"Config-Revision", std::to_string(revision)}};
+        io::header{"Config-Revision",
+                   text_of(m_shared.m_config.position())}};
     m_server.answer(key, io::status::ok, headers, body);
 }
 
@@ -98,12 +98,12 @@
 }
 
 void control::answer_config(exchange_id key) {
-    json(key, m_shared.m_config.revision(), m_shared.m_config.text());
+    json(key, m_shared.m_config.text());
 }
 
 // A peer names the index of the list that it has: /peer/instances?after=7.
 void control::answer_instances(exchange_id key, std::string_view path) {
-    const auto after = number_after('=', path);
+    const auto after = position_after('=', path);
     if (!after) {
         answer_error(key, io::status::bad_request, no_number("after", path));
         return;
@@ -157,11 +157,11 @@
     const duration age = m_shared.m_config.age(io::event_loop::now());
     const nlohmann::json out{
         {"entry", m_shared.m_settings.m_name},
-        {"revision", m_shared.m_config.revision()},
+        {"revision", m_shared.m_config.position().m_revision},
         {"confirmed_ms_ago", age == duration::max() ? -1 : to_ms(age)},
         {"columns", subject.m_columns},
         {"rows", subject.m_rows}};
-    json(key, m_shared.m_config.revision(), out.dump());
+    json(key, out.dump());
 }
 
 void control::answer_error(exchange_id key, int status,
@@ -171,7 +171,7 @@
                                {"value", why.m_value},
                                {"expected", why.m_expected}}},
                              {"entry", m_shared.m_settings.m_name},
-                             {"in_force", m_shared.m_config.revision()}};
+                             {"in_force", m_shared.m_config.position().m_revision}};
     text(key, status, out.dump());
 }
 
@@ -180,14 +180,14 @@
                              const std::string& cause) {
         const nlohmann::json out{{"change", how},
                                  {"cause", cause},
-                                 {"in_force", m_shared.m_config.revision()}};
+                                 {"in_force", m_shared.m_config.position().m_revision}};
         text(key, status, out.dump());
     };
     std::visit(
         overloaded{
             [&](const change_accepted& accepted) {
                 const nlohmann::json out{{"accepted", accepted.m_revision}};
-                json(key, accepted.m_revision, out.dump());
+                json(key, out.dump());
             },
             [&](const change_rejected& rejected) {
                 answer_error(key, io::status::conflict, rejected.m_error);
@@ -204,7 +204,7 @@
 
 // Which members are known to have adopted a revision, by their heartbeats.
 void control::answer_in_force(exchange_id key, std::string_view path) {
-    const auto wanted = number_after('=', path);
+    const auto wanted = position_after('=', path);
     if (!wanted) {
         answer_error(key, io::status::bad_request, no_number("revision", path));
         return;
@@ -212,7 +212,7 @@
     const time_point now = io::event_loop::now();
     auto behind = nlohmann::json::array();
     std::size_t members = 1;
-    std::size_t count = m_shared.m_config.revision() >= *wanted ? 1 : 0;
+    std::size_t count = m_shared.m_config.position() >= *wanted ? 1 : 0;
     for (const auto& [id, peer] : m_shared.m_fleet.peers()) {
         ++members;
         if (peer.m_config.m_revision >= *wanted)
@@ -220,14 +220,14 @@
         else
             behind.push_back(
                 {{"entry", peer.m_record.m_contact.m_control.text()},
-                 {"revision", peer.m_config.m_revision},
+                 {"revision", peer.m_config.m_revision.m_revision},
                  {"heard_ms_ago", to_ms(now - peer.m_last_heard)}});
     }
-    const nlohmann::json out{{"revision", *wanted},
+    const nlohmann::json out{{"revision", wanted->m_revision},
                              {"in_force", count},
                              {"members", members},
                              {"behind", behind}};
-    json(key, m_shared.m_config.revision(), out.dump());
+    json(key, out.dump());
 }
 
 void control::answer_events(exchange_id key) {
@@ -243,7 +243,7 @@
                                  {"kind", name_of(item.m_kind)},
                                  {"subject", item.m_subject},
                                  {"detail", item.m_detail}});
-    json(key, m_shared.m_config.revision(), out.dump());
+    json(key, out.dump());
 }
 
 } // namespace skylark::entry
--- a/src/entry/control.hpp
+++ b/src/entry/control.hpp
@@ -40,7 +40,7 @@
     void answer_change(exchange_id key, const change_result& result);
     void answer_in_force(exchange_id key, std::string_view path);
     void text(exchange_id key, int status, std::string_view body);
-    void json(exchange_id key, std::uint64_t revision, std::string_view body);
+    void json(exchange_id key, std::string_view body);
 
     context& m_shared;
     const configurator& m_config;
--- a/src/entry/entry_list.cpp
+++ b/src/entry/entry_list.cpp
@@ -66,7 +66,7 @@
         add(out, shared, members.self_record(), members.requests());
     const time_point now = io::event_loop::now();
     for (const auto& [id, peer] : members.peers())
-        if (can_serve(shared, peer.m_state) && peer.m_config.m_revision > 0 &&
+        if (can_serve(shared, peer.m_state) && peer.m_config.m_revision.known() &&
             members.live(peer, now))
             add(out, shared, peer.m_record, peer.m_requests);
     return out;
--- a/src/entry/forwarder_log.cpp
+++ b/src/entry/forwarder_log.cpp
@@ -65,8 +65,8 @@
         .add("connection", current.m_reused ? "reused" : "new")
         .add("asked", current.m_probe_count)
         .add("unanswered", current.m_pending_probe_count)
-        .add("config", m_shared.m_config.revision())
-        .add("instances", m_shared.m_instances.m_index)
+        .add("config", text_of(m_shared.m_config.position()))
+        .add("instances", text_of(m_shared.m_instances.m_index))
         .add_ms("waited_ms", now - req.m_arrived)
         .add_ms("left_ms", req.m_machine.terms().m_deadline - now)
         .add_ms("target_left_ms", req.m_target_time - now)
@@ -106,8 +106,8 @@
         .add_ms("target_left_ms", why.m_target_left)
         .add("room", percent(why.m_room_share))
         .add_ms("retry_after_ms", retry_after)
-        .add("config", m_shared.m_config.revision())
-        .add("instances", m_shared.m_instances.m_index);
+        .add("config", text_of(m_shared.m_config.position()))
+        .add("instances", text_of(m_shared.m_instances.m_index));
     m_shared.m_journal.decided(line, io::event_loop::now());
 }
 
@@ -118,8 +118,8 @@
     line.add("id", id).add("status", status).add("reason", reason);
     if (retry_after)
         line.add_ms("retry_after_ms", *retry_after);
-    line.add("config", m_shared.m_config.revision())
-        .add("instances", m_shared.m_instances.m_index);
+    line.add("config", text_of(m_shared.m_config.position()))
+        .add("instances", text_of(m_shared.m_instances.m_index));
     m_shared.m_journal.decided(line, io::event_loop::now(),
                                status == io::status::not_found
                                    ? line_kind::unmatched
--- a/src/entry/inspector.cpp
+++ b/src/entry/inspector.cpp
@@ -138,15 +138,15 @@
               {}};
     const fleet& members = m_shared.m_fleet;
     const auto add = [&](const member_record& of, member_state state,
-                         std::uint32_t requests, std::uint64_t revision,
+                         std::uint32_t requests, const store_position& position,
                          duration heard) {
         out.m_rows.push_back({text(of.m_name.m_id.value()),
                               of.m_contact.m_control.text(),
                               std::string{name_of(state)}, text(requests),
-                              text(revision), age_text(heard)});
+                              text_of(position), age_text(heard)});
     };
     add(members.self_record(), members.state(), members.requests(),
-        m_shared.m_config.revision(), duration{0});
+        m_shared.m_config.position(), duration{0});
     const time_point now = io::event_loop::now();
     for (const auto& [id, peer] : members.peers())
         add(peer.m_record, peer.m_state, peer.m_requests,
@@ -195,9 +195,9 @@
 table inspector::config() {
     const config_adoption& of = m_shared.m_config;
     return {{"revision", "change", "confirmed_ms", "refused_revision"},
-            {{text(of.revision()), of.current().m_change_id,
+            {{text_of(of.position()), of.current().m_change_id,
               age_text(of.age(io::event_loop::now())),
-              text(of.refused_revision())}}};
+              text_of(of.refused_position())}}};
 }
 
 table inspector::events() {
--- a/src/entry/lookup.cpp
+++ b/src/entry/lookup.cpp
@@ -22,7 +22,7 @@
         return "neither store nor majority";
     if (native && shared.m_fleet.state() != member_state::active)
         return "joining";
-    if (!native && shared.m_instances.m_index == 0)
+    if (!native && !shared.m_instances.m_index.known())
         return "no instance list yet";
     return {};
 }
--- a/src/member/roster.cpp
+++ b/src/member/roster.cpp
@@ -123,6 +123,7 @@
     peer.m_state = report.m_state;
     peer.m_requests = report.m_requests;
     peer.m_config.m_revision = report.m_revision;
+    peer.m_config.m_version = report.m_version;
     peer.m_config.m_store_lost = report.m_store_lost;
 }
 
@@ -133,7 +134,7 @@
     apply_report(message.m_sender,
                  {name, duration{0}, false, message.m_state,
                   message.m_config.m_revision, message.m_requests,
-                  message.m_config.m_store_lost},
+                  message.m_config.m_store_lost, message.m_config.m_version},
                  now);
     const auto sender = m_peers.find(name.m_id);
     if (sender->second.m_record.m_name != name)
--- a/src/member/roster_round.cpp
+++ b/src/member/roster_round.cpp
@@ -111,7 +111,8 @@
             peer.m_state,
             peer.m_config.m_revision,
             peer.m_requests,
-            peer.m_config.m_store_lost};
+            peer.m_config.m_store_lost,
+            peer.m_config.m_version};
 }
 
 // A member that subscribes to one that is not its relay has usually just
@@ -177,8 +178,8 @@
 std::optional<outgoing_heartbeat>
 roster::config_announcement(const heartbeat& from,
                             const config_mark& mark) const {
-    const bool has_none = from.m_config.m_revision == 0;
-    if (!has_none || mark.m_revision == 0 ||
+    const bool has_none = !from.m_config.m_revision.known();
+    if (!has_none || !mark.m_revision.known() ||
         from.m_sender.m_name.m_id == m_self.m_name.m_id)
         return std::nullopt;
     // The message has no reports, so the time is not used.
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -109,7 +109,9 @@
     out.missed = from.m_missed;
     out.store_lost = from.m_store_lost;
     out.state = static_cast<std::int32_t>(from.m_state);
-    out.revision = to_wire(from.m_revision);
+    out.revision = to_wire(from.m_revision.m_revision);
+    out.era = to_wire(from.m_revision.m_era);
+    out.version = to_wire(from.m_version);
     out.requests = static_cast<std::int32_t>(from.m_requests);
     return out;
 }
@@ -121,7 +123,8 @@
     out.m_missed = from.missed;
     out.m_store_lost = from.store_lost;
     out.m_state = member_state_from_wire(from.state);
-    out.m_revision = from_wire(from.revision);
+    out.m_revision = {from_wire(from.revision), from_wire(from.era)};
+    out.m_version = from_wire(from.version);
     out.m_requests = static_cast<std::uint32_t>(from.requests);
     return out;
 }
@@ -144,8 +147,11 @@
     out.acknowledged_incarnation = to_wire(from.m_acknowledged_incarnation);
     out.view_hash = to_wire(from.m_view_hash);
     out.settled_hash = to_wire(from.m_settled_hash);
-    out.config_revision = to_wire(from.m_config.m_revision);
-    out.instances_index = to_wire(from.m_config.m_instances);
+    out.config_revision = to_wire(from.m_config.m_revision.m_revision);
+    out.config_era = to_wire(from.m_config.m_revision.m_era);
+    out.config_version = to_wire(from.m_config.m_version);
+    out.instances_index = to_wire(from.m_config.m_instances.m_revision);
+    out.instances_era = to_wire(from.m_config.m_instances.m_era);
     out.confirmed_age_us = from.m_config.m_confirmed_age.count();
     out.store_lost = from.m_config.m_store_lost;
     out.requests = static_cast<std::int32_t>(from.m_requests);
@@ -171,8 +177,11 @@
     out.m_acknowledged_incarnation = from_wire(from.acknowledged_incarnation);
     out.m_view_hash = from_wire(from.view_hash);
     out.m_settled_hash = from_wire(from.settled_hash);
-    out.m_config.m_revision = from_wire(from.config_revision);
-    out.m_config.m_instances = from_wire(from.instances_index);
+    out.m_config.m_revision = {from_wire(from.config_revision),
+                               from_wire(from.config_era)};
+    out.m_config.m_version = from_wire(from.config_version);
+    out.m_config.m_instances = {from_wire(from.instances_index),
+                                from_wire(from.instances_era)};
     out.m_config.m_confirmed_age = duration{from.confirmed_age_us};
     out.m_config.m_store_lost = from.store_lost;
     out.m_requests = static_cast<std::uint32_t>(from.requests);
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -757,6 +757,14 @@
 void member_report::__set_store_lost(const bool val) {
   this->store_lost = val;
 }
+
+void member_report::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void member_report::__set_version(const int64_t val) {
+  this->version = val;
+}
 std::ostream& operator<<(std::ostream& out, const member_report& obj)
 {
   obj.printTo(out);
@@ -849,6 +857,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -898,6 +922,14 @@
   xfer += oprot->writeBool(this->store_lost);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -913,6 +945,8 @@
   swap(a.requests, b.requests);
   swap(a.missed, b.missed);
   swap(a.store_lost, b.store_lost);
+  swap(a.era, b.era);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -925,6 +959,8 @@
   requests = other8.requests;
   missed = other8.missed;
   store_lost = other8.store_lost;
+  era = other8.era;
+  version = other8.version;
   __isset = other8.__isset;
 }
 member_report& member_report::operator=(const member_report& other9) noexcept {
@@ -936,6 +972,8 @@
   requests = other9.requests;
   missed = other9.missed;
   store_lost = other9.store_lost;
+  era = other9.era;
+  version = other9.version;
   __isset = other9.__isset;
   return *this;
 }
@@ -950,6 +988,8 @@
   out << ", " << "requests=" << to_string(requests);
   out << ", " << "missed=" << to_string(missed);
   out << ", " << "store_lost=" << to_string(store_lost);
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
@@ -998,6 +1038,10 @@
   this->gone_in_us = val;
 __isset.gone_in_us = true;
 }
+
+void instance::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const instance& obj)
 {
   obj.printTo(out);
@@ -1106,6 +1150,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1164,6 +1216,10 @@
     xfer += oprot->writeI64(this->gone_in_us);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1181,6 +1237,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.cold_us, b.cold_us);
   swap(a.gone_in_us, b.gone_in_us);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
@@ -1195,6 +1252,7 @@
   incarnation = other10.incarnation;
   cold_us = other10.cold_us;
   gone_in_us = other10.gone_in_us;
+  sequence = other10.sequence;
   __isset = other10.__isset;
 }
 instance& instance::operator=(const instance& other11) {
@@ -1208,6 +1266,7 @@
   incarnation = other11.incarnation;
   cold_us = other11.cold_us;
   gone_in_us = other11.gone_in_us;
+  sequence = other11.sequence;
   __isset = other11.__isset;
   return *this;
 }
@@ -1224,6 +1283,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "cold_us=" << to_string(cold_us);
   out << ", " << "gone_in_us="; (__isset.gone_in_us ? (out << to_string(gone_in_us)) : (out << "<null>"));
+  out << ", " << "sequence=" << to_string(sequence);
   out << ")";
 }
 
@@ -1359,6 +1419,14 @@
 void instance_changes::__set_removed(const std::vector<instance_name> & val) {
   this->removed = val;
 }
+
+void instance_changes::__set_base_era(const int64_t val) {
+  this->base_era = val;
+}
+
+void instance_changes::__set_index_era(const int64_t val) {
+  this->index_era = val;
+}
 std::ostream& operator<<(std::ostream& out, const instance_changes& obj)
 {
   obj.printTo(out);
@@ -1443,6 +1511,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_era);
+          this->__isset.base_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index_era);
+          this->__isset.index_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1492,6 +1576,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("base_era", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->base_era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index_era", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->index_era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1503,6 +1595,8 @@
   swap(a.index, b.index);
   swap(a.present, b.present);
   swap(a.removed, b.removed);
+  swap(a.base_era, b.base_era);
+  swap(a.index_era, b.index_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -1511,6 +1605,8 @@
   index = other26.index;
   present = other26.present;
   removed = other26.removed;
+  base_era = other26.base_era;
+  index_era = other26.index_era;
   __isset = other26.__isset;
 }
 instance_changes& instance_changes::operator=(const instance_changes& other27) {
@@ -1518,6 +1614,8 @@
   index = other27.index;
   present = other27.present;
   removed = other27.removed;
+  base_era = other27.base_era;
+  index_era = other27.index_era;
   __isset = other27.__isset;
   return *this;
 }
@@ -1528,6 +1626,8 @@
   out << ", " << "index=" << to_string(index);
   out << ", " << "present=" << to_string(present);
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "base_era=" << to_string(base_era);
+  out << ", " << "index_era=" << to_string(index_era);
   out << ")";
 }
 
@@ -1607,6 +1707,18 @@
 void heartbeat::__set_store_lost(const bool val) {
   this->store_lost = val;
 }
+
+void heartbeat::__set_config_era(const int64_t val) {
+  this->config_era = val;
+}
+
+void heartbeat::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+
+void heartbeat::__set_instances_era(const int64_t val) {
+  this->instances_era = val;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -1827,6 +1939,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_era);
+          this->__isset.config_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instances_era);
+          this->__isset.instances_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1948,6 +2084,18 @@
   xfer += oprot->writeBool(this->store_lost);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("config_era", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->config_era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instances_era", ::apache::thrift::protocol::T_I64, 21);
+  xfer += oprot->writeI64(this->instances_era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1973,6 +2121,9 @@
   swap(a.wants, b.wants);
   swap(a.reports, b.reports);
   swap(a.store_lost, b.store_lost);
+  swap(a.config_era, b.config_era);
+  swap(a.config_version, b.config_version);
+  swap(a.instances_era, b.instances_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -1995,6 +2146,9 @@
   wants = other52.wants;
   reports = other52.reports;
   store_lost = other52.store_lost;
+  config_era = other52.config_era;
+  config_version = other52.config_version;
+  instances_era = other52.instances_era;
   __isset = other52.__isset;
 }
 heartbeat& heartbeat::operator=(const heartbeat& other53) {
@@ -2016,6 +2170,9 @@
   wants = other53.wants;
   reports = other53.reports;
   store_lost = other53.store_lost;
+  config_era = other53.config_era;
+  config_version = other53.config_version;
+  instances_era = other53.instances_era;
   __isset = other53.__isset;
   return *this;
 }
@@ -2040,6 +2197,9 @@
   out << ", " << "wants=" << to_string(wants);
   out << ", " << "reports=" << to_string(reports);
   out << ", " << "store_lost=" << to_string(store_lost);
+  out << ", " << "config_era=" << to_string(config_era);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "instances_era=" << to_string(instances_era);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -330,7 +330,7 @@
 std::ostream& operator<<(std::ostream& out, const load_digest& obj);
 
 typedef struct _member_report__isset {
-  _member_report__isset() : id(false), incarnation(false), age_us(false), state(false), revision(false), requests(false), missed(false), store_lost(false) {}
+  _member_report__isset() : id(false), incarnation(false), age_us(false), state(false), revision(false), requests(false), missed(false), store_lost(false), era(false), version(false) {}
   bool id :1;
   bool incarnation :1;
   bool age_us :1;
@@ -339,6 +339,8 @@
   bool requests :1;
   bool missed :1;
   bool store_lost :1;
+  bool era :1;
+  bool version :1;
 } _member_report__isset;
 
 class member_report : public virtual ::apache::thrift::TBase {
@@ -354,7 +356,9 @@
                   revision(0),
                   requests(0),
                   missed(0),
-                  store_lost(0) {
+                  store_lost(0),
+                  era(0),
+                  version(0) {
   }
 
   virtual ~member_report() noexcept;
@@ -366,6 +370,8 @@
   int32_t requests;
   bool missed;
   bool store_lost;
+  int64_t era;
+  int64_t version;
 
   _member_report__isset __isset;
 
@@ -385,6 +391,10 @@
 
   void __set_store_lost(const bool val);
 
+  void __set_era(const int64_t val);
+
+  void __set_version(const int64_t val);
+
   bool operator == (const member_report & rhs) const
   {
     if (!(id == rhs.id))
@@ -403,6 +413,10 @@
       return false;
     if (!(store_lost == rhs.store_lost))
       return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const member_report &rhs) const {
@@ -422,7 +436,7 @@
 std::ostream& operator<<(std::ostream& out, const member_report& obj);
 
 typedef struct _instance__isset {
-  _instance__isset() : id(false), role(false), ip(false), port(false), serves(false), zone(false), leaving(false), incarnation(false), cold_us(false), gone_in_us(false) {}
+  _instance__isset() : id(false), role(false), ip(false), port(false), serves(false), zone(false), leaving(false), incarnation(false), cold_us(false), gone_in_us(false), sequence(false) {}
   bool id :1;
   bool role :1;
   bool ip :1;
@@ -433,6 +447,7 @@
   bool incarnation :1;
   bool cold_us :1;
   bool gone_in_us :1;
+  bool sequence :1;
 } _instance__isset;
 
 class instance : public virtual ::apache::thrift::TBase {
@@ -450,7 +465,8 @@
              leaving(0),
              incarnation(0),
              cold_us(0),
-             gone_in_us(0) {
+             gone_in_us(0),
+             sequence(0) {
   }
 
   virtual ~instance() noexcept;
@@ -464,6 +480,7 @@
   int64_t incarnation;
   int64_t cold_us;
   int64_t gone_in_us;
+  int64_t sequence;
 
   _instance__isset __isset;
 
@@ -487,6 +504,8 @@
 
   void __set_gone_in_us(const int64_t val);
 
+  void __set_sequence(const int64_t val);
+
   bool operator == (const instance & rhs) const
   {
     if (!(id == rhs.id))
@@ -511,6 +530,8 @@
       return false;
     else if (__isset.gone_in_us && !(gone_in_us == rhs.gone_in_us))
       return false;
+    if (!(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const instance &rhs) const {
@@ -580,11 +601,13 @@
 std::ostream& operator<<(std::ostream& out, const instance_name& obj);
 
 typedef struct _instance_changes__isset {
-  _instance_changes__isset() : base(false), index(false), present(false), removed(false) {}
+  _instance_changes__isset() : base(false), index(false), present(false), removed(false), base_era(false), index_era(false) {}
   bool base :1;
   bool index :1;
   bool present :1;
   bool removed :1;
+  bool base_era :1;
+  bool index_era :1;
 } _instance_changes__isset;
 
 class instance_changes : public virtual ::apache::thrift::TBase {
@@ -594,7 +617,9 @@
   instance_changes& operator=(const instance_changes&);
   instance_changes() noexcept
                    : base(0),
-                     index(0) {
+                     index(0),
+                     base_era(0),
+                     index_era(0) {
   }
 
   virtual ~instance_changes() noexcept;
@@ -602,6 +627,8 @@
   int64_t index;
   std::vector<instance>  present;
   std::vector<instance_name>  removed;
+  int64_t base_era;
+  int64_t index_era;
 
   _instance_changes__isset __isset;
 
@@ -613,6 +640,10 @@
 
   void __set_removed(const std::vector<instance_name> & val);
 
+  void __set_base_era(const int64_t val);
+
+  void __set_index_era(const int64_t val);
+
   bool operator == (const instance_changes & rhs) const
   {
     if (!(base == rhs.base))
@@ -623,6 +654,10 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (!(base_era == rhs.base_era))
+      return false;
+    if (!(index_era == rhs.index_era))
+      return false;
     return true;
   }
   bool operator != (const instance_changes &rhs) const {
@@ -642,7 +677,7 @@
 std::ostream& operator<<(std::ostream& out, const instance_changes& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : sender(false), state(false), sequence(false), acknowledged(false), acknowledged_incarnation(false), view_hash(false), settled_hash(false), config_revision(false), instances_index(false), confirmed_age_us(false), requests(false), silent(false), members(false), loads(false), clock(false), wants(false), reports(false), store_lost(false) {}
+  _heartbeat__isset() : sender(false), state(false), sequence(false), acknowledged(false), acknowledged_incarnation(false), view_hash(false), settled_hash(false), config_revision(false), instances_index(false), confirmed_age_us(false), requests(false), silent(false), members(false), loads(false), clock(false), wants(false), reports(false), store_lost(false), config_era(false), config_version(false), instances_era(false) {}
   bool sender :1;
   bool state :1;
   bool sequence :1;
@@ -661,6 +696,9 @@
   bool wants :1;
   bool reports :1;
   bool store_lost :1;
+  bool config_era :1;
+  bool config_version :1;
+  bool instances_era :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -681,7 +719,10 @@
               requests(0),
               clock(0),
               wants(0),
-              store_lost(0) {
+              store_lost(0),
+              config_era(0),
+              config_version(0),
+              instances_era(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -703,6 +744,9 @@
   int32_t wants;
   std::vector<member_report>  reports;
   bool store_lost;
+  int64_t config_era;
+  int64_t config_version;
+  int64_t instances_era;
 
   _heartbeat__isset __isset;
 
@@ -742,6 +786,12 @@
 
   void __set_store_lost(const bool val);
 
+  void __set_config_era(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
+  void __set_instances_era(const int64_t val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -780,6 +830,12 @@
       return false;
     if (!(store_lost == rhs.store_lost))
       return false;
+    if (!(config_era == rhs.config_era))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    if (!(instances_era == rhs.instances_era))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
--- a/src/peer/instance_codec.cpp
+++ b/src/peer/instance_codec.cpp
@@ -31,6 +31,7 @@
     out.zone = from.m_zone;
     out.leaving = from.m_leaving;
     out.incarnation = to_wire(from.m_incarnation);
+    out.sequence = to_wire(from.m_sequence);
     out.cold_us = std::max(duration{0}, from.m_cold_until - now).count();
     if (from.m_gone_from)
         out.__set_gone_in_us((*from.m_gone_from - now).count());
@@ -46,6 +47,7 @@
     out.m_zone = from.zone;
     out.m_leaving = from.leaving;
     out.m_incarnation = from_wire(from.incarnation);
+    out.m_sequence = from_wire(from.sequence);
     if (from.cold_us > 0)
         out.m_cold_until = now + duration{from.cold_us};
     if (from.__isset.gone_in_us)
@@ -58,8 +60,10 @@
 std::vector<std::uint8_t> encode(const instance_changes& changes,
                                  time_point now) {
     wire::instance_changes out;
-    out.base = to_wire(changes.m_base);
-    out.index = to_wire(changes.m_index);
+    out.base = to_wire(changes.m_base.m_revision);
+    out.base_era = to_wire(changes.m_base.m_era);
+    out.index = to_wire(changes.m_index.m_revision);
+    out.index_era = to_wire(changes.m_index.m_era);
     for (const instance& item : changes.m_present)
         out.present.push_back(to_wire(item, now));
     for (const auto& [role, id] : changes.m_removed) {
@@ -75,9 +79,9 @@
     BOOST_OUTCOME_TRY(
         from, deserialize<wire::instance_changes>(bytes, "instance list"));
     instance_changes out;
-    out.m_base = from_wire(from.base);
-    out.m_index = from_wire(from.index);
-    if (out.m_index == 0)
+    out.m_base = {from_wire(from.base), from_wire(from.base_era)};
+    out.m_index = {from_wire(from.index), from_wire(from.index_era)};
+    if (!out.m_index.known())
         return input_error{"instance list", "index 0", "the list's index"};
     for (const wire::instance& item : from.present)
         out.m_present.push_back(from_wire(item, now));
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -43,6 +43,8 @@
     6: i32 requests
     7: bool missed
     8: bool store_lost
+    9: i64 era
+    10: i64 version
 }
 
 struct instance {
@@ -56,6 +58,7 @@
     8: i64 incarnation
     9: i64 cold_us
     10: optional i64 gone_in_us
+    11: i64 sequence
 }
 
 struct instance_name {
@@ -68,6 +71,8 @@
     2: i64 index
     3: list<instance> present
     4: list<instance_name> removed
+    5: i64 base_era
+    6: i64 index_era
 }
 
 struct heartbeat {
@@ -89,4 +94,7 @@
     16: i32 wants
     17: list<member_report> reports
     18: bool store_lost
+    19: i64 config_era
+    20: i64 config_version
+    21: i64 instances_era
 }
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -26,11 +26,11 @@
         : m_backend{which, std::forward<Arguments>(arguments)...} {}
 
     /*! @brief Reads the configuration document.
-     *  @param index 0 reads at once; otherwise the read blocks until the
-     *  document has a later revision
+     *  @param index position 0 reads at once; otherwise the read blocks until
+     *  the document has a later position
      *  @param wait longest time that the read blocks
      *  @param done receives the result */
-    void read(std::uint64_t index, duration wait,
+    void read(const store_position& index, duration wait,
               std::function<void(const read_result&)> done) {
         std::visit(
             [&](auto& target) { target.read(index, wait, std::move(done)); },
@@ -51,7 +51,7 @@
     }
 
     /*! @brief Reads the instance list; parameters as for read(). */
-    void instances(std::uint64_t index, duration wait,
+    void instances(const store_position& index, duration wait,
                    std::function<void(const list_result&)> done) {
         std::visit(
             [&](auto& target) {
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -1,4 +1,4 @@
-// Mirror: local copy of the store's records as of one revision.
+// Mirror: local copy of the store's records as of one revision of one era.
 #include "store/mirror.hpp"
 
 #include <algorithm>
@@ -20,6 +20,15 @@
     m_store_lost = false;
 }
 
+void mirror::begin_era(std::uint64_t era) {
+    m_era = era;
+    m_records.clear();
+    m_listing.clear();
+    m_revision = 0;
+    m_pending_removals.clear();
+    m_versions.clear();
+}
+
 void mirror::begin_listing() {
     m_listing.clear();
     m_listing_revision = 0;
@@ -127,9 +136,9 @@
     newest = std::max(newest, revision << removal_bits);
 }
 
-std::uint64_t mirror::version(std::string_view prefix) const {
+store_position mirror::version(std::string_view prefix) const {
     const auto found = m_versions.find(prefix);
-    return found == m_versions.end() ? 0 : found->second;
+    return {found == m_versions.end() ? 0 : found->second, m_era};
 }
 
 } // namespace skylark::store
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -1,4 +1,4 @@
-// Mirror: local copy of the store's records as of one revision.
+// Mirror: local copy of the store's records as of one revision of one era.
 #ifndef SKYLARK_STORE_MIRROR_HPP
 #define SKYLARK_STORE_MIRROR_HPP
 
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include <skylark/core/store_position.hpp>
 #include <skylark/core/time.hpp>
 
 #include "store/record.hpp"
@@ -39,6 +40,14 @@
      *  @param now current time */
     void call_succeeded(time_point now);
 
+    /*! @brief The store was restored from a copy: forgets all records, whose
+     *  revisions may be given out again. A listing follows.
+     *  @param era later than the present one */
+    void begin_era(std::uint64_t era);
+
+    /*! @brief Era of the records. */
+    [[nodiscard]] std::uint64_t era() const { return m_era; }
+
     /*! @brief Starts a listing; end_listing() replaces all records by it. */
     void begin_listing();
 
@@ -72,17 +81,17 @@
      *  listing. */
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
 
-    /*! @brief Revision of the newest change under a prefix, or a later revision
+    /*! @brief Position of the newest change under a prefix, or a later position
      *  up to which nothing changed.
      *  @param prefix first segment of a key, with its slash */
-    [[nodiscard]] std::uint64_t last_changed(std::string_view prefix) const {
-        return version(prefix) >> removal_bits;
+    [[nodiscard]] store_position last_changed(std::string_view prefix) const {
+        return {version(prefix).m_revision >> removal_bits, m_era};
     }
 
     /*! @brief Version of the records under a prefix; unlike the revision,
      *  it also grows with each delayed removal.
      *  @param prefix first segment of a key, with its slash */
-    [[nodiscard]] std::uint64_t version(std::string_view prefix) const;
+    [[nodiscard]] store_position version(std::string_view prefix) const;
 
 private:
     // known_up_to: revision up to which all changes are known.
@@ -98,6 +107,8 @@
     records m_records;
     records m_listing;                  // of the listing in progress
     std::uint64_t m_listing_revision{}; // oldest of its pages
+    std::uint64_t m_era{};
+    // Invariant: this and all revisions below are of m_era.
     std::uint64_t m_revision{};
     // Due times by key.
     std::map<std::string, time_point, std::less<>> m_pending_removals;
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t max_answer_bytes = std::size_t{8} << 20U;
 // No store holds this many pages; protects against a listing that never ends.
 constexpr std::size_t max_pages = 1000;
+constexpr auto earlier_era = "an answer from before the store was restored";
 
 } // namespace
 
@@ -36,14 +37,14 @@
                                                    platform::upstream_prefix},
                                                removal_delay} {}
 
-void mirror_client::read(std::uint64_t index, duration wait,
+void mirror_client::read(const store_position& index, duration wait,
                          std::function<void(const read_result&)> done) {
     m_document_reads.push_back(
         {index, io::event_loop::now() + wait, std::move(done)});
     start_next_call();
 }
 
-void mirror_client::instances(std::uint64_t index, duration wait,
+void mirror_client::instances(const store_position& index, duration wait,
                               std::function<void(const list_result&)> done) {
     m_list_reads.push_back(
         {index, io::event_loop::now() + wait, std::move(done)});
@@ -97,6 +98,20 @@
         return;
     }
     m_reachability.call_succeeded();
+    const std::uint64_t era = m_protocol.read_era(*answer);
+    if (era < m_mirror.era()) {
+        fail_reads(earlier_era);
+        return;
+    }
+    if (era > m_mirror.era()) {
+        begin_era(era);
+        // The pages before were those of the earlier era.
+        if (m_page_count > 1) {
+            start_next_call();
+            return;
+        }
+        m_call_in_progress = true;
+    }
     m_mirror.add_page(page.value());
     const auto& records = page.value().m_records;
     if (page.value().m_more && !records.empty()) {
@@ -143,10 +158,21 @@
         fail_reads(changes.error().text());
         return;
     }
+    const std::uint64_t era = m_protocol.read_era(*answer);
+    if (era < m_mirror.era()) {
+        fail_reads(earlier_era);
+        return;
+    }
     const time_point now = io::event_loop::now();
     m_reachability.call_succeeded();
     m_mirror.call_succeeded(now);
     m_call_in_progress = false;
+    // The changes are those after a revision that this era may give out again.
+    if (era > m_mirror.era()) {
+        begin_era(era);
+        start_next_call();
+        return;
+    }
     std::visit(overloaded{[&](const record_changes& list) {
                               // Without changes the store blocked for the whole
                               // wait, so the mirror was current at its end.
@@ -170,6 +196,16 @@
     start_next_call();
 }
 
+// The store was restored from a copy; everything that was read before is void.
+void mirror_client::begin_era(std::uint64_t era) {
+    m_mirror.begin_era(era);
+    m_document.reset();
+    m_decoded.clear();
+    m_list = {};
+    m_listed = false;
+    m_call_in_progress = false;
+}
+
 // Fails all pending reads; the next read starts the next call.
 void mirror_client::fail_reads(const std::string& cause) {
     m_mirror.call_failed();
@@ -188,7 +224,7 @@
 void mirror_client::complete_reads(time_point confirmed) {
     m_mirror.apply_due_removals(confirmed);
     schedule_removals();
-    const auto extract = [&](auto& reads, std::uint64_t version) {
+    const auto extract = [&](auto& reads, const store_position& version) {
         const auto is_waiting = [&](const auto& item) {
             return item.m_index >= version && confirmed < item.m_deadline;
         };
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -38,7 +38,7 @@
                   std::function<void(const input_error&)> on_invalid);
 
     /*! @brief See client::read. */
-    void read(std::uint64_t index, duration wait,
+    void read(const store_position& index, duration wait,
               std::function<void(const read_result&)> done);
 
     /*! @brief See client::write; always fails, as operators write to this store
@@ -47,7 +47,7 @@
                const std::function<void(const write_result&)>& done);
 
     /*! @brief See client::instances. */
-    void instances(std::uint64_t index, duration wait,
+    void instances(const store_position& index, duration wait,
                    std::function<void(const list_result&)> done);
 
     /*! @brief The list holds the store's own records. */
@@ -70,7 +70,7 @@
     // A read that waits for a version later than m_index.
     template <class Result>
     struct pending_read {
-        std::uint64_t m_index;
+        store_position m_index;
         time_point m_deadline; // then gets the current value once confirmed
         std::function<void(const Result&)> m_done;
     };
@@ -89,7 +89,8 @@
     [[nodiscard]] instance_list instance_value();
     const std::optional<instance>& decode(const record& from);
     void add_entries();
-    [[nodiscard]] std::uint64_t list_version() const;
+    [[nodiscard]] store_position list_version() const;
+    void begin_era(std::uint64_t era);
 
     io::event_loop& m_loop;
     io::fetcher m_fetcher;
--- a/src/store/mirror_values.cpp
+++ b/src/store/mirror_values.cpp
@@ -11,9 +11,9 @@
 } // namespace
 
 stored_value mirror_client::document_value() {
-    const std::uint64_t revision =
+    const store_position position =
         m_mirror.last_changed(platform::operator_prefix);
-    if (m_document && m_document->m_revision == revision)
+    if (m_document && m_document->m_position == position)
         return *m_document;
     const auto& records = m_mirror.all();
     const auto found = records.find(platform::configuration_key);
@@ -27,7 +27,7 @@
     const auto read =
         platform::read_configuration(found->second.m_value, m_terms, drained);
     // Invalid text is passed on unchanged: the reader rejects it and logs why.
-    m_document = stored_value{revision, read ? format_document(read.value())
+    m_document = stored_value{position, read ? format_document(read.value())
                                              : found->second.m_value};
     if (!read)
         m_on_invalid(read.error());
@@ -50,7 +50,7 @@
     return kept.m_instance;
 }
 
-std::uint64_t mirror_client::list_version() const {
+store_position mirror_client::list_version() const {
     return std::max(m_mirror.version(platform::upstream_prefix),
                     m_mirror.version(entry_segment));
 }
@@ -75,7 +75,7 @@
 }
 
 instance_list mirror_client::instance_value() {
-    const std::uint64_t version = list_version();
+    const store_position version = list_version();
     if (m_list.m_index == version)
         return m_list;
     const auto& records = m_mirror.all();
--- a/src/store/polling_client.cpp
+++ b/src/store/polling_client.cpp
@@ -35,9 +35,9 @@
 polling_client::polling_client(io::event_loop& loop, address where)
     : m_fetcher{loop, max_answer_bytes}, m_where{where} {}
 
-void polling_client::read(std::uint64_t index, duration wait,
+void polling_client::read(const store_position& index, duration wait,
                           std::function<void(const read_result&)> done) {
-    auto request = m_protocol.get(document_key, index, wait);
+    auto request = m_protocol.get(document_key, index.m_revision, wait);
     request.m_to = m_where;
     m_fetcher.run(request, [protocol = m_protocol, done = std::move(done)](
                                const io::fetch_result& result) {
@@ -66,9 +66,9 @@
     });
 }
 
-void polling_client::instances(std::uint64_t index, duration wait,
+void polling_client::instances(const store_position& index, duration wait,
                                std::function<void(const list_result&)> done) {
-    auto request = m_protocol.instances(index, wait);
+    auto request = m_protocol.instances(index.m_revision, wait);
     request.m_to = m_where;
     m_fetcher.run(request, [protocol = m_protocol, done = std::move(done)](
                                const io::fetch_result& result) {
--- a/src/store/polling_client.hpp
+++ b/src/store/polling_client.hpp
@@ -20,7 +20,7 @@
     polling_client(io::event_loop& loop, address where);
 
     /*! @brief See client::read. */
-    void read(std::uint64_t index, duration wait,
+    void read(const store_position& index, duration wait,
               std::function<void(const read_result&)> done);
 
     /*! @brief See client::write. */
@@ -28,7 +28,7 @@
                std::function<void(const write_result&)> done);
 
     /*! @brief See client::instances. */
-    void instances(std::uint64_t index, duration wait,
+    void instances(const store_position& index, duration wait,
                    std::function<void(const list_result&)> done);
 
     /*! @brief The catalogue lags behind the instances. */
--- a/test/config/adoption.cpp
+++ b/test/config/adoption.cpp
@@ -7,9 +7,17 @@
 
 namespace {
 
-std::string text_of(const std::string& change) {
+constexpr time_point start{seconds{100}};
+
+std::string text_of(const std::string& change, std::uint64_t version = 0,
+                    const std::string& drained = {}) {
     document out;
     out.m_change_id = change;
+    out.m_version = version;
+    for (const std::string name : {"a", "b"})
+        out.m_zones.push_back(
+            {name, "",
+             name == drained ? zone_state::drained : zone_state::active});
     return format_document(out);
 }
 
@@ -27,7 +35,7 @@
     EXPECT_TRUE(is<unchanged>(subject.offer(5, text_of("other"))));
     EXPECT_EQ(subject.current().m_change_id, "five");
     EXPECT_TRUE(is<adopted>(subject.offer(9, text_of("nine"))));
-    EXPECT_EQ(subject.revision(), 9U);
+    EXPECT_EQ(subject.position(), store_position{9});
 }
 
 TEST(adoption, keeps_the_last_valid_document) {
@@ -35,18 +43,50 @@
     subject.offer(5, text_of("five"));
     EXPECT_TRUE(is<refused>(subject.offer(6, "{\"zones\": 1}")));
     EXPECT_EQ(subject.current().m_change_id, "five");
-    EXPECT_EQ(subject.revision(), 5U);
-    EXPECT_EQ(subject.refused_revision(), 6U);
+    EXPECT_EQ(subject.position(), store_position{5});
+    EXPECT_EQ(subject.refused_position(), store_position{6});
 }
 
 TEST(adoption, ignores_outdated_confirmations) {
     config_adoption subject;
     subject.offer(5, text_of("five"));
-    const time_point start{seconds{100}};
-    subject.confirmed(4, start);
+    subject.confirmed({0, 4}, start);
     EXPECT_EQ(subject.age(start), duration::max());
-    subject.confirmed(5, start);
+    subject.confirmed({0, 5}, start);
     EXPECT_EQ(subject.age(start + seconds{2}), seconds{2});
-    subject.confirmed(5, start - seconds{9}); // arrives late
+    subject.confirmed({0, 5}, start - seconds{9}); // arrives late
     EXPECT_EQ(subject.age(start + seconds{2}), seconds{2});
 }
+
+// A restored store has an older configuration at a later position.
+TEST(adoption, a_copy_of_the_store_does_not_bring_an_older_version_back) {
+    config_adoption subject;
+    subject.offer({50, 1}, text_of("twelve", 12));
+    EXPECT_TRUE(is<reverted>(subject.offer({41, 2}, text_of("nine", 9))));
+    EXPECT_EQ(subject.current().m_change_id, "twelve");
+    EXPECT_EQ(subject.reverted_position(), (store_position{41, 2}));
+}
+
+TEST(adoption, a_reissued_revision_is_a_new_one) {
+    config_adoption subject;
+    subject.offer({50, 1}, text_of("twelve", 12));
+    EXPECT_TRUE(is<adopted>(subject.offer({50, 2}, text_of("thirteen", 13))));
+    EXPECT_TRUE(is<adopted>(subject.offer({51, 2}, text_of("fourteen", 14))));
+    EXPECT_EQ(subject.current().m_change_id, "fourteen");
+}
+
+TEST(adoption, a_refused_revision_does_not_block_the_next_era) {
+    config_adoption subject;
+    subject.offer({60, 1}, "no document");
+    EXPECT_TRUE(is<adopted>(subject.offer({41, 2}, text_of("nine", 9))));
+    EXPECT_LT(subject.refused_position(), subject.position());
+}
+
+TEST(adoption, an_older_version_does_not_confirm_the_one_in_force) {
+    config_adoption subject;
+    subject.offer({50, 1}, text_of("twelve", 12));
+    subject.confirmed({9, {41, 2}}, start);
+    EXPECT_EQ(subject.age(start), duration::max());
+    subject.confirmed({12, {45, 2}}, start);
+    EXPECT_EQ(subject.age(start), duration{0});
+}
--- a/test/member/fake_watchers.hpp
+++ b/test/member/fake_watchers.hpp
@@ -117,7 +117,7 @@
         bool m_has_value{};
         // End of the transfer from a peer that is in progress.
         std::optional<time_point> m_fetch_end;
-        std::uint64_t m_fetched_revision{};
+        store_position m_fetched_revision;
     };
 
     config_mark config_of(std::size_t index) const {
@@ -141,7 +141,7 @@
     void step(std::size_t index, entry& item) {
         if (item.m_fetch_end && *item.m_fetch_end <= now()) {
             item.m_revision =
-                std::max(item.m_revision, item.m_fetched_revision);
+                std::max(item.m_revision, item.m_fetched_revision.m_revision);
             item.m_fetch_end.reset();
         }
         const bool faulty = m_faulty.contains(index);
--- /dev/null
+++ b/test/platform/restored.cpp
@@ -0,0 +1,61 @@
+// What callers get while the platform's store comes back from a copy.
+#include "test/platform/node_fixture.hpp"
+
+using namespace skylark;
+using skylark::test::configuration;
+
+namespace {
+
+// A configuration with a further route, "/c/".
+std::string with_route(const std::string& version) {
+    std::string out = configuration;
+    out.replace(out.find("00000007"), version.size(), version);
+    const std::string rows = "\"rows\":[";
+    out.insert(out.find(rows) + rows.size(),
+               R"(["new","h.example","/c/","safe",1000,"stock",2],)");
+    return out;
+}
+
+class restored_platform : public test::platform_node {
+protected:
+    // Adds the route after the copy was taken.
+    void start_with_new_route() {
+        start_with_upstreams();
+        m_store.save_copy();
+        m_store.put("op/config", with_route("00000009"));
+        turn_until([this] { return status(ask("/c/x")) == 200; });
+    }
+
+    void turn_for(duration time) {
+        const time_point end = io::event_loop::now() + time;
+        turn_until([&] { return io::event_loop::now() >= end; });
+    }
+
+    // The servers' records are in the copy, and they go on writing.
+    void restore() { ASSERT_TRUE(m_store.restore_copy()); }
+};
+
+} // namespace
+
+TEST_F(restored_platform,
+       a_confirmed_route_is_served_though_the_copy_lacks_it) {
+    start_with_new_route();
+    restore();
+    const time_point end = io::event_loop::now() + seconds{3};
+    while (io::event_loop::now() < end)
+        ASSERT_EQ(status(ask("/c/x")), 200);
+}
+
+TEST_F(restored_platform, a_route_added_at_a_reissued_revision_is_served) {
+    start_with_new_route();
+    const auto before = m_store.revision();
+    restore();
+    m_store.put("op/config", with_route("00000009"));
+    ASSERT_EQ(m_store.revision(), before);
+    turn_for(seconds{1});
+    std::string next = with_route("0000000c");
+    next.replace(next.find("/c/"), 3, "/d/");
+    m_store.put("op/config", next);
+    turn_until([this] { return status(ask("/d/x")) == 200; });
+    EXPECT_EQ(status(ask("/c/x")), 404);
+}
--- a/test/store/consul_protocol.cpp
+++ b/test/store/consul_protocol.cpp
@@ -29,8 +29,9 @@
     const consul_protocol subject;
     const auto value = subject.read_value(answer(200, "9", "doc"));
     ASSERT_TRUE(value);
-    EXPECT_EQ(value.value().m_revision, 9U);
-    EXPECT_EQ(subject.read_value(answer(404, "9", "")).value().m_revision, 0U);
+    EXPECT_EQ(value.value().m_position, store_position{9});
+    EXPECT_FALSE(
+        subject.read_value(answer(404, "9", "")).value().m_position.known());
     EXPECT_FALSE(subject.read_value(answer(500, "9", "")));
     EXPECT_FALSE(subject.read_value(answer(200, "", "doc")));
     for (const char* index : {"x", "9x", "9 9", "-9", "99999999999999999999"})
--- a/test/store/mirror_client.cpp
+++ b/test/store/mirror_client.cpp
@@ -38,14 +38,14 @@
         ASSERT_TRUE(reached());
     }
 
-    store::read_result document(std::uint64_t index, duration wait) {
+    store::read_result document(const store_position& index, duration wait) {
         std::optional<store::read_result> got;
         m_client.read(index, wait, [&](const auto& result) { got = result; });
         run_until([&] { return got.has_value(); });
         return got.value_or(store::store_failure{false, "no answer"});
     }
 
-    store::list_result instances(std::uint64_t index, duration wait) {
+    store::list_result instances(const store_position& index, duration wait) {
         std::optional<store::list_result> got;
         m_client.instances(index, wait,
                            [&](const auto& result) { got = result; });
@@ -53,7 +53,7 @@
         return got.value_or(store::store_failure{false, "no answer"});
     }
 
-    instance_list list(std::uint64_t index, duration wait) {
+    instance_list list(const store_position& index, duration wait) {
         const auto got = instances(index, wait);
         const auto* found = std::get_if<instance_list>(&got);
         EXPECT_NE(found, nullptr);
@@ -74,7 +74,7 @@
     m_store.put("servers/i-1", upstream_record("ready"));
     const auto read = document(0, seconds{1});
     const auto& value = std::get<store::stored_value>(read);
-    EXPECT_GT(value.m_revision, 0U);
+    EXPECT_TRUE(value.m_position.known());
     EXPECT_TRUE(parse_document(value.m_text));
     ASSERT_EQ(list(0, seconds{1}).m_instances.size(), 1U);
 }
@@ -85,13 +85,13 @@
     m_loop.after(milliseconds{20},
                  [this] { m_store.put("op/evacuate/a", "{}"); });
     const auto next =
-        std::get<store::stored_value>(document(first.m_revision, seconds{5}));
-    EXPECT_GT(next.m_revision, first.m_revision);
+        std::get<store::stored_value>(document(first.m_position, seconds{5}));
+    EXPECT_GT(next.m_position, first.m_position);
     EXPECT_EQ(parse_document(next.m_text).value().find_zone("a")->m_state,
               zone_state::drained);
     m_loop.after(milliseconds{20}, [this] { m_store.erase("op/evacuate/a"); });
     const auto last =
-        std::get<store::stored_value>(document(next.m_revision, seconds{5}));
+        std::get<store::stored_value>(document(next.m_position, seconds{5}));
     EXPECT_EQ(parse_document(last.m_text).value().find_zone("a")->m_state,
               zone_state::active);
 }
@@ -101,8 +101,8 @@
     m_store.put("op/config", configuration);
     const auto first = std::get<store::stored_value>(document(0, seconds{1}));
     const auto again = std::get<store::stored_value>(
-        document(first.m_revision, milliseconds{150}));
-    EXPECT_EQ(again.m_revision, first.m_revision);
+        document(first.m_position, milliseconds{150}));
+    EXPECT_EQ(again.m_position, first.m_position);
 }
 
 TEST_F(mirror_client_test, one_call_serves_both_reads) {
@@ -112,7 +112,7 @@
     const auto known = list(0, seconds{1});
     const auto before = m_store.calls();
     int answers = 0;
-    m_client.read(first.m_revision, milliseconds{200},
+    m_client.read(first.m_position, milliseconds{200},
                   [&](const auto&) { ++answers; });
     m_client.instances(known.m_index, milliseconds{200},
                        [&](const auto&) { ++answers; });
@@ -150,13 +150,13 @@
         faults.m_refusing = !limiting;
         m_store.set_faults(faults);
         EXPECT_TRUE(std::holds_alternative<store::store_failure>(
-            document(first.m_revision, milliseconds{100})));
+            document(first.m_position, milliseconds{100})));
     }
     m_store.set_faults({});
     m_store.put("op/evacuate/a", "{}");
     const auto next =
-        std::get<store::stored_value>(document(first.m_revision, seconds{5}));
-    EXPECT_GT(next.m_revision, first.m_revision);
+        std::get<store::stored_value>(document(first.m_position, seconds{5}));
+    EXPECT_GT(next.m_position, first.m_position);
 }
 
 TEST_F(mirror_client_test, a_missing_answer_is_a_failure) {
@@ -166,7 +166,7 @@
     faults.m_silent = true;
     m_store.set_faults(faults);
     EXPECT_TRUE(std::holds_alternative<store::store_failure>(
-        document(first.m_revision, milliseconds{100})));
+        document(first.m_position, milliseconds{100})));
 }
 
 TEST_F(mirror_client_test, records_that_expired_in_an_outage_may_return) {
@@ -206,7 +206,7 @@
 TEST_F(mirror_client_test, an_invalid_configuration_is_passed_on_and_rejected) {
     m_store.put("op/config", "no configuration");
     const auto read = std::get<store::stored_value>(document(0, seconds{1}));
-    EXPECT_GT(read.m_revision, 0U);
+    EXPECT_TRUE(read.m_position.known());
     EXPECT_FALSE(parse_document(read.m_text));
 }
 
@@ -222,10 +222,10 @@
 TEST_F(mirror_client_test, a_blocking_read_without_changes_confirms_its_end) {
     m_store.put("op/config", configuration);
     const auto first = document(0, seconds{1});
-    const auto revision = std::get<store::stored_value>(first).m_revision;
+    const auto position = std::get<store::stored_value>(first).m_position;
     const time_point asked = io::event_loop::now();
     EXPECT_LE(m_client.confirmed_at(asked), asked);
-    document(revision, milliseconds{400});
+    document(position, milliseconds{400});
     EXPECT_GE(m_client.confirmed_at(asked), asked + milliseconds{300});
     EXPECT_LE(m_client.confirmed_at(asked), io::event_loop::now());
 }
