Keep drained zones drained while operators write again what a copy lacks

What callers would see: with the order by era alone, the first configuration of a new era is adopted with the zones that the store has drained by then.

Cause: absence from a copy was taken for the operators' word.

Change: zones that were drained before stay so for 5 s after the first document of a later era, or until a document drains them itself; from then on the store says when they return. The text that peers get is the operators' own, and each entry retains by what it knew.

Tests: adoption.a_zone_stays_drained_while_its_key_may_be_written_again, restored_platform.a_drained_zone_gets_nothing_though_the_copy_has_it.

--- a/include/skylark/config/adoption.hpp
+++ b/include/skylark/config/adoption.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <skylark/config/config_order.hpp>
 #include <skylark/config/document.hpp>
@@ -37,15 +38,19 @@
 using adoption_result = std::variant<adopted, unchanged, reverted, refused>;
 
 /*! @brief Configuration of one entry.
- */
+ *
+ *  A zone that was drained before the store was restored stays drained until
+ *  the operators have had time to drain it again: that its key is missing from
+ *  the copy proves nothing. */
 class config_adoption {
 public:
     /*! @brief Offers a document.
      *  @param position the store's position of the text
      *  @param text the document
+     *  @param now current time
      *  @return whether it was adopted, and if not, why */
     adoption_result offer(const store_position& position,
-                          const std::string& text);
+                          const std::string& text, time_point now);
 
     /*! @brief The store, or a peer's chain to it, confirmed a document.
      *  @param which the confirmed one, position 0 while there is none; ignored
@@ -53,6 +58,18 @@
      *  @param at latest time at which the store can have confirmed it */
     void confirmed(const config_order& which, time_point at);
 
+    /*! @brief Ends the retention of zones that were drained before the store
+     *  was restored, when it is due.
+     *  @param now current time
+     *  @return whether the document in force changed */
+    bool end_retention(time_point now);
+
+    /*! @brief When end_retention() is due; none if no zone is retained. */
+    [[nodiscard]] std::optional<time_point> retention_end() const {
+        return m_retained.empty() ? std::nullopt
+                                  : std::optional{m_retention_end};
+    }
+
     /*! @brief Time since the last confirmation; maximum when none. */
     [[nodiscard]] duration age(time_point now) const {
         return m_confirmed ? now - *m_confirmed : duration::max();
@@ -64,6 +81,7 @@
         return m_order.m_position;
     }
     [[nodiscard]] const document& current() const { return m_document; }
+    //! As it was offered, without retained zones.
     [[nodiscard]] const std::string& text() const { return m_text; }
     //! Highest refused position; offered again, it is refused again.
     [[nodiscard]] const store_position& refused_position() const {
@@ -75,12 +93,18 @@
     }
 
 private:
-    // Invariant: m_order never decreases; m_document and m_text match it.
+    void retain_drained_zones(const document& before, time_point now);
+    void apply_retention();
+
+    // Invariant: m_order never decreases; m_text matches it, and m_document
+    // does except for the retained zones.
     config_order m_order;
     document m_document;
     std::string m_text;
     store_position m_refused;
     store_position m_reverted;
+    std::vector<std::string> m_retained; // names of drained zones
+    time_point m_retention_end;
     std::optional<time_point> m_confirmed;
 };
 
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -165,6 +165,7 @@
         overloaded{[&](const adopted&) {
                        note("adopted");
                        note_zones(before);
+                       schedule_retention_end();
                        m_changed();
                    },
                    [](const unchanged&) {},
@@ -177,7 +178,21 @@
                        if (std::exchange(m_noted_revert, position) != position)
                            note("refused: " + why.m_error.text());
                    }},
-        m_shared.m_config.offer(position, text));
+        m_shared.m_config.offer(position, text, io::event_loop::now()));
+}
+
+void configurator::schedule_retention_end() {
+    const auto end = m_shared.m_config.retention_end();
+    if (!end)
+        return;
+    const duration left = *end - io::event_loop::now();
+    m_shared.m_loop.after(std::max(duration{0}, left), [this] {
+        const document before = m_shared.m_config.current();
+        if (!m_shared.m_config.end_retention(io::event_loop::now()))
+            return;
+        note_zones(before);
+        m_changed();
+    });
 }
 
 void configurator::note_era(std::uint64_t era) {
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -61,6 +61,7 @@
     void fetch_instances(const member& from);
     void take_changes(std::string_view body);
     void note_zones(const document& before);
+    void schedule_retention_end();
     void note_era(std::uint64_t era);
 
     context& m_shared;
--- a/test/config/adoption.cpp
+++ b/test/config/adoption.cpp
@@ -30,18 +30,18 @@
 
 TEST(adoption, never_reverts) {
     config_adoption subject;
-    EXPECT_TRUE(is<adopted>(subject.offer(5, text_of("five"))));
-    EXPECT_TRUE(is<reverted>(subject.offer(4, text_of("four"))));
-    EXPECT_TRUE(is<unchanged>(subject.offer(5, text_of("other"))));
+    EXPECT_TRUE(is<adopted>(subject.offer(5, text_of("five"), start)));
+    EXPECT_TRUE(is<reverted>(subject.offer(4, text_of("four"), start)));
+    EXPECT_TRUE(is<unchanged>(subject.offer(5, text_of("other"), start)));
     EXPECT_EQ(subject.current().m_change_id, "five");
-    EXPECT_TRUE(is<adopted>(subject.offer(9, text_of("nine"))));
+    EXPECT_TRUE(is<adopted>(subject.offer(9, text_of("nine"), start)));
     EXPECT_EQ(subject.position(), store_position{9});
 }
 
 TEST(adoption, keeps_the_last_valid_document) {
     config_adoption subject;
-    subject.offer(5, text_of("five"));
-    EXPECT_TRUE(is<refused>(subject.offer(6, "{\"zones\": 1}")));
+    subject.offer(5, text_of("five"), start);
+    EXPECT_TRUE(is<refused>(subject.offer(6, "{\"zones\": 1}", start)));
     EXPECT_EQ(subject.current().m_change_id, "five");
     EXPECT_EQ(subject.position(), store_position{5});
     EXPECT_EQ(subject.refused_position(), store_position{6});
@@ -49,7 +49,7 @@
 
 TEST(adoption, ignores_outdated_confirmations) {
     config_adoption subject;
-    subject.offer(5, text_of("five"));
+    subject.offer(5, text_of("five"), start);
     subject.confirmed({0, 4}, start);
     EXPECT_EQ(subject.age(start), duration::max());
     subject.confirmed({0, 5}, start);
@@ -61,30 +61,57 @@
 // A restored store has an older configuration at a later position.
 TEST(adoption, a_copy_of_the_store_does_not_bring_an_older_version_back) {
     config_adoption subject;
-    subject.offer({50, 1}, text_of("twelve", 12));
-    EXPECT_TRUE(is<reverted>(subject.offer({41, 2}, text_of("nine", 9))));
+    subject.offer({50, 1}, text_of("twelve", 12), start);
+    EXPECT_TRUE(
+        is<reverted>(subject.offer({41, 2}, text_of("nine", 9), start)));
     EXPECT_EQ(subject.current().m_change_id, "twelve");
     EXPECT_EQ(subject.reverted_position(), (store_position{41, 2}));
 }
 
 TEST(adoption, a_reissued_revision_is_a_new_one) {
     config_adoption subject;
-    subject.offer({50, 1}, text_of("twelve", 12));
-    EXPECT_TRUE(is<adopted>(subject.offer({50, 2}, text_of("thirteen", 13))));
-    EXPECT_TRUE(is<adopted>(subject.offer({51, 2}, text_of("fourteen", 14))));
+    subject.offer({50, 1}, text_of("twelve", 12), start);
+    EXPECT_TRUE(
+        is<adopted>(subject.offer({50, 2}, text_of("thirteen", 13), start)));
+    EXPECT_TRUE(
+        is<adopted>(subject.offer({51, 2}, text_of("fourteen", 14), start)));
     EXPECT_EQ(subject.current().m_change_id, "fourteen");
 }
 
 TEST(adoption, a_refused_revision_does_not_block_the_next_era) {
     config_adoption subject;
-    subject.offer({60, 1}, "no document");
-    EXPECT_TRUE(is<adopted>(subject.offer({41, 2}, text_of("nine", 9))));
+    subject.offer({60, 1}, "no document", start);
+    EXPECT_TRUE(is<adopted>(subject.offer({41, 2}, text_of("nine", 9), start)));
     EXPECT_LT(subject.refused_position(), subject.position());
 }
 
+TEST(adoption, a_zone_stays_drained_while_its_key_may_be_written_again) {
+    config_adoption subject;
+    subject.offer({50, 1}, text_of("twelve", 12, "a"), start);
+    subject.offer({45, 2}, text_of("twelve", 12), start);
+    EXPECT_EQ(subject.current().find_zone("a")->m_state, zone_state::drained);
+    EXPECT_EQ(subject.current().find_zone("b")->m_state, zone_state::active);
+    // A newer version alone does not take it back either.
+    subject.offer({46, 2}, text_of("thirteen", 13), start + seconds{1});
+    EXPECT_EQ(subject.current().find_zone("a")->m_state, zone_state::drained);
+    ASSERT_TRUE(subject.retention_end());
+    EXPECT_FALSE(subject.end_retention(start));
+    EXPECT_TRUE(subject.end_retention(*subject.retention_end()));
+    EXPECT_EQ(subject.current().find_zone("a")->m_state, zone_state::active);
+}
+
+TEST(adoption, a_zone_drained_again_after_a_restore_can_be_taken_back) {
+    config_adoption subject;
+    subject.offer({50, 1}, text_of("twelve", 12, "a"), start);
+    subject.offer({45, 2}, text_of("twelve", 12, "a"), start);
+    EXPECT_FALSE(subject.retention_end());
+    subject.offer({46, 2}, text_of("twelve", 12), start);
+    EXPECT_EQ(subject.current().find_zone("a")->m_state, zone_state::active);
+}
+
 TEST(adoption, an_older_version_does_not_confirm_the_one_in_force) {
     config_adoption subject;
-    subject.offer({50, 1}, text_of("twelve", 12));
+    subject.offer({50, 1}, text_of("twelve", 12), start);
     subject.confirmed({9, {41, 2}}, start);
     EXPECT_EQ(subject.age(start), duration::max());
     subject.confirmed({12, {45, 2}}, start);
--- a/test/platform/restored.cpp
+++ b/test/platform/restored.cpp
@@ -59,3 +59,21 @@
     turn_until([this] { return status(ask("/d/x")) == 200; });
     EXPECT_EQ(status(ask("/c/x")), 404);
 }
+
+TEST_F(restored_platform, a_drained_zone_gets_nothing_though_the_copy_has_it) {
+    start_with_upstreams();
+    m_store.save_copy();
+    m_store.put("op/evacuate/a", "{}");
+    turn_until([this] {
+        m_near.m_requests = 0;
+        return status(ask("/a/x")) == 200 && m_near.m_requests == 0 &&
+               m_far.m_requests > 0;
+    });
+    restore();
+    m_store.put("op/config", with_route("00000009"));
+    turn_until([this] { return status(ask("/c/x")) == 200; });
+    m_near.m_requests = 0;
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(status(ask("/a/x")), 200);
+    EXPECT_EQ(m_near.m_requests, 0);
+}
