Let no copy of the store bring back upstreams that leave or are gone

What callers would see: the copy lists upstreams that have ended since (their addresses may be another's by now), lists as ready those that said they leave, and lacks those that started since. A machine that has acknowledged a leaving is bound by it (DRAIN).

Cause: a listing was taken for the newest word on each upstream.

Change: discovery/instance_memory keeps the last record of each upstream. Records of different eras are ordered by what their writers say, incarnation and sequence; one that is not newer changes nothing. What the copy lacks is kept for 2.2 s, the time in which those that live have written again. Within an era the store's order holds as before. An equal record keeps its cold start, which counts from when it was first read.

Tests: instance_memory_test, restored_platform.an_upstream_that_is_gone_gets_nothing_again.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -1,7 +1,7 @@
 # Tests mirror the module tree, one file for each header.
 add_executable(skylark_test
     test/core/address.cpp test/core/histogram.cpp test/core/suggest.cpp
-    test/core/store_position.cpp
+    test/core/store_position.cpp test/discovery/instance_memory.cpp
     test/config/document.cpp test/config/adoption.cpp test/config/poll_timer.cpp
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -22,6 +22,9 @@
 // first of them tells the rest.
 constexpr std::uint32_t trust_steps = 16;
 constexpr auto trust_step = milliseconds{150};
+// Upstreams that are alive have written their records again this long after
+// the store was restored.
+constexpr auto rewrite_time = milliseconds{2200};
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 
 // From a call that stays unanswered until its successor's news is everywhere:
@@ -46,7 +49,7 @@
 configurator::configurator(context& shared, std::function<void()> changed)
     : m_shared{shared}, m_changed{std::move(changed)}, m_store{open_store()},
       m_peers{shared.m_loop, answer_limit}, m_guard{list_patience},
-      m_document_turn{longest_trust(shared.m_settings)},
+      m_memory{rewrite_time}, m_document_turn{longest_trust(shared.m_settings)},
       m_list_turn{longest_trust(shared.m_settings)} {}
 
 void configurator::start() {
@@ -255,6 +258,7 @@
     }
     const store_position before = m_shared.m_instances.m_index;
     note_era(list.m_index.m_era);
+    m_memory.reconcile(list, io::event_loop::now());
     drop_resurrected(list, m_shared.m_instances);
     m_shared.m_instances = std::move(list);
     m_log.update(m_shared.m_instances);
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -9,6 +9,7 @@
 
 #include <skylark/config/watch_schedule.hpp>
 #include <skylark/discovery/instance_log.hpp>
+#include <skylark/discovery/instance_memory.hpp>
 #include <skylark/discovery/list_guard.hpp>
 
 #include "entry/context.hpp"
@@ -69,6 +70,7 @@
     store::client m_store;
     io::fetcher m_peers;
     list_guard m_guard;
+    instance_memory m_memory;
     instance_log m_log; //!< of the list in use, for peers
     watch_schedule m_document_turn;
     watch_schedule m_list_turn;
--- a/test/platform/restored.cpp
+++ b/test/platform/restored.cpp
@@ -77,3 +77,19 @@
         EXPECT_EQ(status(ask("/a/x")), 200);
     EXPECT_EQ(m_near.m_requests, 0);
 }
+
+TEST_F(restored_platform, an_upstream_that_is_gone_gets_nothing_again) {
+    start_with_upstreams();
+    m_store.save_copy();
+    m_store.erase("servers/" + m_near.id());
+    turn_until([this] {
+        m_near.m_requests = 0;
+        return status(ask("/a/x")) == 200 && m_near.m_requests == 0;
+    });
+    restore();
+    m_near.m_requests = 0;
+    const time_point end = io::event_loop::now() + seconds{2};
+    while (io::event_loop::now() < end)
+        ASSERT_EQ(status(ask("/a/x")), 200);
+    EXPECT_EQ(m_near.m_requests, 0);
+}
