End leases with the era of the store that granted them

What operators would see: an entry that is missing from the store's list while its renewals succeed. A store that came back from a copy gives lease ids out again, so a renewal may succeed on another holder's lease and keep nothing.

Change: a lease counts as expired once the store answers in a later era; a new one is requested and the key written again.

Test: restored_store.a_lease_that_another_holder_was_given_is_replaced.

--- a/src/store/lease_holder.cpp
+++ b/src/store/lease_holder.cpp
@@ -70,7 +70,8 @@
                 return;
             const auto* answer = std::get_if<io::fetch_answer>(&result);
             const bool expired =
-                answer && answer->m_status == io::status::not_found;
+                answer &&
+                (answer->m_status == io::status::not_found || is_void(*answer));
             if (answer && (answer->m_status == io::status::ok || expired)) {
                 m_failing = false;
                 if (expired)
@@ -85,6 +86,12 @@
         });
 }
 
+// Whether the lease was granted before the store was restored.
+bool lease_holder::is_void(const io::fetch_answer& answer) const {
+    return answer.m_status == io::status::ok && m_lease_id != 0 &&
+           m_protocol.read_era(answer) > m_lease_era;
+}
+
 void lease_holder::handle_expiry() {
     if (std::exchange(m_held, false))
         m_on_event(lease_event::lost);
@@ -96,6 +103,7 @@
     call(m_protocol.lease(m_ttl), [this](const auto& answer) {
         const auto granted = m_protocol.read_lease(answer);
         m_lease_id = granted ? granted.value().m_id : 0;
+        m_lease_era = m_protocol.read_era(answer);
         if (m_lease_id == 0)
             schedule_step(retry_interval);
         else
--- a/src/store/lease_holder.hpp
+++ b/src/store/lease_holder.hpp
@@ -23,7 +23,9 @@
  *  expired, requests a new one and writes the key again.
  *
  *  A call without an answer may have taken effect: a lease that was granted in
- *  a lost answer is never renewed and expires. */
+ *  a lost answer is never renewed and expires. A store that was restored from a
+ *  copy may have given the lease's id to another holder, so a lease counts as
+ *  expired once the store answers in a later era. */
 class lease_holder {
 public:
     /*! @param loop event loop
@@ -51,6 +53,7 @@
 
     void run_step();
     void call(io::fetch_request request, answer_handler on_answer);
+    bool is_void(const io::fetch_answer& answer) const;
     void request_lease();
     void write_key();
     void renew();
@@ -68,6 +71,7 @@
     platform::kv_protocol m_protocol;
     // Invariant: 0 without a lease; then m_held is false.
     std::uint64_t m_lease_id{};
+    std::uint64_t m_lease_era{}; // of the store that granted the lease
     bool m_held{};
     bool m_failing{}; // a series of failures is reported once
     bool m_stopped{true};
--- a/test/store/restored_store.cpp
+++ b/test/store/restored_store.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "standin/kv_store.hpp"
+#include "store/lease_holder.hpp"
 #include "store/mirror_client.hpp"
 
 using namespace skylark;
@@ -133,3 +134,22 @@
     ASSERT_EQ(after.m_instances.size(), 1U);
     EXPECT_TRUE(after.m_instances[0].m_leaving);
 }
+
+TEST_F(restored_store, a_lease_that_another_holder_was_given_is_replaced) {
+    m_store.save_copy();
+    const auto hold = [&](const std::string& key) {
+        auto out = std::make_unique<store::lease_holder>(
+            m_loop, m_where, key, "127.0.0.1:1", milliseconds{1500},
+            [](store::lease_event) {});
+        out->start();
+        return out;
+    };
+    const auto first = hold("skylark/entries/e1");
+    run_until([&] { return first->held(); });
+    ASSERT_TRUE(m_store.restore_copy());
+    // Takes the lease id that the first holder renews.
+    const auto second = hold("skylark/entries/e2");
+    run_until([&] { return second->held(); });
+    run_until([&] { return m_store.has("skylark/entries/e1"); });
+    EXPECT_TRUE(m_store.has("skylark/entries/e2"));
+}
