Let corrected instance lists expire, and send peers whole lists after one

Found by review, shown by tests that fail before: an upstream that was kept because the copy lacks it went through a peer's change of the list, was taken for listed, and lost its time of removal; a change of the list between entries whose lists differ at the same position, or that starts in an earlier era, left gone upstreams in the peer's list for good.

Cause: a list that was corrected by an entry's own knowledge was used as if it were the store's.

Change: a record with a time of removal keeps it until the store lists the upstream again; one that the new era has shown and removed is not kept; records of the copy are compared only until they must have expired, so a restart with a lower incarnation is believed in the end. After a corrected list, or the first of an era, peers get the whole list. A later record of an upstream is its own word, so the flag that outlived it is gone (it lasted for one list only).

--- a/include/skylark/discovery/instance_log.hpp
+++ b/include/skylark/discovery/instance_log.hpp
@@ -33,8 +33,11 @@
 /*! @brief Records the index of each instance's last change. */
 class instance_log {
 public:
-    /*! @brief Records the changes to the list that is in use from now on. */
-    void update(const instance_list& list);
+    /*! @brief Records the changes to the list that is in use from now on.
+     *  @param list the list
+     *  @param corrected whether a peer's list may differ at the same index, see
+     *  instance_memory; peers then get the whole list */
+    void update(const instance_list& list, bool corrected = false);
 
     /*! @brief Changes from an index to the current list.
      *  @param index of the peer's list
--- a/include/skylark/discovery/instance_memory.hpp
+++ b/include/skylark/discovery/instance_memory.hpp
@@ -28,26 +28,32 @@
         : m_rewrite_time{rewrite_time} {}
 
     /*! @brief Corrects a list and remembers it.
-     *  @param list not older than the lists before
-     *  @param now current time */
-    void reconcile(instance_list& list, time_point now);
+     *  @param list not older than the lists before; it may contain corrected
+     *  records, as peers pass them on
+     *  @param now current time
+     *  @return whether the list differs from what the store says, or is the
+     *  first of its era; changes to it are then no changes to a peer's list */
+    bool reconcile(instance_list& list, time_point now);
 
 private:
     struct known {
-        instance m_last;
-        std::uint64_t m_era{}; //!< of the list that showed it last
+        instance m_last;            // without the time of its removal
+        std::uint64_t m_era{};      // in which m_last was written
+        std::uint64_t m_seen_era{}; // of the last list with any record of it
         bool m_removed{};
     };
     using records = std::map<std::string, known, std::less<>>;
 
-    bool correct(instance& offered, std::uint64_t era);
-    void handle_missing(instance_list& list, time_point now);
+    [[nodiscard]] bool correct(instance& offered, time_point now);
+    void keep_missing(instance_list& list, time_point now);
     void bound_removed();
 
     duration m_rewrite_time;
     std::uint64_t m_era{};
     time_point m_rewrite_end;
-    records m_known; // upstreams by id
+    time_point m_comparison_end; // the copy's records have expired by then
+    bool m_corrected{};          // the present list
+    records m_known;             // upstreams by id
 };
 
 } // namespace skylark
--- a/src/discovery/instance_log.cpp
+++ b/src/discovery/instance_log.cpp
@@ -16,9 +16,11 @@
 }
 } // namespace
 
-void instance_log::update(const instance_list& list) {
+void instance_log::update(const instance_list& list, bool corrected) {
     if (!m_index.known())
         m_complete_since = list.m_index;
+    if (corrected)
+        m_complete_since = {list.m_index.m_revision + 1, list.m_index.m_era};
     std::set<instance_name> present;
     for (const instance& item : list.m_instances) {
         present.insert(name_of(item));
--- a/src/discovery/instance_memory.cpp
+++ b/src/discovery/instance_memory.cpp
@@ -10,6 +10,8 @@
 
 // Most removed upstreams on record; above this all are forgotten.
 constexpr std::size_t max_removed = 2000;
+// Upstreams that are gone miss several reports before their records expire.
+constexpr int comparison_factor = 5;
 
 auto order_of(const instance& of) {
     return std::tie(of.m_incarnation, of.m_sequence);
@@ -17,63 +19,78 @@
 
 } // namespace
 
-void instance_memory::reconcile(instance_list& list, time_point now) {
-    if (list.m_index.m_era > m_era) {
+bool instance_memory::reconcile(instance_list& list, time_point now) {
+    m_corrected = list.m_index.m_era > m_era;
+    if (m_corrected) {
         m_era = list.m_index.m_era;
         m_rewrite_end = now + m_rewrite_time;
+        m_comparison_end = now + comparison_factor * m_rewrite_time;
     }
     std::erase_if(list.m_instances, [&](instance& item) {
-        return item.m_role == instance_role::upstream && !correct(item, m_era);
+        return item.m_role == instance_role::upstream && !correct(item, now);
     });
-    handle_missing(list, now);
+    keep_missing(list, now);
     bound_removed();
+    return m_corrected;
 }
 
 // Returns whether the offered record names an upstream that may exist.
-bool instance_memory::correct(instance& offered, std::uint64_t era) {
+bool instance_memory::correct(instance& offered, time_point now) {
+    const auto due = offered.m_gone_from;
+    if (due && *due <= now) {
+        m_corrected = true;
+        return false;
+    }
     const auto [found, added] =
-        m_known.try_emplace(offered.m_id, known{offered, era, false});
+        m_known.try_emplace(offered.m_id, known{offered, m_era, m_era, false});
     known& before = found->second;
-    if (added)
+    const bool comparable =
+        !added && before.m_era < m_era && now < m_comparison_end;
+    const bool is_new =
+        !comparable || order_of(offered) > order_of(before.m_last);
+    if (!is_new && before.m_removed) {
+        m_corrected = true;
+        return false;
+    }
+    if (is_new) {
+        before = {offered, m_era, m_era, false};
+        before.m_last.m_gone_from.reset();
         return true;
-    if (before.m_era < era) {
-        const bool is_new = order_of(offered) > order_of(before.m_last);
-        if (!is_new && before.m_removed)
-            return false;
-        // An equal record is the same one; its cold start counts from when it
-        // was first read.
-        if (!is_new) {
-            const bool same = order_of(offered) == order_of(before.m_last);
-            offered = before.m_last;
-            before.m_era = same ? era : before.m_era;
-            return true;
-        }
-        offered.m_leaving |=
-            offered.m_incarnation == before.m_last.m_incarnation &&
-            before.m_last.m_leaving;
     }
-    before = {offered, era, false};
+    // An equal record is the same one; its cold start counts from when it was
+    // first read.
+    const bool same = order_of(offered) == order_of(before.m_last);
+    offered = before.m_last;
+    offered.m_gone_from = due;
+    m_corrected |= !same || due;
+    // One with a time of removal is kept by a peer; the store may lack it.
+    if (due)
+        return true;
+    before.m_seen_era = m_era;
+    if (same)
+        before.m_era = m_era;
     return true;
 }
 
-void instance_memory::handle_missing(instance_list& list, time_point now) {
-    std::set<std::string_view> present;
+// Keeps upstreams that only earlier eras listed until those that live have
+// written again.
+void instance_memory::keep_missing(instance_list& list, time_point now) {
+    std::set<std::string> present;
     for (const instance& item : list.m_instances)
         if (item.m_role == instance_role::upstream)
             present.insert(item.m_id);
-    std::vector<instance> kept;
     for (auto& [id, item] : m_known) {
         if (item.m_removed || present.contains(id))
             continue;
-        if (item.m_era < m_era && now < m_rewrite_end) {
-            kept.push_back(item.m_last);
-            kept.back().m_gone_from = m_rewrite_end;
+        if (item.m_seen_era < m_era && now < m_rewrite_end) {
+            list.m_instances.push_back(item.m_last);
+            list.m_instances.back().m_gone_from = m_rewrite_end;
+            m_corrected = true;
             continue;
         }
         item.m_removed = true;
         item.m_era = m_era;
     }
-    list.m_instances.insert(list.m_instances.end(), kept.begin(), kept.end());
 }
 
 void instance_memory::bound_removed() {
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -258,10 +258,10 @@
     }
     const store_position before = m_shared.m_instances.m_index;
     note_era(list.m_index.m_era);
-    m_memory.reconcile(list, io::event_loop::now());
+    const bool corrected = m_memory.reconcile(list, io::event_loop::now());
     drop_resurrected(list, m_shared.m_instances);
     m_shared.m_instances = std::move(list);
-    m_log.update(m_shared.m_instances);
+    m_log.update(m_shared.m_instances, corrected);
     note_instances(m_log.since(before), source);
     m_changed();
 }
--- a/test/discovery/instance_log.cpp
+++ b/test/discovery/instance_log.cpp
@@ -124,3 +124,14 @@
     for (std::size_t size = 0; size < bytes.size(); ++size)
         EXPECT_FALSE(peer::decode_changes({bytes.data(), size}, {})) << size;
 }
+
+TEST(instance_log, peers_get_the_whole_list_after_a_corrected_one) {
+    instance_log subject;
+    subject.update({{50, 1}, {}});
+    subject.update({{41, 2}, {}}, true);
+    // Lists at the same position may differ.
+    subject.update({{42, 2}, {}});
+    EXPECT_FALSE(subject.since({50, 1}).m_base.known());
+    EXPECT_FALSE(subject.since({41, 2}).m_base.known());
+    EXPECT_TRUE(subject.since({42, 2}).m_base.known());
+}
