Follow drains and confirm the configuration while a copy's version is older

Found by review. While the restored store still holds an older version than the one in force, (1) an evacuation that is acknowledged then was ignored with the older document it came with (EVAC), (2) nothing confirmed the configuration, so that with its age all entries asked the store, (3) an entry refused by the store's position what it had fetched by version, again and again, (4) a refused position hid later versions of peers, (5) a copy without upstreams was no list.

Change: zones that the older document drains are drained until the next one is adopted; the store's answer confirms, as it has nothing newer; one order decides what is adopted and what is fetched; only the very position that was refused is not fetched again; all prefixes count as changed in a new era. An answer that names no era is one of the present era, and a bare revision in /in-force too.

Tests: adoption.a_zone_is_drained_although_the_copys_version_is_older, adoption.a_later_version_at_a_lower_position_is_adopted, restored_platform.a_zone_drained_before_the_version_returns_is_drained, restored_store.a_copy_without_upstreams_is_a_list.

--- a/include/skylark/config/adoption.hpp
+++ b/include/skylark/config/adoption.hpp
@@ -28,6 +28,7 @@
 /*! @brief The offered document is older than the one in force. */
 struct reverted {
     store_position m_offered;
+    bool m_zones_changed{}; //!< it drains zones, which is in force all the same
 };
 
 /*! @brief The offered document does not parse or is inconsistent. */
@@ -41,7 +42,8 @@
  *
  *  A zone that was drained before the store was restored stays drained until
  *  the operators have had time to drain it again: that its key is missing from
- *  the copy proves nothing. */
+ *  the copy proves nothing. Zones that are drained in the later era are so
+ *  although the copy's configuration is older than the one in force. */
 class config_adoption {
 public:
     /*! @brief Offers a document.
@@ -81,30 +83,33 @@
         return m_order.m_position;
     }
     [[nodiscard]] const document& current() const { return m_document; }
-    //! As it was offered, without retained zones.
+    //! As it was offered, without zones that are drained besides.
     [[nodiscard]] const std::string& text() const { return m_text; }
     //! Highest refused position; offered again, it is refused again.
     [[nodiscard]] const store_position& refused_position() const {
         return m_refused;
     }
-    //! Latest offered position whose document was older than the one in force.
+    //! Latest position of a document that was older than the one in force.
     [[nodiscard]] const store_position& reverted_position() const {
         return m_reverted;
     }
 
 private:
-    void retain_drained_zones(const document& before, time_point now);
-    void apply_retention();
+    adoption_result revert(const document& offered,
+                           const store_position& position);
+    void update_document();
 
-    // Invariant: m_order never decreases; m_text matches it, and m_document
-    // does except for the retained zones.
+    // Invariant: m_order never decreases; m_offered and m_text match it.
     config_order m_order;
-    document m_document;
+    document m_offered;
+    document m_document; // m_offered with the zones below drained
     std::string m_text;
     store_position m_refused;
     store_position m_reverted;
-    std::vector<std::string> m_retained; // names of drained zones
+    std::vector<std::string> m_retained; // names of zones drained before
     time_point m_retention_end;
+    // Names of the zones that the document at m_reverted drains.
+    std::vector<std::string> m_drained_since;
     std::optional<time_point> m_confirmed;
 };
 
--- a/src/discovery/instance_memory.cpp
+++ b/src/discovery/instance_memory.cpp
@@ -20,8 +20,9 @@
 } // namespace
 
 bool instance_memory::reconcile(instance_list& list, time_point now) {
-    m_corrected = list.m_index.m_era > m_era;
-    if (m_corrected) {
+    const bool restored = list.m_index.m_era > m_era;
+    m_corrected = restored && !m_known.empty();
+    if (restored) {
         m_era = list.m_index.m_era;
         m_rewrite_end = now + m_rewrite_time;
         m_comparison_end = now + comparison_factor * m_rewrite_time;
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -137,10 +137,9 @@
                        const bool absent = !at.known();
                        if (!absent)
                            offer(at, value.m_text, "store");
-                       const bool is_older = at == config.reverted_position();
-                       if (!is_older || absent)
-                           config.confirmed({config.order().m_version, at},
-                                            m_store.confirmed_at(asked));
+                       // Also by an older version: the store has no newer one.
+                       config.confirmed({config.order().m_version, at},
+                                        m_store.confirmed_at(asked));
                        if (!usable ||
                            (absent && !m_store.authoritative_instances()) ||
                            at == config.refused_position())
@@ -176,6 +175,10 @@
                        if (std::exchange(m_noted_revert, old.m_offered) !=
                            old.m_offered)
                            note("ignored, older than what is in force,");
+                       if (!old.m_zones_changed)
+                           return;
+                       note_zones(before);
+                       m_changed();
                    },
                    [&](const refused& why) {
                        if (std::exchange(m_noted_revert, position) != position)
--- a/src/entry/configurator_peers.cpp
+++ b/src/entry/configurator_peers.cpp
@@ -11,7 +11,7 @@
     m_shared.m_config.confirmed(theirs.order(),
                                 io::event_loop::now() - theirs.m_confirmed_age);
     const bool refused_before =
-        theirs.m_revision <= m_shared.m_config.refused_position();
+        theirs.m_revision == m_shared.m_config.refused_position();
     if (theirs.order() > m_shared.m_config.order() && !refused_before)
         fetch_document(peer);
     if (theirs.m_instances > m_shared.m_instances.m_index)
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -84,8 +84,7 @@
 void control::json(exchange_id key, std::string_view body) {
     const std::array headers{
         io::header{"Content-Type", "application/json"},
-        io::header{"Config-Revision",
-                   text_of(m_shared.m_config.position())}};
+        io::header{"Config-Revision", text_of(m_shared.m_config.position())}};
     m_server.answer(key, io::status::ok, headers, body);
 }
 
@@ -166,21 +165,23 @@
 
 void control::answer_error(exchange_id key, int status,
                            const input_error& why) {
-    const nlohmann::json out{{"error",
-                              {{"place", why.m_place},
-                               {"value", why.m_value},
-                               {"expected", why.m_expected}}},
-                             {"entry", m_shared.m_settings.m_name},
-                             {"in_force", m_shared.m_config.position().m_revision}};
+    const nlohmann::json out{
+        {"error",
+         {{"place", why.m_place},
+          {"value", why.m_value},
+          {"expected", why.m_expected}}},
+        {"entry", m_shared.m_settings.m_name},
+        {"in_force", m_shared.m_config.position().m_revision}};
     text(key, status, out.dump());
 }
 
 void control::answer_change(exchange_id key, const change_result& result) {
     const auto failure = [&](int status, std::string_view how,
                              const std::string& cause) {
-        const nlohmann::json out{{"change", how},
-                                 {"cause", cause},
-                                 {"in_force", m_shared.m_config.position().m_revision}};
+        const nlohmann::json out{
+            {"change", how},
+            {"cause", cause},
+            {"in_force", m_shared.m_config.position().m_revision}};
         text(key, status, out.dump());
     };
     std::visit(
@@ -204,11 +205,14 @@
 
 // Which members are known to have adopted a revision, by their heartbeats.
 void control::answer_in_force(exchange_id key, std::string_view path) {
-    const auto wanted = position_after('=', path);
+    auto wanted = position_after('=', path);
     if (!wanted) {
         answer_error(key, io::status::bad_request, no_number("revision", path));
         return;
     }
+    // A bare revision is one of the present era.
+    if (wanted->m_era == 0)
+        wanted->m_era = m_shared.m_config.position().m_era;
     const time_point now = io::event_loop::now();
     auto behind = nlohmann::json::array();
     std::size_t members = 1;
--- a/src/store/lease_holder.cpp
+++ b/src/store/lease_holder.cpp
@@ -89,7 +89,7 @@
 // Whether the lease was granted before the store was restored.
 bool lease_holder::is_void(const io::fetch_answer& answer) const {
     return answer.m_status == io::status::ok && m_lease_id != 0 &&
-           m_protocol.read_era(answer) > m_lease_era;
+           m_protocol.read_era(answer).value_or(m_lease_era) > m_lease_era;
 }
 
 void lease_holder::handle_expiry() {
@@ -103,7 +103,7 @@
     call(m_protocol.lease(m_ttl), [this](const auto& answer) {
         const auto granted = m_protocol.read_lease(answer);
         m_lease_id = granted ? granted.value().m_id : 0;
-        m_lease_era = m_protocol.read_era(answer);
+        m_lease_era = m_protocol.read_era(answer).value_or(m_lease_era);
         if (m_lease_id == 0)
             schedule_step(retry_interval);
         else
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -26,7 +26,9 @@
     m_listing.clear();
     m_revision = 0;
     m_pending_removals.clear();
-    m_versions.clear();
+    // Also prefixes without keys in the copy have changed.
+    for (auto& [prefix, version] : m_versions)
+        version = 0;
 }
 
 void mirror::begin_listing() {
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -98,7 +98,8 @@
         return;
     }
     m_reachability.call_succeeded();
-    const std::uint64_t era = m_protocol.read_era(*answer);
+    const std::uint64_t era =
+        m_protocol.read_era(*answer).value_or(m_mirror.era());
     if (era < m_mirror.era()) {
         fail_reads(earlier_era);
         return;
@@ -158,7 +159,8 @@
         fail_reads(changes.error().text());
         return;
     }
-    const std::uint64_t era = m_protocol.read_era(*answer);
+    const std::uint64_t era =
+        m_protocol.read_era(*answer).value_or(m_mirror.era());
     if (era < m_mirror.era()) {
         fail_reads(earlier_era);
         return;
--- a/test/config/adoption.cpp
+++ b/test/config/adoption.cpp
@@ -117,3 +117,23 @@
     subject.confirmed({12, {45, 2}}, start);
     EXPECT_EQ(subject.age(start), duration{0});
 }
+
+TEST(adoption, a_zone_is_drained_although_the_copys_version_is_older) {
+    config_adoption subject;
+    subject.offer({50, 1}, text_of("twelve", 12), start);
+    const auto result = subject.offer({43, 2}, text_of("nine", 9, "b"), start);
+    ASSERT_TRUE(is<reverted>(result));
+    EXPECT_TRUE(std::get<reverted>(result).m_zones_changed);
+    EXPECT_EQ(subject.current().m_change_id, "twelve");
+    EXPECT_EQ(subject.current().find_zone("b")->m_state, zone_state::drained);
+    subject.offer({44, 2}, text_of("nine", 9), start);
+    EXPECT_EQ(subject.current().find_zone("b")->m_state, zone_state::active);
+}
+
+// Peers fetch what is later by version, at whatever position.
+TEST(adoption, a_later_version_at_a_lower_position_is_adopted) {
+    config_adoption subject;
+    subject.offer({51, 2}, text_of("twelve", 12), start);
+    EXPECT_TRUE(
+        is<adopted>(subject.offer({50, 2}, text_of("thirteen", 13), start)));
+}
--- a/test/platform/restored.cpp
+++ b/test/platform/restored.cpp
@@ -93,3 +93,20 @@
         ASSERT_EQ(status(ask("/a/x")), 200);
     EXPECT_EQ(m_near.m_requests, 0);
 }
+
+TEST_F(restored_platform,
+       a_zone_drained_before_the_version_returns_is_drained) {
+    start_with_new_route();
+    restore();
+    m_store.put("op/evacuate/a", "{}");
+    turn_until([this] {
+        m_near.m_requests = 0;
+        return status(ask("/c/x")) == 200 && m_near.m_requests == 0 &&
+               m_far.m_requests > 0;
+    });
+    turn_for(seconds{1});
+    m_near.m_requests = 0;
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(status(ask("/c/x")), 200);
+    EXPECT_EQ(m_near.m_requests, 0);
+}
--- a/test/store/restored_store.cpp
+++ b/test/store/restored_store.cpp
@@ -135,6 +135,17 @@
     EXPECT_TRUE(after.m_instances[0].m_leaving);
 }
 
+TEST_F(restored_store, a_copy_without_upstreams_is_a_list) {
+    m_store.save_copy();
+    m_store.put("servers/i-1", record("ready", 1));
+    const auto before = list(0);
+    ASSERT_TRUE(m_store.restore_copy());
+    const auto after = list(before.m_index);
+    EXPECT_TRUE(after.m_instances.empty());
+    EXPECT_TRUE(after.m_index.known());
+    EXPECT_GT(after.m_index, before.m_index);
+}
+
 TEST_F(restored_store, a_lease_that_another_holder_was_given_is_replaced) {
     m_store.save_copy();
     const auto hold = [&](const std::string& key) {
