--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -29,7 +29,7 @@
     src/entry/forwarder_answer.cpp src/entry/forwarder_refusal.cpp
     src/entry/forwarder_drain.cpp
     src/entry/configurator.cpp
-    src/entry/configurator_peers.cpp
+    src/entry/configurator_peers.cpp src/entry/configurator_notes.cpp
     src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
     src/entry/changer.cpp src/entry/inspector.cpp src/entry/node.cpp)
 target_link_libraries(skylark_entry PUBLIC
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -1,6 +1,7 @@
 # Tests mirror the module tree, one file for each header.
 add_executable(skylark_test
     test/core/address.cpp test/core/foreign_text.cpp test/core/histogram.cpp test/core/suggest.cpp
+    test/core/store_position.cpp test/discovery/instance_memory.cpp
     test/config/document.cpp test/config/adoption.cpp test/config/absence_claim.cpp test/config/poll_timer.cpp
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
@@ -28,11 +29,13 @@
     test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
     test/platform/answer_lines.cpp test/platform/unproven_answers.cpp
     test/platform/stale_configuration.cpp
-    test/platform/leaving.cpp test/route/probe_step.cpp
+    test/platform/leaving.cpp test/platform/restored.cpp
+    test/store/restored_store.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
     test/route/room.cpp
-    test/standin/overload.cpp standin/kv_store.cpp standin/platform.cpp
+    test/standin/overload.cpp test/standin/kv_store.cpp
+    standin/kv_store.cpp standin/kv_restore.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
     standin/entry_model.cpp)
 target_include_directories(skylark_test PRIVATE ${CMAKE_SOURCE_DIR})
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -22,6 +22,9 @@
 // first of them tells the rest.
 constexpr std::uint32_t trust_steps = 16;
 constexpr auto trust_step = milliseconds{150};
+// Upstreams that are alive have written their records again this long after
+// the store was restored.
+constexpr auto rewrite_time = milliseconds{2200};
 constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
 
 // From a call that stays unanswered until its successor's news is everywhere:
@@ -46,7 +49,7 @@
 configurator::configurator(context& shared, std::function<void()> changed)
     : m_shared{shared}, m_changed{std::move(changed)}, m_store{open_store()},
       m_peers{shared.m_loop, answer_limit}, m_guard{list_patience},
-      m_document_turn{longest_trust(shared.m_settings)},
+      m_memory{rewrite_time}, m_document_turn{longest_trust(shared.m_settings)},
       m_list_turn{longest_trust(shared.m_settings)} {}
 
 void configurator::start() {
@@ -89,7 +92,7 @@
 }
 
 bool configurator::knows_all() const {
-    return m_shared.m_config.ready() && m_shared.m_instances.m_index > 0;
+    return m_shared.m_config.ready() && m_shared.m_instances.m_index.known();
 }
 
 duration configurator::next_check() const {
@@ -113,7 +116,11 @@
     }
     m_shared.m_metrics.count(counter::store_reads);
     const time_point asked = io::event_loop::now();
-    m_store.read(m_shared.m_config.revision(), m_store.max_read_wait(),
+    // The store's document may be older than the one in force, at a later
+    // position.
+    const store_position seen = std::max(m_shared.m_config.position(),
+                                         m_shared.m_config.reverted_position());
+    m_store.read(seen, m_store.max_read_wait(),
                  [this, asked](const store::read_result& result) {
                      take_document(result, asked);
                  });
@@ -123,34 +130,37 @@
                                  time_point asked) {
     duration wait{0};
     std::visit(
-        overloaded{
-            [&](const store::stored_value& value) {
-                const bool usable =
-                    value.m_revision >= m_shared.m_config.revision();
-                const bool absent = value.m_revision == 0;
-                if (!absent)
-                    offer(value.m_revision, value.m_text, "store");
-                m_shared.m_config.confirmed(value.m_revision,
-                                            m_store.confirmed_at(asked));
-                if (!usable || (absent && !m_store.authoritative_instances()) ||
-                    value.m_revision == m_shared.m_config.refused_revision())
-                    wait = retry_wait;
-            },
-            [&](const store::store_failure&) {
-                m_shared.m_metrics.count(counter::store_failures);
-                wait = retry_wait;
-            }},
+        overloaded{[&](const store::stored_value& value) {
+                       config_adoption& config = m_shared.m_config;
+                       const store_position& at = value.m_position;
+                       const bool usable = at >= config.position();
+                       const bool absent = !at.known();
+                       if (!absent)
+                           offer(at, value.m_text, "store");
+                       // Also by an older version: the store has no newer one.
+                       config.confirmed({config.order().m_version, at},
+                                        m_store.confirmed_at(asked));
+                       if (!usable ||
+                           (absent && !m_store.authoritative_instances()) ||
+                           at == config.refused_position())
+                           wait = retry_wait;
+                   },
+                   [&](const store::store_failure&) {
+                       m_shared.m_metrics.count(counter::store_failures);
+                       wait = retry_wait;
+                   }},
         result);
     note_store();
     m_shared.m_loop.after(wait, [this] { watch_document(); });
 }
 
-void configurator::offer(std::uint64_t revision, const std::string& text,
-                         std::string_view source) {
+void configurator::offer(const store_position& position,
+                         const std::string& text, std::string_view source) {
+    note_era(position.m_era);
     const document before = m_shared.m_config.current();
     const auto note = [&](const std::string& detail) {
         m_shared.m_journal.note(event_kind::configuration,
-                                "revision " + std::to_string(revision),
+                                "revision " + text_of(position),
                                 detail + " from " + std::string{source});
     };
     std::visit(
@@ -158,6 +168,7 @@
                        m_shared.m_newer_announced = false;
                        note("adopted");
                        note_zones(before);
+                       schedule_retention_end();
                        m_changed();
                    },
                    [](const unchanged&) {},
@@ -165,22 +176,31 @@
                        if (std::exchange(m_noted_revert, old.m_offered) !=
                            old.m_offered)
                            note("ignored, older than what is in force,");
+                       if (!old.m_zones_changed)
+                           return;
+                       note_zones(before);
+                       m_changed();
                    },
                    [&](const refused& why) {
                        m_shared.m_newer_announced = false;
-                       if (std::exchange(m_noted_revert, revision) != revision)
+                       if (std::exchange(m_noted_revert, position) != position)
                            note("refused: " + why.m_error.text());
                    }},
-        m_shared.m_config.offer(revision, text));
+        m_shared.m_config.offer(position, text, io::event_loop::now()));
 }
 
-void configurator::note_zones(const document& before) {
-    for (const zone& now : m_shared.m_config.current().m_zones) {
-        const zone* old = before.find_zone(now.m_name);
-        if (!old || old->m_state != now.m_state)
-            m_shared.m_journal.note(event_kind::zone, now.m_name,
-                                    std::string{name_of(now.m_state)});
-    }
+void configurator::schedule_retention_end() {
+    const auto end = m_shared.m_config.retention_end();
+    if (!end)
+        return;
+    const duration left = *end - io::event_loop::now();
+    m_shared.m_loop.after(std::max(duration{0}, left), [this] {
+        const document before = m_shared.m_config.current();
+        if (!m_shared.m_config.end_retention(io::event_loop::now()))
+            return;
+        note_zones(before);
+        m_changed();
+    });
 }
 
 void configurator::watch_instances() {
@@ -219,44 +239,27 @@
         if (!doubted)
             m_shared.m_journal.note(
                 event_kind::configuration,
-                "instance list " + std::to_string(list.m_index),
+                "instance list " + text_of(list.m_index),
                 "held back: it drops most upstreams at once");
         return;
     }
-    const std::uint64_t before = m_shared.m_instances.m_index;
+    const store_position before = m_shared.m_instances.m_index;
+    note_era(list.m_index.m_era);
+    const bool corrected = m_memory.reconcile(list, io::event_loop::now());
     drop_resurrected(list, m_shared.m_instances);
     m_shared.m_instances = std::move(list);
-    m_log.update(m_shared.m_instances);
+    m_log.update(m_shared.m_instances, corrected);
     note_instances(m_log.since(before), source);
     m_changed();
 }
 
-// One line for each upstream whose use changes; the first list is counted.
-void configurator::note_instances(const instance_changes& changes,
-                                  std::string_view source) {
-    const std::string grounds = " in list " + std::to_string(changes.m_index) +
-                                " from " + std::string{source};
-    const auto note = [&](const std::string& subject, std::string_view what) {
-        m_shared.m_journal.note(event_kind::upstream, subject,
-                                std::string{what} + grounds);
-    };
-    if (changes.m_base == 0) {
-        note(std::to_string(changes.m_present.size()) + " instances", "listed");
-        return;
-    }
-    for (const instance& item : changes.m_present)
-        if (item.m_role == instance_role::upstream)
-            note(item.m_id, item.m_leaving ? "leaving" : "listed");
-    for (const auto& [role, id] : changes.m_removed)
-        if (role == instance_role::upstream)
-            note(id, "removed");
-}
-
 config_mark configurator::mark() const {
     constexpr duration unknown = std::chrono::hours{24};
     const time_point now = io::event_loop::now();
-    return {m_shared.m_config.revision(), m_shared.m_instances.m_index,
-            std::min(m_shared.m_config.age(now), unknown), m_store.lost(now)};
+    const config_order& order = m_shared.m_config.order();
+    return {order.m_position, m_shared.m_instances.m_index,
+            std::min(m_shared.m_config.age(now), unknown), m_store.lost(now),
+            order.m_version};
 }
 
 } // namespace skylark::entry
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -4,10 +4,12 @@
 #define SKYLARK_ENTRY_CONFIGURATOR_HPP
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <skylark/config/watch_schedule.hpp>
 #include <skylark/discovery/instance_log.hpp>
+#include <skylark/discovery/instance_memory.hpp>
 #include <skylark/discovery/list_guard.hpp>
 
 #include "entry/context.hpp"
@@ -32,12 +34,13 @@
 
     /*! @brief What a peer lacks of the instance list.
      *  @param index of the list that it has */
-    [[nodiscard]] instance_changes changes_since(std::uint64_t index) const {
+    [[nodiscard]] instance_changes
+    changes_since(const store_position& index) const {
         return m_log.since(index);
     }
 
     /*! @brief Offers a document that was read or written elsewhere. */
-    void offer(std::uint64_t revision, const std::string& text,
+    void offer(const store_position& position, const std::string& text,
                std::string_view source);
 
     store::client& store() { return m_store; }
@@ -59,12 +62,15 @@
     void fetch_instances(const member& from);
     void take_changes(std::string_view body);
     void note_zones(const document& before);
+    void schedule_retention_end();
+    void note_era(std::uint64_t era);
 
     context& m_shared;
     std::function<void()> m_changed;
     store::client m_store;
     io::fetcher m_peers;
     list_guard m_guard;
+    instance_memory m_memory;
     instance_log m_log; //!< of the list in use, for peers
     watch_schedule m_document_turn;
     watch_schedule m_list_turn;
@@ -72,7 +78,8 @@
     bool m_peer_knows{}; // one with document and list was heard
     bool m_fetching_document{};
     bool m_fetching_instances{};
-    std::uint64_t m_noted_revert{}; // store revision that was told last
+    store_position m_noted_revert; // that was told last
+    std::optional<std::uint64_t> m_noted_era;
 };
 
 } // namespace skylark::entry
--- a/src/entry/forwarder_log.cpp
+++ b/src/entry/forwarder_log.cpp
@@ -64,8 +64,8 @@
         .add("connection", current.m_reused ? "reused" : "new")
         .add("asked", current.m_probe_count)
         .add("unanswered", current.m_pending_probe_count)
-        .add("config", m_shared.m_config.revision())
-        .add("instances", m_shared.m_instances.m_index)
+        .add("config", text_of(m_shared.m_config.position()))
+        .add("instances", text_of(m_shared.m_instances.m_index))
         .add_ms("waited_ms", now - req.m_arrived)
         .add_ms("left_ms", req.m_machine.terms().m_deadline - now)
         .add_ms("target_left_ms", req.m_target_time - now)
@@ -93,11 +93,11 @@
 }
 
 void forwarder::add_configuration(log_line& line) const {
-    line.add("config", m_shared.m_config.revision());
+    line.add("config", text_of(m_shared.m_config.position()));
     const duration age = m_shared.m_config.age(io::event_loop::now());
     if (age != duration::max())
         line.add_ms("config_age_ms", age);
-    line.add("instances", m_shared.m_instances.m_index);
+    line.add("instances", text_of(m_shared.m_instances.m_index));
 }
 
 void forwarder::log_refusal(const request& req, int status,
