--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -75,5 +75,10 @@
          COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/scripts/soak.py
                  --seed 5 --runs 3 --seconds 12 --entries 3 --servers 9
                  --net 180 --build ${CMAKE_BINARY_DIR})
-set_tests_properties(soak_judge soak_short PROPERTIES LABELS soak)
-set_tests_properties(soak_short PROPERTIES TIMEOUT 400)
+add_test(NAME soak_restored
+         COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/scripts/soak.py
+                 --seed 2 --runs 2 --seconds 18 --entries 4 --servers 9
+                 --callers 30 --pace 0.3 --restores 1
+                 --net 181 --build ${CMAKE_BINARY_DIR})
+set_tests_properties(soak_judge soak_short soak_restored PROPERTIES LABELS soak)
+set_tests_properties(soak_short soak_restored PROPERTIES TIMEOUT 400)
