--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -133,10 +133,13 @@
         if (item.m_role == instance_role::entry)
             entries.push_back(item.m_address);
     m_shared.m_fleet.set_listed(entries);
-    const limits& bounds = m_shared.m_config.current().m_limits;
-    m_callers.set_limits({bounds.m_body_bytes, bounds.m_idle,
-                          bounds.m_head_bytes,
-                          m_shared.m_settings.m_input_bytes});
+    // The instance list may come before the first configuration.
+    if (m_shared.m_config.ready()) {
+        const limits& bounds = m_shared.m_config.current().m_limits;
+        m_callers.set_limits({bounds.m_body_bytes, bounds.m_idle,
+                              bounds.m_head_bytes,
+                              m_shared.m_settings.m_input_bytes});
+    }
     m_forwarder.upstreams_removed(m_shared.m_upstreams.adopt(
         m_shared.m_config.current(), m_shared.m_instances));
     m_forwarder.dispatch_queued();
--- a/test/platform/uploads.cpp
+++ b/test/platform/uploads.cpp
@@ -173,6 +173,17 @@
     EXPECT_EQ(status(upload(body_of(2 * defaults::body_bytes))), 503);
 }
 
+TEST_F(uploads, a_large_body_is_not_denied_once_upstreams_are_known) {
+    m_store.put("servers/" + m_near.id(), m_near.record("a"));
+    start();
+    turn_until([this] {
+        const auto page = get(m_settings.m_control, "/events");
+        const auto* answer = std::get_if<io::fetch_answer>(&page);
+        return answer && answer->m_body.find("instances") != std::string::npos;
+    });
+    EXPECT_EQ(status(upload(body_of(2 * defaults::body_bytes))), 503);
+}
+
 TEST_F(uploads, a_caller_that_leaves_in_the_middle_reaches_no_upstream) {
     start_with_upstreams();
     {
