--- a/test/platform/uploads.cpp
+++ b/test/platform/uploads.cpp
@@ -41,7 +41,7 @@
 
 class uploads : public platform_node {
 protected:
-    io::fetch_result upload(const std::string& body) {
+    io::fetch_result upload_once(const std::string& body) {
         io::fetch_request what;
         what.m_to = m_settings.m_callers;
         what.m_method = "POST";
@@ -49,7 +49,11 @@
         what.m_host = "h.example";
         what.m_headers = {{"Request-Id", "r1"}, {"Deadline-Ms", "800"}};
         what.m_body = body;
-        return until_received([&] { return call(what); });
+        return call(what);
+    }
+
+    io::fetch_result upload(const std::string& body) {
+        return until_received([&] { return upload_once(body); });
     }
 
     // Sends until the upstream has one more request. Each refusal must have
@@ -170,7 +174,7 @@
 
 TEST_F(uploads, a_large_body_is_not_denied_before_the_limits_are_known) {
     start();
-    EXPECT_EQ(status(upload(body_of(2 * defaults::body_bytes))), 503);
+    EXPECT_EQ(status(upload_once(body_of(2 * defaults::body_bytes))), 503);
 }
 
 TEST_F(uploads, a_large_body_is_not_denied_once_upstreams_are_known) {
@@ -181,7 +185,7 @@
         const auto* answer = std::get_if<io::fetch_answer>(&page);
         return answer && answer->m_body.find("instances") != std::string::npos;
     });
-    EXPECT_EQ(status(upload(body_of(2 * defaults::body_bytes))), 503);
+    EXPECT_EQ(status(upload_once(body_of(2 * defaults::body_bytes))), 503);
 }
 
 TEST_F(uploads, a_caller_that_leaves_in_the_middle_reaches_no_upstream) {
