--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -231,8 +231,7 @@
 
 void configurator::offer_instances(instance_list list,
                                    std::string_view source) {
-    if (!list.m_index.known() ||
-        list.m_index <= m_shared.m_instances.m_index)
+    if (!list.m_index.known() || list.m_index <= m_shared.m_instances.m_index)
         return;
     const bool doubted = m_guard.is_holding();
     if (!m_store.authoritative_instances() &&
