--- a/src/core/store_position.cpp
+++ b/src/core/store_position.cpp
@@ -6,7 +6,7 @@
 namespace skylark {
 
 std::string text_of(const store_position& position) {
-    const std::string revision = std::to_string(position.m_revision);
+    std::string revision = std::to_string(position.m_revision);
     if (position.m_era == 0)
         return revision;
     return std::to_string(position.m_era) + ':' + revision;
--- a/src/entry/availability_info.cpp
+++ b/src/entry/availability_info.cpp
@@ -40,7 +40,7 @@
 
 void apply_availability(const availability_info& said, upstream& from,
                         journal& events, time_point now) {
-    const auto note = [&](std::string what) {
+    const auto note = [&](const std::string& what) {
         events.note(event_kind::upstream, from.m_instance, what);
     };
     if (said.m_leaving && from.m_availability.leave())
