--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -34,22 +34,18 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def free_port_both():
-    """A port that is free for TCP and for UDP."""
+def free_port(address):
+    """A port of an address that is free for TCP and for UDP."""
     while True:
-        port = free_port()
-        try:
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-                probe.bind(("127.0.0.1", port))
-                return port
-        except OSError:
-            continue
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
+            stream.bind((address, 0))
+            port = stream.getsockname()[1]
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
+                try:
+                    datagram.bind((address, port))
+                    return port
+                except OSError:
+                    continue
 
 
 class Record:
@@ -382,20 +378,26 @@
         self.name = f"front-{zone}-{index}"
         self.folder = folder
         self.store_port = store_port
-        self.front, self.ready, self.directory = (free_port() for _ in "abc")
-        self.control = free_port_both()
+        # An address of its own: the ports of outgoing connections, which come
+        # from 127.0.0.1, can't take those of a machine that is to start.
+        self.ip = (f"127.{random.randint(16, 250)}.{random.randint(0, 250)}."
+                   f"{index + 1}")
+        self.front, self.ready, self.directory, self.control = (
+            (self.ip, free_port(self.ip)) for _ in range(4))
         self.process = None
 
     def write_settings(self, seeds, bootstrap=True):
         text = (ROOT / "deploy" / "entry.toml.template").read_text()
-        address = "127.0.0.1:{}".format
+        def address(place):
+            return f"{place[0]}:{place[1]}"
+
         fields = {
             "node": self.name, "zone": self.zone, "region": "sicilia-est",
             "listen.front": address(self.front),
             "listen.ready": address(self.ready),
             "listen.directory": address(self.directory),
             "listen.control": address(self.control),
-            "platform.address": address(self.store_port),
+            "platform.address": address(("127.0.0.1", self.store_port)),
             "bounds.probes_per_s": BOUNDS["probes_per_s"],
             "limits.cpu_share": 0.2,
             "bootstrap": "true" if bootstrap else "false",
@@ -443,15 +445,14 @@
         self.cause = ""
 
 
-async def ask(record, port, method, path, deadline_s, body=b""):
+async def ask(record, place, method, path, deadline_s, body=b""):
     """One request on a connection of its own; the consumer leaves at its
     deadline."""
     out = Answer(f"{random.getrandbits(64):016x}", record.now())
-    record.add("sent", id=out.name, to=port, method=method, path=path)
-    writer = None
+    record.add("sent", id=out.name, to=place[1], method=method, path=path)
     try:
-        await asyncio.wait_for(exchange_holder(
-            record, port, method, path, deadline_s, body, out), deadline_s)
+        await asyncio.wait_for(exchange(
+            record, place, method, path, deadline_s, body, out), deadline_s)
     except asyncio.TimeoutError:
         out.gave_up = True
         out.cause = "left at its deadline"
@@ -464,8 +465,8 @@
     return out
 
 
-async def exchange_holder(record, port, method, path, deadline_s, body, out):
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+async def exchange(record, place, method, path, deadline_s, body, out):
+    reader, writer = await asyncio.open_connection(*place)
     try:
         head = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
                 f"Request-Id: {out.name}\r\n"
@@ -533,7 +534,8 @@
             self.entries.append(Entry(self.folder, index,
                                       ZONES[index % len(ZONES)],
                                       self.store.port))
-        seeds = [f"127.0.0.1:{entry.control}" for entry in self.entries[:3]]
+        seeds = ["{}:{}".format(*entry.control)
+                 for entry in self.entries[:3]]
         for entry in self.entries:
             entry.write_settings(seeds)
             entry.start()
@@ -549,8 +551,7 @@
 
     async def is_ready(self, entry):
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1",
-                                                           entry.ready)
+            reader, writer = await asyncio.open_connection(*entry.ready)
         except OSError:
             return False
         try:
