Serve a request in progress under the service it was admitted to

Cause: a request in progress lives under two configurations, the one that admitted it and the present one, and the router looked its service up by name in the present one. can_serve(), random_slot_owner() and send_probes() read the null that follows for a retired service; choose() and the probing took it for "no choice", so that a queued request waited until its deadline for upstreams that were free.

Change: a request keeps the settings of its service. router::service_of() gives those in force, so that changed limits bind at once, and those of the admission only where the service is no longer configured. The router takes a service, not a name, so there is no null to check. Which upstreams exist, leave or are in a drained zone is still judged by the present state.

Looked at besides: shares of a retired service count as zero slots in within_owned_shares(), so a view settles only after its requests have ended; that errs on the safe side and stays.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -17,7 +17,7 @@
     test/io/http_client_cuts.cpp test/io/fetcher.cpp test/io/http_server.cpp test/io/http_server_closing.cpp
     test/io/http_server_shutdown.cpp test/io/http_server_rejects.cpp
     test/io/lingering_connections.cpp test/entry/settings.cpp
-    test/entry/request_head.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
+    test/entry/request_head.cpp test/entry/retired_service.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
     test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp
     test/entry/listener_shutdown.cpp test/ctl/query_command.cpp
     src/ctl/client.cpp src/ctl/query_command.cpp test/peer/codec.cpp
@@ -26,7 +26,7 @@
     test/platform/kv_protocol.cpp test/platform/odd_entry.cpp
     test/platform/odd_records.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
-    test/platform/cut_answers.cpp test/platform/repeated_refusals.cpp
+    test/platform/cut_answers.cpp test/platform/retired_service.cpp test/platform/repeated_refusals.cpp
     test/platform/answer_lines.cpp test/platform/unproven_answers.cpp
     test/platform/stale_configuration.cpp
     test/platform/leaving.cpp test/platform/restored.cpp
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -120,7 +120,7 @@
     // split.
     const std::string& select_service(const rule& matched);
     void admit(exchange_id key, const io::request_view& from,
-               const rule& matched, const std::string& service);
+               const rule& matched, const service& target);
     ratio_budget& retry_budget(const std::string& service);
     void dispatch_service(const std::string& name);
     bool dispatch_next(const std::string& name, request_class wanted);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -47,17 +47,17 @@
         refuse_unmatched(key, from);
         return;
     }
-    const std::string& service = select_service(*matched);
+    const std::string& name = select_service(*matched);
     if (m_shared.m_isolated)
         refuse_on_arrival(key, from, io::status::unavailable,
                           "this entry reaches neither store nor majority",
-                          matched->m_class, retry_after_without(service));
-    else if (!m_router.has_eligible_upstream(service))
+                          matched->m_class, retry_after_without(name));
+    else if (!m_router.has_eligible_upstream(name))
         refuse_on_arrival(key, from, io::status::unavailable,
-                          "service " + service + " has no usable upstream",
-                          matched->m_class, retry_after_without(service));
-    else
-        admit(key, from, *matched, service);
+                          "service " + name + " has no usable upstream",
+                          matched->m_class, retry_after_without(name));
+    else // check() has refused rules of services that are not declared
+        admit(key, from, *matched, *config.find_service(name));
 }
 
 const std::string& forwarder::select_service(const rule& matched) {
@@ -83,17 +83,17 @@
 }
 
 void forwarder::admit(exchange_id key, const io::request_view& from,
-                      const rule& matched, const std::string& service) {
-    const bool can_serve = m_router.can_serve(service, matched.m_class);
+                      const rule& matched, const service& target) {
+    const bool can_serve = m_router.can_serve(target, matched.m_class);
     if (!can_serve && m_shared.m_drain) {
         refuse_leaving(key, from, matched.m_class);
         return;
     }
     if (!can_serve) {
         refuse_on_arrival(key, from, io::status::unavailable,
-                          "this entry owns no slot of service " + service,
-                          matched.m_class, retry_after_without(service),
-                          m_router.random_slot_owner(service, matched.m_class));
+                          "this entry owns no slot of service " + target.m_name,
+                          matched.m_class, retry_after_without(target.m_name),
+                          m_router.random_slot_owner(target, matched.m_class));
         return;
     }
     const limits& bounds = m_shared.m_config.current().m_limits;
@@ -111,19 +111,20 @@
         refuse_leaving(key, from, matched.m_class);
         return;
     }
-    auto& queues = m_queues[service];
+    auto& queues = m_queues[target.m_name];
     if (queues.queue(matched.m_class).size() >= bounds.m_queue_length) {
         refuse_on_arrival(key, from, io::status::unavailable, "queue is full",
-                          matched.m_class, retry_after_without(service));
+                          matched.m_class, retry_after_without(target.m_name));
         return;
     }
     deadline_range& range = m_deadline_ranges[matched.m_name];
-    if (requested && now - m_services[service].m_last_refusal > calm_period)
+    if (requested &&
+        now - m_services[target.m_name].m_last_refusal > calm_period)
         range.add(*requested);
     const duration waited =
         pause + (requested ? range.least_wait(*requested) : duration{0});
     const request_id admitted = m_requests.emplace(request{
-        key, service, matched.m_name, matched.m_class,
+        key, target, matched.m_name, matched.m_class,
         attempt_machine{
             {matched.m_idempotent, now + time_left, matched.m_max_attempts}},
         now, forward_head(from, m_shared.m_dialect), from.m_method == "HEAD"});
@@ -138,9 +139,9 @@
         if (request* found = m_requests.find(admitted))
             apply(admitted, found->m_machine.expired());
     });
-    retry_budget(service).deposit(bounds.m_retry_percent);
+    retry_budget(target.m_name).deposit(bounds.m_retry_percent);
     if (matched.m_idempotent) {
-        m_hedge_budget.deposit(m_hedge_percent[service]);
+        m_hedge_budget.deposit(m_hedge_percent[target.m_name]);
         if (matched.m_class != request_class::bulk &&
             bounds.m_hedge_percent > 0)
             req.m_hedge_timer = m_shared.m_loop.after(
@@ -148,7 +149,7 @@
     }
     req.m_queued = true;
     queues.push(matched.m_class, admitted);
-    dispatch_service(service);
+    dispatch_service(target.m_name);
 }
 
 std::size_t forwarder::queued() const {
@@ -185,8 +186,7 @@
         apply(key, waiting.m_machine.expired());
         return true;
     }
-    const service* config = m_shared.m_config.current().find_service(name);
-    if (config && config->m_ask) {
+    if (m_router.service_of(waiting).m_ask) {
         queue.pop_front();
         waiting.m_queued = false;
         begin_probing(key);
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -24,8 +24,8 @@
         std::visit(
             overloaded{[&](const start_attempt&) {
                            req->m_queued = true;
-                           m_queues[req->m_service].push_front(req->m_class,
-                                                               key);
+                           m_queues[req->m_service.m_name].push_front(
+                               req->m_class, key);
                        },
                        [&](const cancel_attempt& what) {
                            cancel(*req, what.m_attempt);
@@ -142,14 +142,14 @@
     m_shared.m_loop.cancel(req.m_hedge_timer);
     m_shared.m_loop.cancel(req.m_probe_timer);
     if (req.m_queued)
-        m_queues[req.m_service].remove(req.m_class, key);
+        m_queues[req.m_service.m_name].remove(req.m_class, key);
     while (!req.m_attempts.empty())
         cancel(req, req.m_attempts.begin()->first);
     const time_point end =
         req.m_answering ? req.m_last_progress : io::event_loop::now();
     m_shared.m_metrics.finished(req.m_class, how, end - req.m_arrived);
     log_end(req, how, end - req.m_arrived);
-    const std::string service = req.m_service;
+    const std::string service = req.m_service.m_name;
     m_requests.erase(key);
     dispatch_service(service);
 }
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -177,7 +177,7 @@
         m_shared.m_dialect);
     const bool truncation_undetectable = !head.m_framed && !accepts_unframed;
     if (truncation_undetectable ||
-        (repeat && retry_budget(req.m_service).try_withdraw())) {
+        (repeat && retry_budget(req.m_service.m_name).try_withdraw())) {
         end_attempt(key, which, may_have_run{attempt_step::response_started},
                     false);
         return;
@@ -202,7 +202,7 @@
 
 bool forwarder::withdraw_retry(const request& req, const verdict& how) {
     return std::holds_alternative<may_have_run>(how) &&
-           retry_budget(req.m_service).try_withdraw();
+           retry_budget(req.m_service.m_name).try_withdraw();
 }
 
 void forwarder::end_attempt(request_id key, attempt_id which,
@@ -236,9 +236,9 @@
         m_shared.m_config.current().m_limits.m_refusals_count;
     if (refusals_count && refused &&
         refused->m_proof == not_run_proof::upstream_refused &&
-        !retry_budget(req->m_service).try_withdraw())
+        !retry_budget(req->m_service.m_name).try_withdraw())
         req->m_machine.stop_attempts();
-    const std::string service = req->m_service;
+    const std::string service = req->m_service.m_name;
     apply(key, req->m_machine.attempt_ended(which, how, io::event_loop::now(),
                                             retry));
     dispatch_service(service);
--- a/src/entry/forwarder_drain.cpp
+++ b/src/entry/forwarder_drain.cpp
@@ -11,7 +11,7 @@
     std::vector<request_id> late;
     for (const auto& [key, req] : m_requests)
         if (!m_shared.may_pass_on(req.m_machine.terms().m_deadline) ||
-            !m_router.can_serve(req.m_service, req.m_class))
+            !m_router.can_serve(m_router.service_of(req), req.m_class))
             late.push_back(key);
     for (const request_id key : late) {
         request* req = m_requests.find(key);
@@ -35,7 +35,7 @@
         log_line line{"cut"};
         line.add("id", req.m_name)
             .add("rule", req.m_rule)
-            .add("service", req.m_service)
+            .add("service", req.m_service.m_name)
             .add("stage", name_of(stage_of(req)))
             .add("idempotent",
                  req.m_machine.terms().m_idempotent ? "yes" : "no")
--- a/src/entry/forwarder_log.cpp
+++ b/src/entry/forwarder_log.cpp
@@ -57,7 +57,7 @@
     log_line line{"send"};
     line.add("id", req.m_name)
         .add("rule", req.m_rule)
-        .add("service", req.m_service)
+        .add("service", req.m_service.m_name)
         .add("attempt", req.m_machine.attempt_count())
         .add("upstream", target.m_instance)
         .add("zone", target.m_zone)
@@ -71,7 +71,8 @@
         .add_ms("target_left_ms", req.m_target_time - now)
         .add_ms("waited_before_ms",
                 req.m_arrived + req.m_target - req.m_target_time)
-        .add("room", percent(m_services[req.m_service].m_room.share(now)));
+        .add("room",
+             percent(m_services[req.m_service.m_name].m_room.share(now)));
     if (current.m_report)
         line.add("load", text(*current.m_report))
             .add_ms("load_age_ms", target.m_load.report_age(now));
@@ -106,7 +107,7 @@
     log_line line{"refuse"};
     line.add("id", req.m_name)
         .add("rule", req.m_rule)
-        .add("service", req.m_service)
+        .add("service", req.m_service.m_name)
         .add("status", status)
         .add("reason", reason)
         .add("asked", req.m_probed.size())
--- a/src/entry/forwarder_probing.cpp
+++ b/src/entry/forwarder_probing.cpp
@@ -52,14 +52,14 @@
     const bool may_probe =
         now - req.m_probing_since < req.m_target / max_probing_part;
     return {wait_for_pending,
-            may_probe ? probe_budget(req.m_service).available(now) : 0,
+            may_probe ? probe_budget(req.m_service.m_name).available(now) : 0,
             room_terms_for(req, now)};
 }
 
 room_terms forwarder::room_terms_for(const request& req, time_point now) {
     return make_room_terms(req.m_target_time - now, req.m_target,
                            m_service_times[req.m_rule],
-                           m_services[req.m_service].m_room.scarce(now));
+                           m_services[req.m_service.m_name].m_room.scarce(now));
 }
 
 void forwarder::record_room(const request& req, const upstream& probed) {
@@ -68,7 +68,7 @@
         return;
     const bool has_room =
         has_timely_room(probed.m_load.last_report(), room_terms_for(req, now));
-    m_services[req.m_service].m_room.add(now, has_room);
+    m_services[req.m_service.m_name].m_room.add(now, has_room);
 }
 
 // Only a response of an upstream without a queue shows the service time; other
@@ -116,8 +116,7 @@
 
 void forwarder::send_probes(request_id key, request& req,
                             const std::vector<upstream_id>& targets) {
-    const service* config =
-        m_shared.m_config.current().find_service(req.m_service);
+    const std::string& health_path = m_router.service_of(req).m_health_path;
     m_shared.m_loop.cancel(req.m_probe_timer);
     req.m_probe_timer = m_shared.m_loop.after(probe_timeout, [this, key] {
         if (request* found = m_requests.find(key)) {
@@ -130,13 +129,12 @@
                 plan_probes(key, false);
         }
     });
-    token_bucket& budget = probe_budget(req.m_service);
+    token_bucket& budget = probe_budget(req.m_service.m_name);
     for (const upstream_id target : targets) {
         budget.take(io::event_loop::now());
         req.m_probed.push_back(target);
         req.m_pending_probes.push_back(target);
-        m_prober.probe(*m_shared.m_upstreams.find(target),
-                       config->m_health_path,
+        m_prober.probe(*m_shared.m_upstreams.find(target), health_path,
                        [this, key, target] { probe_finished(key, target); });
     }
 }
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -60,9 +60,9 @@
     out.m_cause = cause_of(why);
     out.m_target_left = req.m_target_time - now;
     out.m_service_time = m_service_times[req.m_rule].service_time();
-    out.m_room_share = m_services[req.m_service].m_room.share(now);
-    out.m_until_usable = m_router.time_until_usable(req.m_service, now);
-    if (!m_router.has_eligible_upstream(req.m_service))
+    out.m_room_share = m_services[req.m_service.m_name].m_room.share(now);
+    out.m_until_usable = m_router.time_until_usable(req.m_service.m_name, now);
+    if (!m_router.has_eligible_upstream(req.m_service.m_name))
         out.m_cause = refusal_cause::no_upstream;
     return out;
 }
@@ -126,7 +126,7 @@
         leaving ? std::string{leaving_reason} : reason_of(why);
     req.m_outcome = ran ? outcome::unknown : outcome::not_run;
     req.m_status = status;
-    m_services[req.m_service].m_last_refusal = io::event_loop::now();
+    m_services[req.m_service.m_name].m_last_refusal = io::event_loop::now();
     m_shared.m_journal.note(event_kind::request, req.m_rule,
                             std::string{verdict_text(why.m_verdict)} + ": " +
                                 reason);
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -9,6 +9,7 @@
 
 #include <skylark/attempt/machine.hpp>
 #include <skylark/config/rule.hpp>
+#include <skylark/config/service.hpp>
 #include <skylark/core/id.hpp>
 #include <skylark/load/report.hpp>
 #include <skylark/share/kind.hpp>
@@ -37,7 +38,7 @@
 /*! @brief One request of a caller. */
 struct request {
     exchange_id m_exchange; //!< invalid after the caller disconnected
-    std::string m_service;
+    service m_service;      //!< as configured when it was admitted
     std::string m_rule;
     request_class m_class{request_class::normal};
     attempt_machine m_machine;
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -103,20 +103,23 @@
     return used < usable ? exclusion::none : exclusion::no_share;
 }
 
+const service& router::service_of(const request& of) const {
+    const service* current =
+        m_shared.m_config.current().find_service(of.m_service.m_name);
+    return current ? *current : of.m_service;
+}
+
 std::optional<route_choice> router::choose(const request& of, time_point now) {
-    const service* config =
-        m_shared.m_config.current().find_service(of.m_service);
-    if (!config)
-        return std::nullopt;
+    const service& config = service_of(of);
     m_candidates.clear();
     for (const upstream_id key :
-         m_shared.m_upstreams.of_service(of.m_service)) {
+         m_shared.m_upstreams.of_service(config.m_name)) {
         const auto tried = std::find(of.m_tried.begin(), of.m_tried.end(), key);
         if (tried != of.m_tried.end())
             continue;
         const upstream& item = *m_shared.m_upstreams.find(key);
         std::optional<share_kind> share;
-        if (exclusion_of(item, *config, of.m_class, now, share) !=
+        if (exclusion_of(item, config, of.m_class, now, share) !=
             exclusion::none)
             continue;
         const std::uint32_t cold = share == share_kind::cold ? cold_penalty : 0;
@@ -125,12 +128,12 @@
                                 item.m_preference});
     }
     const auto chosen =
-        skylark::choose(policy_of(*config), m_candidates, m_random);
+        skylark::choose(policy_of(config), m_candidates, m_random);
     if (!chosen)
         return std::nullopt;
     const upstream& target = *m_shared.m_upstreams.find(*chosen);
     return route_choice{
-        *chosen, share_for(*config, target.m_load.state(now), of.m_class)};
+        *chosen, share_for(config, target.m_load.state(now), of.m_class)};
 }
 
 policy& router::policy_of(const service& of) {
@@ -149,34 +152,34 @@
     });
 }
 
-bool router::can_serve(std::string_view service, request_class wanted) {
-    const auto* of = m_shared.m_config.current().find_service(service);
-    const auto& keys = m_shared.m_upstreams.of_service(service);
+bool router::can_serve(const service& of, request_class wanted) {
+    const auto& keys = m_shared.m_upstreams.of_service(of.m_name);
     const time_point now = io::event_loop::now();
     return std::any_of(keys.begin(), keys.end(), [&](upstream_id key) {
         const upstream* item = m_shared.m_upstreams.find(key);
         if (!item->eligible(now))
             return false;
-        const auto share = share_for(*of, item->m_load.state(now), wanted);
+        const auto share = share_for(of, item->m_load.state(now), wanted);
         return !share ||
-               m_shared.m_fleet.usable(key, *share, limit_of(*of, *share)) > 0;
+               m_shared.m_fleet.usable(key, *share, limit_of(of, *share)) > 0;
     });
 }
 
-std::optional<address> router::random_slot_owner(std::string_view service,
+std::optional<address> router::random_slot_owner(const service& of,
                                                  request_class wanted) {
-    const auto* of = m_shared.m_config.current().find_service(service);
-    const auto& keys = m_shared.m_upstreams.of_service(service);
+    const auto& keys = m_shared.m_upstreams.of_service(of.m_name);
+    if (keys.empty())
+        return std::nullopt;
     const auto& peers = m_shared.m_fleet.peers();
     const time_point now = io::event_loop::now();
     constexpr int max_draws = 8;
     for (int i = 0; i < max_draws; ++i) {
         const auto index = m_random(static_cast<std::uint32_t>(keys.size()));
         const upstream* item = m_shared.m_upstreams.find(keys[index]);
-        const auto share = share_for(*of, item->m_load.state(now), wanted);
+        const auto share = share_for(of, item->m_load.state(now), wanted);
         if (!share || !item->eligible(now))
             continue;
-        const std::uint32_t slot = m_random(limit_of(*of, *share));
+        const std::uint32_t slot = m_random(limit_of(of, *share));
         const auto id = m_shared.m_fleet.owner(item->m_id, *share, slot);
         const auto owner = id ? peers.find(*id) : peers.end();
         if (owner != peers.end() &&
--- a/src/entry/router.hpp
+++ b/src/entry/router.hpp
@@ -50,10 +50,15 @@
     /*! @brief Chooses an upstream that was not tried for the request yet.
      *  @param of request to send
      *  @param now current time
-     *  @return the choice; nothing if all upstreams are excluded now or the
-     *  service is unknown */
+     *  @return the choice; nothing if all upstreams are excluded now */
     std::optional<route_choice> choose(const request& of, time_point now);
 
+    /*! @brief Settings of the service of a request: those in force, or those
+     *  under which it was admitted if its service is no longer configured.
+     *  @return valid until the next configuration, and as long as the request
+     */
+    [[nodiscard]] const service& service_of(const request& of) const;
+
     /*! @brief Whether a service has an upstream that is listed, not leaving
      *  or resting, and in an active zone, whatever its present load. */
     bool has_eligible_upstream(std::string_view service);
@@ -62,9 +67,9 @@
      *  after requests in flight have ended. If every upstream requires a share
      *  and this entry owns none, waiting here is useless and the caller should
      *  use another entry.
-     *  @param service name of a configured service
+     *  @param of the service
      *  @param wanted class of the request */
-    bool can_serve(std::string_view service, request_class wanted);
+    bool can_serve(const service& of, request_class wanted);
 
     /*! @brief Why an upstream cannot take a request now.
      *  @param candidate upstream to check
@@ -81,10 +86,10 @@
     /*! @brief Caller address of an active peer that owns a slot for a class of
      *  requests. Draws up to eight random slots, so that entries are chosen in
      *  proportion to their slots.
-     *  @param service name of a service that has upstreams
+     *  @param of the service
      *  @param wanted class of the request
      *  @return the address; nothing if no draw found a peer */
-    std::optional<address> random_slot_owner(std::string_view service,
+    std::optional<address> random_slot_owner(const service& of,
                                              request_class wanted);
 
     /*! @brief Limit that applies to requests of a class on an upstream in a
--- a/src/entry/router_probing.cpp
+++ b/src/entry/router_probing.cpp
@@ -40,19 +40,16 @@
 std::vector<probe_candidate>
 router::probe_candidates(const request& of, bool scarce, time_point now) {
     std::vector<probe_candidate> out;
-    const service* config =
-        m_shared.m_config.current().find_service(of.m_service);
-    if (!config)
-        return out;
+    const service& config = service_of(of);
     const auto contains = [](const auto& list, upstream_id key) {
         return std::find(list.begin(), list.end(), key) != list.end();
     };
     for (const upstream_id key :
-         m_shared.m_upstreams.of_service(of.m_service)) {
+         m_shared.m_upstreams.of_service(config.m_name)) {
         const upstream& item = *m_shared.m_upstreams.find(key);
         std::optional<share_kind> share;
         if (contains(of.m_tried, key) ||
-            exclusion_of(item, *config, of.m_class, now, share) !=
+            exclusion_of(item, config, of.m_class, now, share) !=
                 exclusion::none)
             continue;
         probe_candidate added;
