Delay removals only after an outage in which leases can lapse

Cause: a single failed call counted as an outage of the store, and every removal that became known within 2.2 s after it was held back until that time had passed. The delay is for servers that live and whose leases lapsed while the store was away.

Change: discovery/lapse_window. Leases last for three intervals between renewals, so a break shorter than one interval lets none lapse. A break counts from the last answer that any entry got, which heartbeats tell: it is no outage while the store serves others. An entry whose own calls did not fail, as one that takes over a watch, needs a silence of two intervals. Removals made after the end of an outage are in force 1.6 s after they become known at the latest, which leaves 0.4 s of drain_ms for learning of them; those made during it keep their 2.2 s.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -13,7 +13,8 @@
     test/limit/ratio_budget.cpp test/limit/retry_after.cpp
     test/limit/drain_schedule.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
-    test/discovery/list_guard.cpp test/discovery/instance_log.cpp test/event/ring.cpp test/io/http_client.cpp test/io/response_parser.cpp
+    test/discovery/list_guard.cpp test/discovery/instance_log.cpp
+    test/discovery/lapse_window.cpp test/event/ring.cpp test/io/http_client.cpp test/io/response_parser.cpp
     test/io/http_client_cuts.cpp test/io/fetcher.cpp test/io/http_server.cpp test/io/http_server_closing.cpp
     test/io/http_server_shutdown.cpp test/io/http_server_rejects.cpp
     test/io/lingering_connections.cpp test/entry/settings.cpp
--- a/include/skylark/discovery/fwd.hpp
+++ b/include/skylark/discovery/fwd.hpp
@@ -9,6 +9,7 @@
 struct instance_list;
 struct instance_changes;
 class instance_log;
+class lapse_window;
 class list_guard;
 
 } // namespace skylark
--- a/src/entry/configurator_peers.cpp
+++ b/src/entry/configurator_peers.cpp
@@ -8,8 +8,9 @@
 void configurator::peer_mark(const member& peer) {
     const config_mark& theirs = peer.m_config;
     m_peer_knows |= theirs.m_revision.known() && theirs.m_instances.known();
-    m_shared.m_config.confirmed(theirs.order(),
-                                io::event_loop::now() - theirs.m_confirmed_age);
+    const time_point answered = io::event_loop::now() - theirs.m_confirmed_age;
+    m_shared.m_config.confirmed(theirs.order(), answered);
+    m_store.confirmed(answered);
     const bool refused_before =
         theirs.m_revision == m_shared.m_config.refused_position();
     if (theirs.order() > m_shared.m_config.order() && !refused_before) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -86,6 +86,13 @@
             m_backend);
     }
 
+    /*! @brief The store has answered another entry, so what this entry saw of
+     *  it since was no outage.
+     *  @param at latest time at which it can have answered */
+    void confirmed(time_point at) {
+        std::visit([at](auto& target) { target.confirmed(at); }, m_backend);
+    }
+
     /*! @brief Whether the store is unreachable from this entry, so that
      *  another entry should take over the watch.
      *  @param now current time */
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -14,12 +14,6 @@
 
 } // namespace
 
-void mirror::call_succeeded(time_point now) {
-    if (m_store_lost)
-        m_delay_until = now + m_removal_delay;
-    m_store_lost = false;
-}
-
 void mirror::begin_era(std::uint64_t era) {
     m_era = era;
     m_records.clear();
@@ -54,6 +48,7 @@
             missing.push_back(key);
     for (const std::string& key : missing)
         remove(key, m_listing_revision, now);
+    m_lapses.caught_up();
     m_listing.clear();
     m_revision = std::max(m_revision, m_listing_revision);
     // A listing does not show the revisions of deletions, so every prefix
@@ -74,6 +69,7 @@
         else
             update(item, item.m_revision);
     }
+    m_lapses.caught_up();
     m_revision = std::max(m_revision, changes.m_revision);
 }
 
@@ -91,8 +87,11 @@
                     time_point now) {
     if (!m_records.contains(key))
         return;
-    if (key.starts_with(m_delayed_prefix) && now < m_delay_until) {
-        if (m_pending_removals.emplace(key, m_delay_until).second)
+    const auto due = key.starts_with(m_delayed_prefix)
+                         ? m_lapses.removal_due(now)
+                         : std::nullopt;
+    if (due) {
+        if (m_pending_removals.emplace(key, *due).second)
             raise_version(prefix_of(key), revision);
         return;
     }
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -11,6 +11,7 @@
 
 #include <skylark/core/store_position.hpp>
 #include <skylark/core/time.hpp>
+#include <skylark/discovery/lapse_window.hpp>
 
 #include "store/record.hpp"
 
@@ -19,26 +20,28 @@
 /*! @brief Copy of a store's records, built from listings and changes. Does no
  *  I/O and reads no clock: answers and time are arguments.
  *
- *  Leases that expire during an outage of the store remove the records of
- *  owners that are still alive and will write them again. Removals that become
- *  known shortly after an outage are therefore delayed. */
+ *  Leases that lapse in an outage of the store remove the records of owners
+ *  that are still alive and will write them again. Removals that become known
+ *  shortly after an outage are therefore delayed, see lapse_window. */
 class mirror {
 public:
     using records = std::map<std::string, record, std::less<>>;
 
     /*! @param delayed_prefix prefix of the keys whose removal is delayed
-     *  @param removal_delay time after the end of an outage during which
-     *  removals are delayed */
-    mirror(std::string delayed_prefix, duration removal_delay)
-        : m_delayed_prefix{std::move(delayed_prefix)}, m_removal_delay{
-                                                           removal_delay} {}
+     *  @param timing of the delay */
+    mirror(std::string delayed_prefix, const lapse_timing& timing)
+        : m_delayed_prefix{std::move(delayed_prefix)}, m_lapses{timing} {}
 
-    /*! @brief A call failed: the store is down or unreachable. */
-    void call_failed() { m_store_lost = true; }
+    /*! @brief A call failed. */
+    void call_failed() { m_lapses.call_failed(); }
 
     /*! @brief The store answered a call.
      *  @param now current time */
-    void call_succeeded(time_point now);
+    void call_succeeded(time_point now) { m_lapses.call_succeeded(now); }
+
+    /*! @brief The store answered another entry.
+     *  @param at latest time at which it can have done so */
+    void confirmed(time_point at) { m_lapses.confirmed(at); }
 
     /*! @brief The store was restored from a copy: forgets all records, whose
      *  revisions may be given out again. A listing follows.
@@ -103,7 +106,7 @@
     static constexpr unsigned removal_bits = 8;
 
     std::string m_delayed_prefix;
-    duration m_removal_delay;
+    lapse_window m_lapses;
     records m_records;
     records m_listing;                  // of the listing in progress
     std::uint64_t m_listing_revision{}; // oldest of its pages
@@ -113,8 +116,6 @@
     // Due times by key.
     std::map<std::string, time_point, std::less<>> m_pending_removals;
     std::map<std::string, std::uint64_t, std::less<>> m_versions; // by prefix
-    time_point m_delay_until;
-    bool m_store_lost{};
 };
 
 } // namespace skylark::store
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -14,9 +14,6 @@
 
 // Empty prefix: one call lists or watches all keys.
 constexpr std::string_view all_keys;
-// Upstreams that are alive have written their records again this long after
-// an outage of the store.
-constexpr auto removal_delay = milliseconds{2200};
 constexpr auto min_wait = milliseconds{100};
 // Changes come in bursts; the delay lets one call return several of them.
 constexpr auto batch_delay = milliseconds{250};
@@ -31,12 +28,13 @@
 mirror_client::mirror_client(io::event_loop& loop, address where,
                              platform::deployment_terms terms,
                              duration max_read_wait,
-                             std::function<void(const input_error&)> on_invalid)
+                             std::function<void(const input_error&)> on_invalid,
+                             const lapse_timing& timing)
     : m_loop{loop}, m_fetcher{loop, max_answer_bytes}, m_where{where},
       m_terms{std::move(terms)}, m_on_invalid{std::move(on_invalid)},
       m_max_read_wait{max_read_wait}, m_mirror{std::string{
                                                    platform::upstream_prefix},
-                                               removal_delay} {}
+                                               timing} {}
 
 void mirror_client::read(const store_position& index, duration wait,
                          std::function<void(const read_result&)> done) {
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -33,10 +33,12 @@
      *  @param max_read_wait blocking time of one call; a dead connection is
      *  detected after about this time, and each finished call costs one of the
      *  store's reads
-     *  @param on_invalid called for each record that cannot be parsed */
+     *  @param on_invalid called for each record that cannot be parsed
+     *  @param timing of the removals that become known after an outage */
     mirror_client(io::event_loop& loop, address where,
                   platform::deployment_terms terms, duration max_read_wait,
-                  std::function<void(const input_error&)> on_invalid);
+                  std::function<void(const input_error&)> on_invalid,
+                  const lapse_timing& timing = {});
 
     /*! @brief See client::read. */
     void read(const store_position& index, duration wait,
@@ -62,6 +64,9 @@
         return m_confirmed_at;
     }
 
+    /*! @brief See client::confirmed. */
+    void confirmed(time_point at) { m_mirror.confirmed(at); }
+
     /*! @brief See client::lost. */
     [[nodiscard]] bool lost(time_point now) const {
         return m_reachability.lost(now);
--- a/src/store/polling_client.hpp
+++ b/src/store/polling_client.hpp
@@ -44,6 +44,10 @@
         return started;
     }
 
+    /*! @brief See client::confirmed; a catalogue keeps what lapses in an
+     *  outage. */
+    static void confirmed(time_point) {}
+
     /*! @brief See client::lost; always false, as every entry reads on its own.
      */
     static constexpr bool lost(time_point) { return false; }
--- a/standin/kv_restore.cpp
+++ b/standin/kv_restore.cpp
@@ -23,6 +23,13 @@
         reply(key, io::status::gone, nlohmann::json::object());
 }
 
+void kv_store::break_watches() {
+    for (const auto& [key, waiting] : std::exchange(m_watchers, {})) {
+        m_server.start(key, io::status::ok, {}, 1);
+        m_server.abort(key);
+    }
+}
+
 void kv_store::drop_history() {
     m_history.clear();
     m_history_from = ++m_revision;
--- a/standin/kv_store.hpp
+++ b/standin/kv_store.hpp
@@ -50,6 +50,9 @@
     /*! @brief Forgets all changes up to now and cuts waiting watches. */
     void drop_history();
 
+    /*! @brief Closes the connections of all waiting watches. */
+    void break_watches();
+
     /*! @brief Ends all leases with their keys, as an outage may. */
     void end_all_leases();
 
--- a/test/store/mirror_client.cpp
+++ b/test/store/mirror_client.cpp
@@ -169,6 +169,20 @@
         document(first.m_position, milliseconds{100})));
 }
 
+// The watch is cut while the store works, so the removal is no lapse.
+TEST_F(mirror_client_test, a_removal_after_a_cut_watch_is_in_force_at_once) {
+    m_store.put("servers/i-1", upstream_record("ready"));
+    m_store.put("servers/i-2", upstream_record("ready"));
+    const auto known = list(0, seconds{1});
+    m_loop.after(milliseconds{20}, [this] { m_store.break_watches(); });
+    EXPECT_TRUE(std::holds_alternative<store::store_failure>(
+        instances(known.m_index, seconds{1})));
+    m_store.erase("servers/i-1");
+    const auto next = list(known.m_index, seconds{1});
+    ASSERT_EQ(next.m_instances.size(), 1U);
+    EXPECT_EQ(next.m_instances[0].m_id, "i-2");
+}
+
 TEST_F(mirror_client_test, records_that_expired_in_an_outage_may_return) {
     m_store.put("servers/i-1", upstream_record("ready"));
     m_store.put("servers/i-2", upstream_record("ready"));
@@ -176,8 +190,10 @@
     standin::kv_faults faults;
     faults.m_refusing = true;
     m_store.set_faults(faults);
-    EXPECT_TRUE(std::holds_alternative<store::store_failure>(
-        instances(known.m_index, milliseconds{100})));
+    const time_point began = io::event_loop::now();
+    while (io::event_loop::now() - began < lapse_timing{}.m_renewal_interval)
+        EXPECT_TRUE(std::holds_alternative<store::store_failure>(
+            instances(known.m_index, milliseconds{100})));
     m_store.erase("servers/i-1");
     m_store.erase("servers/i-2");
     m_store.set_faults({});
