Repeat a call that failed once before the store counts as lost

Change: store_reachability tells a first failure soon after an answer from a loss. The call is repeated after 50 ms, without blocking, so that its answer shows at once whether the store works; a second failure, a late answer or a failure of an entry that has just begun to call counts as lost, as before.

--- a/include/skylark/config/config.hpp
+++ b/include/skylark/config/config.hpp
@@ -30,6 +30,8 @@
 //! A connection idle for longer gets no non-idempotent requests.
 inline constexpr duration fresh_connection_age = milliseconds{500};
 inline constexpr duration idle_connection_limit = seconds{20};
+//! Pause before the next call to a store that does not answer.
+inline constexpr duration store_retry_wait = milliseconds{500};
 inline constexpr std::size_t document_bytes = std::size_t{1} << 20U;
 inline constexpr std::size_t body_bytes = std::size_t{1} << 20U;
 //! Limit on buffered request bytes in one entry: a fifth of the memory of the
--- a/include/skylark/config/store_reachability.hpp
+++ b/include/skylark/config/store_reachability.hpp
@@ -3,7 +3,8 @@
  *
  *  A store may reject some entries while it serves others. The entry that
  *  watches the store for its zone must detect this in time to be replaced, even
- *  if its calls hang instead of failing. */
+ *  if its calls hang instead of failing. A single call may fail while the store
+ *  works, as when a waiting watch is cut; its repetition decides. */
 #ifndef SKYLARK_CONFIG_STORE_REACHABILITY_HPP
 #define SKYLARK_CONFIG_STORE_REACHABILITY_HPP
 
@@ -23,33 +24,49 @@
         m_call_deadline = now + wait + answer_timeout;
     }
 
-    /*! @brief The call returned a complete response. */
-    void call_succeeded() {
+    /*! @brief The call returned a complete response.
+     *  @param now current time */
+    void call_succeeded(time_point now) {
         m_call_deadline.reset();
+        m_succeeded = now;
         m_failed = false;
+        m_lost = false;
     }
 
-    /*! @brief The call was rejected or returned no usable response. */
-    void call_failed() {
-        m_call_deadline.reset();
+    /*! @brief The call was rejected or returned no usable response.
+     *  @param now current time */
+    void call_failed(time_point now) {
+        const bool doubtful =
+            m_succeeded && now - *m_succeeded < repetition_period;
+        m_lost = m_failed || !doubtful || lost(now);
         m_failed = true;
+        m_call_deadline.reset();
     }
 
+    /*! @brief Whether the last call failed. */
+    [[nodiscard]] bool last_call_failed() const { return m_failed; }
+
     /*! @brief Whether the store is unreachable, so that another entry should
      *  take over the watch.
      *  @param now current time */
     [[nodiscard]] bool lost(time_point now) const {
-        return m_failed || (m_call_deadline && now > *m_call_deadline);
+        return m_lost || (m_call_deadline && now > *m_call_deadline);
     }
 
 private:
     // Time for a response after the long poll ends: ten times the 15 ms in
     // which a healthy store responds.
     static constexpr duration answer_timeout{milliseconds{150}};
+    // A failed call is repeated if one has succeeded within this time, which
+    // exceeds the longest long poll. An entry that begins to call does not
+    // repeat it: it does so because the calls of others failed.
+    static constexpr duration repetition_period{seconds{3}};
 
     // Invariant: set while a call is in progress.
     std::optional<time_point> m_call_deadline;
-    bool m_failed{};
+    std::optional<time_point> m_succeeded;
+    bool m_failed{}; // the last call
+    bool m_lost{};
 };
 
 } // namespace skylark
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -11,7 +11,6 @@
 namespace skylark::entry {
 
 namespace {
-constexpr auto retry_wait = milliseconds{500};
 constexpr auto turn_check = milliseconds{200};
 constexpr auto first_turn_check = milliseconds{5}; // until there is a list
 constexpr auto list_patience = seconds{30};
@@ -143,11 +142,11 @@
                        if (!usable ||
                            (absent && !m_store.authoritative_instances()) ||
                            at == config.refused_position())
-                           wait = retry_wait;
+                           wait = defaults::store_retry_wait;
                    },
                    [&](const store::store_failure&) {
                        m_shared.m_metrics.count(counter::store_failures);
-                       wait = retry_wait;
+                       wait = m_store.retry_wait(io::event_loop::now());
                    }},
         result);
     note_store();
@@ -220,10 +219,11 @@
         offer_instances(*list, "store");
         if (list->m_index < m_shared.m_instances.m_index ||
             m_guard.is_holding())
-            wait = retry_wait; // an old list, or one that is held back
+            wait = defaults::store_retry_wait; // an old list, or one that is
+                                               // held back
     } else {
         m_shared.m_metrics.count(counter::store_failures);
-        wait = retry_wait;
+        wait = m_store.retry_wait(io::event_loop::now());
     }
     note_store();
     m_shared.m_loop.after(wait, [this] { watch_instances(); });
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -93,6 +93,14 @@
         std::visit([at](auto& target) { target.confirmed(at); }, m_backend);
     }
 
+    /*! @brief Time to wait before the next read after a failed one.
+     *  @param now current time */
+    [[nodiscard]] duration retry_wait(time_point now) const {
+        return std::visit(
+            [now](const auto& target) { return target.retry_wait(now); },
+            m_backend);
+    }
+
     /*! @brief Whether the store is unreachable from this entry, so that
      *  another entry should take over the watch.
      *  @param now current time */
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -15,6 +15,7 @@
 // Empty prefix: one call lists or watches all keys.
 constexpr std::string_view all_keys;
 constexpr auto min_wait = milliseconds{100};
+constexpr auto prompt_retry_wait = milliseconds{50};
 // Changes come in bursts; the delay lets one call return several of them.
 constexpr auto batch_delay = milliseconds{250};
 constexpr std::size_t max_answer_bytes = std::size_t{8} << 20U;
@@ -57,6 +58,11 @@
     m_loop.after(duration{0}, [done, failure] { done(failure); });
 }
 
+duration mirror_client::retry_wait(time_point now) const {
+    return lost(now) ? duration{defaults::store_retry_wait}
+                     : duration{prompt_retry_wait};
+}
+
 bool mirror_client::idle() const {
     return m_document_reads.empty() && m_list_reads.empty();
 }
@@ -96,7 +102,7 @@
                         : page.error().text());
         return;
     }
-    m_reachability.call_succeeded();
+    m_reachability.call_succeeded(io::event_loop::now());
     const std::uint64_t era =
         m_protocol.read_era(*answer).value_or(m_mirror.era());
     if (era < m_mirror.era()) {
@@ -140,7 +146,8 @@
 void mirror_client::request_changes() {
     const time_point now = io::event_loop::now();
     m_call_start = now;
-    m_call_wait = next_wait(now);
+    // An answer at once shows whether the store works.
+    m_call_wait = m_reachability.last_call_failed() ? min_wait : next_wait(now);
     auto request = m_protocol.watch(all_keys, m_mirror.revision(), m_call_wait);
     request.m_to = m_where;
     m_reachability.call_started(now, m_call_wait);
@@ -166,7 +173,7 @@
         return;
     }
     const time_point now = io::event_loop::now();
-    m_reachability.call_succeeded();
+    m_reachability.call_succeeded(now);
     m_mirror.call_succeeded(now);
     m_call_in_progress = false;
     // The changes are those after a revision that this era may give out again.
@@ -219,7 +226,7 @@
 // Fails all pending reads; the next read starts the next call.
 void mirror_client::fail_reads(const std::string& cause) {
     m_mirror.call_failed();
-    m_reachability.call_failed();
+    m_reachability.call_failed(io::event_loop::now());
     m_call_in_progress = false;
     const auto documents = std::exchange(m_document_reads, {});
     const auto lists = std::exchange(m_list_reads, {});
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -67,6 +67,10 @@
     /*! @brief See client::confirmed. */
     void confirmed(time_point at) { m_mirror.confirmed(at); }
 
+    /*! @brief See client::retry_wait. A single failed call is repeated
+     * promptly, as it need not mean an outage. */
+    [[nodiscard]] duration retry_wait(time_point now) const;
+
     /*! @brief See client::lost. */
     [[nodiscard]] bool lost(time_point now) const {
         return m_reachability.lost(now);
--- a/src/store/polling_client.hpp
+++ b/src/store/polling_client.hpp
@@ -6,6 +6,8 @@
 #include <set>
 #include <string>
 
+#include <skylark/config/config.hpp>
+
 #include "io/fetcher.hpp"
 #include "store/consul_protocol.hpp"
 #include "store/result.hpp"
@@ -48,6 +50,11 @@
      *  outage. */
     static void confirmed(time_point) {}
 
+    /*! @brief See client::retry_wait. */
+    static constexpr duration retry_wait(time_point) {
+        return defaults::store_retry_wait;
+    }
+
     /*! @brief See client::lost; always false, as every entry reads on its own.
      */
     static constexpr bool lost(time_point) { return false; }
--- a/test/member/fake_watchers.hpp
+++ b/test/member/fake_watchers.hpp
@@ -102,6 +102,9 @@
     static constexpr duration response_timeout{milliseconds{900}};
     static constexpr duration call_pause{milliseconds{250}};
     static constexpr duration retry_delay{milliseconds{500}};
+    static constexpr duration prompt_retry{milliseconds{50}};
+    // Wait of the call after a failed one.
+    static constexpr duration retry_wait{milliseconds{100}};
     static constexpr duration check_interval{milliseconds{200}};
     static constexpr duration fetch_latency{milliseconds{30}};
 
@@ -111,6 +114,7 @@
         std::uint64_t m_revision{};
         time_point m_confirmed{seconds{100}};
         time_point m_call_start;
+        duration m_call_wait{};
         time_point m_next_check;              // next check whether to call
         std::optional<time_point> m_call_end; // of the call in progress
         bool m_call_fails{};
@@ -170,10 +174,18 @@
         begin_call(item, faulty);
     }
 
+    [[nodiscard]] duration call_wait(const entry& item) const {
+        if (!item.m_has_value)
+            return duration{0};
+        return item.m_reachability.last_call_failed() ? duration{retry_wait}
+                                                      : m_wait;
+    }
+
     void begin_call(entry& item, bool faulty) {
-        const duration wait = item.m_has_value ? m_wait : duration{0};
+        const duration wait = call_wait(item);
         ++m_calls;
         item.m_call_start = now();
+        item.m_call_wait = wait;
         item.m_reachability.call_started(now(), wait);
         item.m_call_fails = faulty && m_fault != store_fault::slow;
         item.m_call_end =
@@ -192,19 +204,19 @@
         item.m_call_end.reset();
         if (item.m_call_fails) {
             const bool was_lost = item.m_reachability.lost(now());
-            item.m_reachability.call_failed();
-            item.m_next_check = now() + retry_delay;
-            if (!was_lost)
+            item.m_reachability.call_failed(now());
+            const bool lost = item.m_reachability.lost(now());
+            item.m_next_check = now() + (lost ? retry_delay : prompt_retry);
+            if (lost && !was_lost)
                 m_fleet.run_round(index);
             return;
         }
-        item.m_reachability.call_succeeded();
+        item.m_reachability.call_succeeded(now());
         const bool has_update = item.m_revision < m_revision;
-        const duration waited = item.m_has_value ? m_wait : duration{0};
         item.m_has_value = true;
         item.m_revision = m_revision;
         item.m_confirmed =
-            item.m_call_start + (has_update ? duration{0} : waited);
+            item.m_call_start + (has_update ? duration{0} : item.m_call_wait);
         item.m_next_check = now() + call_pause;
     }
 
