Let a removal that another entry knows replace a delayed one

Two mirrors at the same revision gave their lists the same version although one of them delayed a removal and the other did not. The entry that delayed it never fetched the list of the one that knew, and went on with the upstream until the delay had passed.

Change: while removals are pending, the version of a mirror's list is lower by their number. It reaches that of the list without them when the last is in force.

Tests changed: mirror::version() takes all prefixes of a list at once, as the number of pending removals concerns their maximum; the case that compared two prefixes now compares the list's version before and after.

--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -108,12 +108,6 @@
             continue;
         }
         m_records.erase(it->first);
-        // Greater than the versions of all prefixes, so that the maximum over
-        // several prefixes grows too.
-        std::uint64_t newest = 0;
-        for (const auto& [prefix, version] : m_versions)
-            newest = std::max(newest, version);
-        m_versions[std::string{prefix_of(it->first)}] = newest + 1;
         it = m_pending_removals.erase(it);
     }
 }
@@ -137,9 +131,23 @@
     newest = std::max(newest, revision << removal_bits);
 }
 
-store_position mirror::version(std::string_view prefix) const {
+std::uint64_t mirror::shifted_revision(std::string_view prefix) const {
     const auto found = m_versions.find(prefix);
-    return {found == m_versions.end() ? 0 : found->second, m_era};
+    return found == m_versions.end() ? 0 : found->second;
+}
+
+store_position
+mirror::version(std::initializer_list<std::string_view> prefixes) const {
+    constexpr std::size_t most_pending = (1U << removal_bits) - 1;
+    std::uint64_t newest = 0;
+    for (const std::string_view prefix : prefixes)
+        newest = std::max(newest, shifted_revision(prefix));
+    const bool delays =
+        std::find(prefixes.begin(), prefixes.end(),
+                  std::string_view{m_delayed_prefix}) != prefixes.end();
+    const std::size_t pending =
+        delays ? std::min(m_pending_removals.size(), most_pending) : 0;
+    return {newest - pending, m_era};
 }
 
 } // namespace skylark::store
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_STORE_MIRROR_HPP
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <span>
@@ -88,21 +89,24 @@
      *  up to which nothing changed.
      *  @param prefix first segment of a key, with its slash */
     [[nodiscard]] store_position last_changed(std::string_view prefix) const {
-        return {version(prefix).m_revision >> removal_bits, m_era};
+        return {shifted_revision(prefix) >> removal_bits, m_era};
     }
 
-    /*! @brief Version of the records under a prefix; unlike the revision,
-     *  it also grows with each delayed removal.
-     *  @param prefix first segment of a key, with its slash */
-    [[nodiscard]] store_position version(std::string_view prefix) const;
+    /*! @brief Version of the records under some prefixes. Unlike the revision,
+     *  it also grows with each delayed removal: until all are in force it stays
+     *  below that of a mirror which delays none, whose records are later.
+     *  @param prefixes first segments of keys, with their slashes */
+    [[nodiscard]] store_position
+    version(std::initializer_list<std::string_view> prefixes) const;
 
 private:
     // known_up_to: revision up to which all changes are known.
     void update(const record& item, std::uint64_t known_up_to);
     void remove(const std::string& key, std::uint64_t revision, time_point now);
     void raise_version(std::string_view prefix, std::uint64_t revision);
+    [[nodiscard]] std::uint64_t shifted_revision(std::string_view prefix) const;
 
-    // Low bits of a version: number of delayed removals at one revision.
+    // Low bits of a version: for the number of pending removals.
     static constexpr unsigned removal_bits = 8;
 
     std::string m_delayed_prefix;
@@ -115,7 +119,8 @@
     std::uint64_t m_revision{};
     // Due times by key.
     std::map<std::string, time_point, std::less<>> m_pending_removals;
-    std::map<std::string, std::uint64_t, std::less<>> m_versions; // by prefix
+    // Revision of the newest change, shifted by removal_bits, by prefix.
+    std::map<std::string, std::uint64_t, std::less<>> m_versions;
 };
 
 } // namespace skylark::store
--- a/src/store/mirror_values.cpp
+++ b/src/store/mirror_values.cpp
@@ -51,8 +51,7 @@
 }
 
 store_position mirror_client::list_version() const {
-    return std::max(m_mirror.version(platform::upstream_prefix),
-                    m_mirror.version(entry_segment));
+    return m_mirror.version({platform::upstream_prefix, entry_segment});
 }
 
 // The value of an entry's record is its heartbeat address.
--- a/test/store/mirror.cpp
+++ b/test/store/mirror.cpp
@@ -73,8 +73,7 @@
     subject.add_page({{put("skylark/e", 15)}, false, 15});
     subject.end_listing(start);
     const auto newest = [&] {
-        return std::max(subject.version("servers/"),
-                        subject.version("skylark/"));
+        return subject.version({"servers/", "skylark/"});
     };
     const auto before = newest();
     subject.apply({{put("servers/a", 12)}, 13}, start);
@@ -112,12 +111,12 @@
     EXPECT_FALSE(subject.all().contains("op/c"));
     EXPECT_EQ(subject.all().size(), 2U);
     subject.apply({{put("servers/a", 9)}, 9}, start + seconds{1});
-    const auto before = subject.version("servers/");
+    const auto before = subject.version({"servers/"});
     ASSERT_TRUE(subject.next_removal_due());
     subject.apply_due_removals(*subject.next_removal_due());
     EXPECT_TRUE(subject.all().contains("servers/a"));
     EXPECT_FALSE(subject.all().contains("servers/b"));
-    EXPECT_GT(subject.version("servers/"), before);
+    EXPECT_GT(subject.version({"servers/"}), before);
     EXPECT_FALSE(subject.next_removal_due());
 }
 
@@ -147,17 +146,41 @@
     end_outage(subject);
     subject.apply({{removal("servers/a", 6)}, 6}, start);
     subject.apply_due_removals(start + timing.m_rewrite_time);
-    const auto settled = subject.version("servers/");
+    const auto settled = subject.version({"servers/"});
     subject.apply({{put("servers/b", 7)}, 7}, start + timing.m_rewrite_time);
-    EXPECT_GT(subject.version("servers/"), settled);
+    EXPECT_GT(subject.version({"servers/"}), settled);
 }
 
-// Code that takes the maximum version of several prefixes must see it too.
-TEST(mirror, a_delayed_removal_raises_the_version_above_all_prefixes) {
+// Code that takes the version of several prefixes must see it too.
+TEST(mirror, a_delayed_removal_raises_the_version_of_several_prefixes) {
     auto subject = listed({put("servers/a", 3), put("skylark/x", 4)}, 5);
     end_outage(subject);
     subject.apply({{removal("servers/a", 6), put("skylark/x", 9)}, 9}, start);
-    const auto before = subject.version("skylark/");
+    const auto before = subject.version({"servers/", "skylark/"});
     subject.apply_due_removals(start + timing.m_rewrite_time);
-    EXPECT_GT(subject.version("servers/"), before);
+    EXPECT_GT(subject.version({"servers/", "skylark/"}), before);
+}
+
+// An entry whose calls did not fail knows that the owner is gone. Its list must
+// count as later, so that entries which delay the removal take it over.
+TEST(mirror, a_removal_at_once_is_later_than_a_delayed_one) {
+    const std::vector<store::record> before{put("servers/a", 3),
+                                            put("skylark/x", 4)};
+    auto delaying = listed(before, 5);
+    auto knowing = listed(before, 5);
+    end_outage(delaying);
+    const auto later = [&] {
+        return knowing.version({"servers/", "skylark/"}) >
+               delaying.version({"servers/", "skylark/"});
+    };
+    for (const auto& change :
+         {store::record_changes{{removal("servers/a", 6)}, 6},
+          store::record_changes{{put("skylark/x", 7)}, 7}}) {
+        delaying.apply(change, start);
+        knowing.apply(change, start);
+        EXPECT_TRUE(later()) << change.m_revision;
+    }
+    delaying.apply_due_removals(start + timing.m_rewrite_time);
+    EXPECT_EQ(delaying.version({"servers/", "skylark/"}),
+              knowing.version({"servers/", "skylark/"}));
 }
