Bound an answer that has begun by its request's deadline

Cause: the deadline's timer was cancelled when an answer began. Only 10 s without a byte bounded it from then on.

Change: limit/answer_bound. The deadline covers the whole answer, and 0.2 s beyond it for one that is just ending. A body of a declared length may go on while, at the pace so far, it ends before its caller leaves (an hour if the caller does not say), so that a long download is not cut. A declared length that cannot be reached in that time does not help. A pause of the process gives what arrived meanwhile the same 0.2 s. The end line of a request says why an answer was broken off.

Evidence: on the code before, two cases of endless_answer were still open after 8 s, with and without a declared length; two more (a long download, a caller that left before the answer began) held before and hold now.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -27,7 +27,7 @@
     src/entry/lookup.cpp src/entry/forwarder_probing.cpp
     src/entry/forwarder_admission.cpp src/entry/forwarder_attempt.cpp
     src/entry/forwarder_answer.cpp src/entry/forwarder_refusal.cpp
-    src/entry/forwarder_drain.cpp
+    src/entry/forwarder_drain.cpp src/entry/forwarder_bounds.cpp
     src/entry/configurator.cpp
     src/entry/configurator_peers.cpp src/entry/configurator_notes.cpp
     src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -11,7 +11,7 @@
     test/load/service_time_estimator.cpp
     test/route/policy.cpp test/limit/token_bucket.cpp
     test/limit/ratio_budget.cpp test/limit/retry_after.cpp
-    test/limit/drain_schedule.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
+    test/limit/drain_schedule.cpp test/limit/answer_bound.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
     test/discovery/list_guard.cpp test/discovery/instance_log.cpp
     test/discovery/lapse_window.cpp test/event/ring.cpp test/io/http_client.cpp test/io/response_parser.cpp
@@ -27,7 +27,7 @@
     test/platform/kv_protocol.cpp test/platform/odd_entry.cpp
     test/platform/odd_records.cpp test/platform/dialect.cpp
     test/platform/node.cpp test/platform/draining.cpp test/platform/uploads.cpp
-    test/platform/cut_answers.cpp test/platform/retired_service.cpp test/platform/repeated_refusals.cpp
+    test/platform/cut_answers.cpp test/platform/endless_answers.cpp test/platform/retired_service.cpp test/platform/repeated_refusals.cpp
     test/platform/answer_lines.cpp test/platform/unproven_answers.cpp
     test/platform/stale_configuration.cpp
     test/platform/leaving.cpp test/platform/restored.cpp
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -179,6 +179,9 @@
     void cancel(request& req, attempt_id which);
     void handle_body(request_id key, attempt_id which, std::string_view piece);
     void handle_complete(request_id key, attempt_id which, bool reusable);
+    // Bounds the time of the answer that has begun.
+    void bound_answer(request_id key, request& req);
+    void check_answer(request_id key);
     [[nodiscard]] bool may_cancel(const request& req);
     void finish(request_id key, outcome how);
     void sweep();
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -134,6 +134,8 @@
         matched.m_target > duration{0} ? matched.m_target : time_left + waited;
     req.m_target_time = now + req.m_target - waited;
     req.m_name = request_name(from);
+    if (requested)
+        req.m_caller_leaves = now + *requested - pause;
     m_by_exchange[key] = admitted;
     req.m_deadline_timer = m_shared.m_loop.after(time_left, [this, admitted] {
         if (request* found = m_requests.find(admitted))
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -181,8 +181,10 @@
             disconnected.push_back(key);
     }
     for (const request_id key : stalled)
-        if (request* req = m_requests.find(key))
+        if (request* req = m_requests.find(key)) {
+            req->m_abort_cause = "stalled";
             apply(key, req->m_machine.expired());
+        }
     for (const request_id key : disconnected) {
         request* req = m_requests.find(key);
         if (!req)
@@ -199,7 +201,9 @@
     const time_point now = io::event_loop::now();
     std::vector<request_id> expired;
     for (auto& [key, req] : m_requests)
-        if (!req.m_answering && now >= req.m_machine.terms().m_deadline)
+        if (req.m_answer_bound)
+            req.m_answer_bound->process_paused(now);
+        else if (now >= req.m_machine.terms().m_deadline)
             expired.push_back(key);
     for (const request_id key : expired)
         if (request* req = m_requests.find(key))
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -192,7 +192,7 @@
     req.m_body_left =
         req.m_head_only ? std::optional<std::uint64_t>{0} : head.m_length;
     req.m_last_progress = now;
-    m_shared.m_loop.cancel(req.m_deadline_timer);
+    bound_answer(key, req);
     m_shared.m_loop.cancel(req.m_hedge_timer);
     if (current.m_hedge)
         m_shared.m_metrics.count(counter::hedges_won);
--- a/src/entry/forwarder_log.cpp
+++ b/src/entry/forwarder_log.cpp
@@ -143,6 +143,8 @@
         if (!req.m_answerer.empty())
             line.add("upstream", req.m_answerer);
     }
+    if (!req.m_abort_cause.empty())
+        line.add("abort_cause", req.m_abort_cause);
     m_shared.m_journal.decided(line, io::event_loop::now());
 }
 
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -5,12 +5,14 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <skylark/attempt/machine.hpp>
 #include <skylark/config/rule.hpp>
 #include <skylark/config/service.hpp>
 #include <skylark/core/id.hpp>
+#include <skylark/limit/answer_bound.hpp>
 #include <skylark/load/report.hpp>
 #include <skylark/share/kind.hpp>
 
@@ -50,7 +52,10 @@
     std::map<attempt_id, attempt> m_attempts;
     std::vector<upstream_id> m_tried; //!< upstreams of earlier attempts
     attempt_id m_answering;           //!< attempt whose answer is relayed
-    timer_id m_deadline_timer;
+    timer_id m_deadline_timer; //!< from the begin of the answer on: of its end
+    //! When the caller stops waiting; none if it does not say.
+    std::optional<time_point> m_caller_leaves;
+    std::optional<answer_bound> m_answer_bound; //!< of the answer in progress
     timer_id m_hedge_timer;
     bool m_queued{};
     std::string m_name;       //!< given by the caller; may be empty
@@ -65,7 +70,8 @@
     time_point m_probing_since;
     timer_id m_probe_timer;
     outcome m_outcome{outcome::answered}; //!< counted when the request ends
-    int m_status{};         //!< of the answer that was begun, 0 before
+    int m_status{};                 //!< of the answer that was begun, 0 before
+    std::string_view m_abort_cause; //!< why this entry broke the answer off
     std::string m_answerer; //!< upstream that gave it; empty for this entry
     bool m_finishing{};     //!< finish() is running
     bool m_withdrawn{};     //!< may not be passed on as the entry shuts down
--- /dev/null
+++ b/test/platform/endless_answers.cpp
@@ -0,0 +1,168 @@
+// Answers whose bodies have no end, or a very late one, and their callers.
+#include "test/io/raw_caller.hpp"
+#include "test/platform/node_fixture.hpp"
+
+using namespace skylark;
+using skylark::test::configuration;
+using skylark::test::loopback;
+
+namespace {
+
+constexpr auto route_timeout = milliseconds{1000}; // of the configuration
+// Callers may be kept waiting for half a second beyond it.
+constexpr auto latest_end = route_timeout + milliseconds{500};
+
+// An upstream that sends a piece of its body at a time, without an end or up to
+// a declared length.
+class streaming_upstream {
+public:
+    explicit streaming_upstream(io::event_loop& loop)
+        : m_loop{loop}, m_server{loop, {}} {
+        m_server.set_handlers(
+            {[this](exchange_id key, const io::request_view& request) {
+                 serve(key, request);
+             },
+             [this](exchange_id key) {
+                 m_loop.after(m_pause, [this, key] { send_piece(key); });
+             },
+             [this](exchange_id, bool) { ++m_ended; }});
+        m_where = m_server.listen({loopback, 0}).value();
+    }
+
+    std::string record() const {
+        return R"({"address":")" + m_where.text() +
+               R"(","born":1,"info":{"service":"stock","zone":"a","slots":6},)"
+               R"("status":{"state":"ready","seq_no":1,"warmup_left_ms":0}})";
+    }
+
+    std::string m_piece = std::string(1024, 'x');
+    duration m_pause{milliseconds{20}};    // between two pieces
+    duration m_thinking{0};                // before the head
+    std::optional<std::uint64_t> m_length; // none: without an end
+    int m_begun{};                         // answers to requests
+    int m_ended{};                         // all answers
+
+private:
+    void serve(exchange_id key, const io::request_view& request) {
+        if (request.m_path == "/health") {
+            const std::array headers{io::header{"Instance-Id", "i-stream"},
+                                     io::header{"Server-Load", "0,0,6,100"}};
+            m_server.answer(key, 200, headers, "");
+            --m_ended;
+            return;
+        }
+        ++m_begun;
+        m_id = io::find_header(request.m_headers, "Request-Id");
+        m_loop.after(m_thinking, [this, key] { begin(key); });
+    }
+
+    void begin(exchange_id key) {
+        const std::array headers{io::header{"Request-Id", m_id},
+                                 io::header{"Response-Stamp", "stamp"}};
+        m_server.start(key, 200, headers, m_length);
+        m_left = m_length.value_or(0);
+        send_piece(key);
+    }
+
+    void send_piece(exchange_id key) {
+        if (!m_length) {
+            m_server.send(key, m_piece, false);
+            return;
+        }
+        const std::string piece =
+            m_piece.substr(0, std::min<std::uint64_t>(m_piece.size(), m_left));
+        m_left -= piece.size();
+        m_server.send(key, piece, m_left == 0);
+    }
+
+    io::event_loop& m_loop;
+    io::http_server m_server;
+    address m_where;
+    std::string m_id;
+    std::uint64_t m_left{};
+};
+
+class endless_answer : public test::platform_node {
+protected:
+    void start_with_streaming_upstream() {
+        m_store.put("op/config", configuration);
+        m_store.put("servers/i-stream", m_upstream.record());
+        start();
+        turn_until([this] {
+            return status(get(*m_settings.m_ready, "/readiness")) == 200;
+        });
+    }
+
+    static std::string head(const std::string& method,
+                            const std::string& deadline_ms) {
+        const std::string path = method == "GET" ? "/a/x" : "/b/x";
+        return method + " " + path +
+               " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+               "Deadline-Ms: " +
+               deadline_ms + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    // Turns the loop until the entry has closed the caller's connection or
+    // enough bytes have come; returns the time that this took.
+    duration read_until_end(test::raw_caller& caller,
+                            std::size_t enough = std::size_t{1} << 40U) {
+        const time_point began = io::event_loop::now();
+        bool open = true;
+        while (open && caller.bytes().size() < enough &&
+               io::event_loop::now() - began < give_up) {
+            m_loop.run_once(milliseconds{1});
+            open = caller.read();
+        }
+        return io::event_loop::now() - began;
+    }
+
+    static constexpr auto give_up = seconds{8};
+    streaming_upstream m_upstream{m_loop};
+};
+
+} // namespace
+
+TEST_F(endless_answer, is_cut_when_its_route_s_timeout_has_passed) {
+    start_with_streaming_upstream();
+    test::raw_caller caller{m_settings.m_callers};
+    caller.write(head("GET", "5000"));
+    const duration took = read_until_end(caller);
+    EXPECT_LT(took, latest_end);
+    EXPECT_TRUE(caller.bytes().starts_with("HTTP/1.1 200"));
+    EXPECT_FALSE(caller.bytes().ends_with("0\r\n\r\n")) << "it looks complete";
+    turn_until([this] { return m_upstream.m_ended == 1; });
+}
+
+TEST_F(endless_answer, is_cut_although_a_length_without_measure_is_declared) {
+    m_upstream.m_length = std::uint64_t{1} << 40U;
+    start_with_streaming_upstream();
+    test::raw_caller caller{m_settings.m_callers};
+    caller.write(head("GET", "5000"));
+    EXPECT_LT(read_until_end(caller), latest_end);
+}
+
+TEST_F(endless_answer, a_download_that_ends_before_its_caller_leaves_is_whole) {
+    constexpr std::size_t pieces = 100; // two seconds
+    m_upstream.m_length = pieces * m_upstream.m_piece.size();
+    start_with_streaming_upstream();
+    test::raw_caller caller{m_settings.m_callers};
+    caller.write(head("GET", "6000"));
+    const duration took = read_until_end(caller, *m_upstream.m_length + 1);
+    EXPECT_GT(took, latest_end);
+    EXPECT_GT(caller.bytes().size(), *m_upstream.m_length);
+}
+
+// Its answer is read to its end to keep the connection, so it must have one.
+TEST_F(endless_answer, is_ended_for_a_caller_that_left_before_it_began) {
+    m_upstream.m_thinking = milliseconds{200};
+    start_with_streaming_upstream();
+    {
+        test::raw_caller caller{m_settings.m_callers};
+        caller.write(head("POST", "5000"));
+        turn_until([this] { return m_upstream.m_begun == 1; });
+    }
+    const time_point began = io::event_loop::now();
+    while (m_upstream.m_ended == 0 && io::event_loop::now() - began < give_up)
+        m_loop.run_once(milliseconds{1});
+    EXPECT_LT(io::event_loop::now() - began, latest_end);
+}
