Give up an answer whose caller does not read its rest

Once an upstream had ended its part of an answer, the limit on stalled answers had no effect: the attempt machine was done and had nothing to abort. A caller that did not read kept the rest, its request and its connection for ever.

Change: break_off_answer() aborts the caller's connection in that state too. An aborted connection is no longer kept alive: h2o ignores the failed write of a last piece and went on with the pipelined requests of the dead connection, which reached upstreams (43 of 400 when the answer stalled, all 400 soon after).

Evidence: endless_answer.an_answer_whose_caller_reads_nothing_is_given_up; on the code before, the request was still in progress after 20 s.

--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -182,6 +182,8 @@
     // Bounds the time of the answer that has begun.
     void bound_answer(request_id key, request& req);
     void check_answer(request_id key);
+    // Ends an answer that has begun before it is whole.
+    void break_off_answer(request_id key, std::string_view why);
     [[nodiscard]] bool may_cancel(const request& req);
     void finish(request_id key, outcome how);
     void sweep();
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -181,10 +181,7 @@
             disconnected.push_back(key);
     }
     for (const request_id key : stalled)
-        if (request* req = m_requests.find(key)) {
-            req->m_abort_cause = "stalled";
-            apply(key, req->m_machine.expired());
-        }
+        break_off_answer(key, "stalled");
     for (const request_id key : disconnected) {
         request* req = m_requests.find(key);
         if (!req)
--- a/src/entry/forwarder_bounds.cpp
+++ b/src/entry/forwarder_bounds.cpp
@@ -26,12 +26,26 @@
         return;
     if (!req->m_answer_bound->may_go_on(io::event_loop::now(),
                                         req->m_body_left.value_or(0))) {
-        req->m_abort_cause = "deadline";
-        apply(key, req->m_machine.expired());
+        break_off_answer(key, "deadline");
         return;
     }
     req->m_deadline_timer = m_shared.m_loop.after(
         answer_check_period, [this, key] { check_answer(key); });
 }
 
+void forwarder::break_off_answer(request_id key, std::string_view why) {
+    request* req = m_requests.find(key);
+    if (!req || !req->m_abort_cause.empty())
+        return;
+    req->m_abort_cause = why;
+    const actions list = req->m_machine.expired();
+    if (!list.empty()) {
+        apply(key, list);
+        return;
+    }
+    // The upstream has ended its part and the caller does not read the rest.
+    req->m_outcome = outcome::broken;
+    m_callers.abort(req->m_exchange);
+}
+
 } // namespace skylark::entry
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -158,6 +158,8 @@
     // down first keeps it off the wire. While a send is pending h2o must not
     // be called; it then detects the shutdown itself.
     const bool send_pending = found->m_send_pending;
+    // h2o would otherwise go on with the next request of the connection.
+    found->m_request->http1_is_persistent = 0;
     if (send_pending || !found->m_complete)
         shutdown(found->m_socket, SHUT_RDWR);
     if (!send_pending && !found->m_complete)
--- a/test/platform/endless_answers.cpp
+++ b/test/platform/endless_answers.cpp
@@ -166,3 +166,36 @@
         m_loop.run_once(milliseconds{1});
     EXPECT_LT(io::event_loop::now() - began, latest_end);
 }
+
+namespace {
+
+// Requests on one connection, sent at once by a caller that reads nothing.
+constexpr int pipelined = 400;
+constexpr int small_buffer = 4096;
+
+} // namespace
+
+// The rest of an answer whose upstream has ended its part was kept for ever.
+TEST_F(endless_answer, an_answer_whose_caller_reads_nothing_is_given_up) {
+    m_upstream.m_piece.resize(std::size_t{64} << 10U);
+    m_upstream.m_length = m_upstream.m_piece.size();
+    start_with_streaming_upstream();
+    test::raw_caller caller{m_settings.m_callers, small_buffer};
+    std::string requests;
+    for (int i = 0; i < pipelined; ++i)
+        requests += head("GET", "60000");
+    caller.write(requests);
+    const auto requests_in_progress = [this] {
+        const auto got = get(m_settings.m_control, "/metrics");
+        const std::string& page = std::get<io::fetch_answer>(got).m_body;
+        const std::string name = "\nskylark_requests ";
+        return std::stoi(page.substr(page.find(name) + name.size()));
+    };
+    turn_until([&] { return requests_in_progress() == 1; });
+    const time_point began = io::event_loop::now();
+    while (requests_in_progress() > 0 &&
+           io::event_loop::now() - began < seconds{20})
+        m_loop.run_once(milliseconds{1});
+    EXPECT_EQ(requests_in_progress(), 0);
+    EXPECT_LT(m_upstream.m_begun, pipelined);
+}
