Bound what an upstream sends around its body by the body's size

The count of bytes outside of the body began again with each byte of the body, so chunks of one byte with long extensions were taken without an end.

Change: the bytes around the body are counted over the whole response; 64 KB are allowed, and eight for each byte of the body, which leaves room for chunks of one byte.

Evidence: client_test.framing_out_of_proportion_to_the_body_fails; on the code before, 264 KB of framing around 33 bytes were taken without a failure. client_test.chunks_of_one_byte_are_taken holds on both.

--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -33,10 +33,13 @@
         //! How long sent data may stay unacknowledged (TCP_USER_TIMEOUT).
         duration m_unacknowledged_timeout{seconds{2}};
         int m_receive_buffer_bytes{}; //!< SO_RCVBUF; 0: kernel's default
-        //! Maximum bytes received without body data, counted anew after each
-        //! piece of the body: heads, chunk framing and trailers. The default
-        //! is the size that servers commonly accept for a request head.
+        //! Maximum bytes outside of the body: heads, chunk framing and
+        //! trailers. The default is the size that servers commonly accept for
+        //! a request head.
         std::size_t m_head_bytes{std::size_t{64} << 10U};
+        //! The same beside it for each byte of the body. The default leaves
+        //! room for chunks of one byte.
+        std::size_t m_framing_per_body_byte{8};
     };
 
     http_client(event_loop& loop, const limits& bounds);
--- a/src/io/http_client_native.hpp
+++ b/src/io/http_client_native.hpp
@@ -35,8 +35,8 @@
     response_parser m_parser;
     std::string m_output; // must outlive h2o's write
     phase m_phase{phase::connecting};
-    std::size_t
-        m_overhead_bytes{}; // input without body data since the last body data
+    std::size_t m_overhead_bytes{}; // input of the response besides its body
+    std::size_t m_body_bytes{};     // of the response
     bool m_bytes_sent{};
     bool m_writing{}; // h2o has not reported the write as done
     bool m_head_only{};
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -118,11 +118,14 @@
     return false;
 }
 
-// Fails a connection that received more than m_head_bytes without body data
-// or the end of the response, such as endless interim responses, chunk
-// extensions or trailers. Returns whether the connection is still open.
+// Fails a connection that received too much besides the body, such as endless
+// interim responses, chunk extensions or trailers. Returns whether the
+// connection is still open.
 bool http_client::native::check_overhead(connection& conn) {
-    if (conn.m_overhead_bytes <= m_limits.m_head_bytes)
+    const std::size_t limit =
+        m_limits.m_head_bytes +
+        m_limits.m_framing_per_body_byte * conn.m_body_bytes;
+    if (conn.m_overhead_bytes <= limit)
         return true;
     fail(conn, "response without an end");
     return false;
@@ -174,8 +177,8 @@
         return false;
     }
     const connection_id key = conn.m_key;
-    conn.m_overhead_bytes =
-        size > 0 ? 0 : conn.m_overhead_bytes + (*input)->size;
+    conn.m_overhead_bytes += (*input)->size - rest - size;
+    conn.m_body_bytes += size;
     if (size > 0)
         report(conn, body_received{{(*input)->bytes, size}});
     if (!m_connections.find(key) || !conn.m_socket)
@@ -216,6 +219,7 @@
     const connection_id key = conn.m_key;
     conn.m_phase = phase::idle;
     conn.m_overhead_bytes = 0;
+    conn.m_body_bytes = 0;
     conn.m_bytes_sent = false;
     if (!reusable)
         close_socket(conn);
--- a/test/io/http_client.cpp
+++ b/test/io/http_client.cpp
@@ -216,6 +216,44 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 } // namespace
 
+// Each piece of the body made the count of the bytes around it start again.
+TEST_F(client_test, framing_out_of_proportion_to_the_body_fails) {
+    open();
+    m_client.send(m_connection, request_bytes, false);
+    m_server.read_request();
+    m_server.write(chunked_head);
+    const std::string chunk = "1;e=" + filler + "\r\nx\r\n";
+    std::size_t written = 0;
+    while (!m_log.m_failed && written < 4 * head_limit) {
+        m_server.write(chunk);
+        written += chunk.size();
+        for (int i = 0; i < 3; ++i)
+            m_loop.run_once(milliseconds{1});
+    }
+    EXPECT_TRUE(m_log.m_failed);
+    EXPECT_LE(written, 2 * head_limit);
+}
+
+TEST_F(client_test, chunks_of_one_byte_are_taken) {
+    open();
+    m_client.send(m_connection, request_bytes, false);
+    m_server.read_request();
+    m_server.write(chunked_head);
+    std::string chunks;
+    constexpr std::size_t pieces = 1000;
+    for (std::size_t i = 0; i < pieces; ++i)
+        chunks += "1\r\nx\r\n";
+    const std::size_t rounds = 4 * head_limit / chunks.size();
+    for (std::size_t i = 0; i < rounds; ++i) {
+        m_server.write(chunks);
+        for (int turn = 0; turn < 3; ++turn)
+            m_loop.run_once(milliseconds{1});
+    }
+    m_server.write("0\r\n\r\n");
+    EXPECT_TRUE(ended().m_complete);
+    EXPECT_EQ(m_log.m_body.size(), rounds * pieces);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     http_client, endless_answers,
     testing::Values(
