Process a bounded part of one connection's input at a time

A connection whose server writes without pause had all its input processed before others had their turn.

The rest waits for the next turn of the loop, and nothing is read meanwhile.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -87,6 +87,7 @@
     if (!found || !found->m_socket || !found->m_paused)
         return;
     found->m_paused = false;
+    found->m_yielded = false;
     h2o_socket_read_start(found->m_socket, &native::on_read);
     if (found->m_socket->input->size > 0)
         m_native->m_loop->after(duration{0},
--- a/src/io/http_client_native.hpp
+++ b/src/io/http_client_native.hpp
@@ -41,6 +41,10 @@
     bool m_writing{}; // h2o has not reported the write as done
     bool m_head_only{};
     bool m_paused{};
+    // Input is left for a later turn; nothing is read meanwhile.
+    bool m_yielded{};
+    bool m_at_end{};         // the server sends nothing more
+    bool m_mostly_framing{}; // the last part of the input
 };
 
 } // namespace internal
@@ -70,6 +74,9 @@
                   bool close_delimited);
     void handle_end_of_stream(internal::connection& conn, const char* error);
     void read_buffered(connection_id key);
+    std::size_t turn_size(const internal::connection& conn) const;
+    void yield_turn(internal::connection& conn);
+    void continue_turn(connection_id key);
     void set_socket_options(int fd) const;
 };
 
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -1,4 +1,5 @@
 // Read path of client connections: turns received bytes into events.
+#include <algorithm>
 #include <netinet/tcp.h>
 #include <utility>
 
@@ -10,6 +11,11 @@
 using internal::connection;
 using internal::phase;
 
+namespace {
+// Timers that are due at once may run in the same turn of the loop.
+constexpr duration turn_delay{1};
+} // namespace
+
 // Processes input that was buffered before pause().
 void http_client::native::read_buffered(connection_id key) {
     connection* found = m_connections.find(key);
@@ -17,6 +23,32 @@
         on_read(found->m_socket, nullptr);
 }
 
+std::size_t http_client::native::turn_size(const connection& conn) const {
+    constexpr std::size_t framing_part = 8;
+    const std::size_t available = conn.m_socket->input->size;
+    if (conn.m_at_end)
+        return available;
+    return std::min(available, conn.m_mostly_framing
+                                   ? m_limits.m_turn_bytes / framing_part
+                                   : m_limits.m_turn_bytes);
+}
+
+// Leaves the rest of the input for the next turn of the loop.
+void http_client::native::yield_turn(connection& conn) {
+    conn.m_yielded = true;
+    h2o_socket_read_stop(conn.m_socket);
+    m_loop->after(turn_delay, [this, key = conn.m_key] { continue_turn(key); });
+}
+
+void http_client::native::continue_turn(connection_id key) {
+    connection* found = m_connections.find(key);
+    if (!found || !found->m_socket || !std::exchange(found->m_yielded, false) ||
+        found->m_paused)
+        return;
+    h2o_socket_read_start(found->m_socket, &native::on_read);
+    on_read(found->m_socket, nullptr);
+}
+
 void http_client::native::report(connection& conn, const client_event& event) {
     // The handler may rebind or close the connection, which would destroy
     // it during the call, so a copy is run.
@@ -92,8 +124,11 @@
     const connection_id key = self->m_key;
     // Data received before the connection ended is delivered even when
     // reading is paused.
-    if (error)
+    if (error) {
         self->m_paused = false;
+        self->m_yielded = false;
+        self->m_at_end = true;
+    }
     while (owner.m_connections.find(key) && owner.advance(*self)) {
     }
     if (error && owner.m_connections.find(key))
@@ -103,7 +138,7 @@
 // Performs one parsing step; returns false when it needs more input or
 // nothing is left to do.
 bool http_client::native::advance(connection& conn) {
-    if (conn.m_phase == phase::closed || conn.m_paused ||
+    if (conn.m_phase == phase::closed || conn.m_paused || conn.m_yielded ||
         conn.m_socket->input->size == 0)
         return false;
     if (conn.m_phase == phase::head)
@@ -168,27 +203,31 @@
 
 bool http_client::native::advance_body(connection& conn) {
     h2o_buffer_t** input = &conn.m_socket->input;
+    const std::size_t taken = turn_size(conn);
     std::size_t size = 0;
     std::size_t rest = 0;
     const auto state =
-        conn.m_parser.read_body({(*input)->bytes, (*input)->size}, size, rest);
+        conn.m_parser.read_body({(*input)->bytes, taken}, size, rest);
     if (state == parse_state::malformed) {
         fail(conn, "malformed response body");
         return false;
     }
     const connection_id key = conn.m_key;
-    conn.m_overhead_bytes += (*input)->size - rest - size;
+    conn.m_overhead_bytes += taken - rest - size;
     conn.m_body_bytes += size;
+    conn.m_mostly_framing = size < taken / 2;
     if (size > 0)
         report(conn, body_received{{(*input)->bytes, size}});
     if (!m_connections.find(key) || !conn.m_socket)
         return false;
-    h2o_buffer_consume(&conn.m_socket->input, conn.m_socket->input->size);
-    if (state != parse_state::found) {
-        check_overhead(conn);
+    const std::size_t left = conn.m_socket->input->size - taken;
+    h2o_buffer_consume(&conn.m_socket->input, taken);
+    if (state == parse_state::found) {
+        finish(conn, rest + left, false);
         return false;
     }
-    finish(conn, rest, false);
+    if (check_overhead(conn) && left > 0 && !conn.m_paused)
+        yield_turn(conn);
     return false;
 }
 
@@ -220,6 +259,7 @@
     conn.m_phase = phase::idle;
     conn.m_overhead_bytes = 0;
     conn.m_body_bytes = 0;
+    conn.m_mostly_framing = false;
     conn.m_bytes_sent = false;
     if (!reusable)
         close_socket(conn);
--- a/test/io/http_client.cpp
+++ b/test/io/http_client.cpp
@@ -254,6 +254,36 @@
     EXPECT_EQ(m_log.m_body.size(), rounds * pieces);
 }
 
+// A server that writes without pause kept all other connections waiting.
+TEST_F(client_test, one_turn_takes_a_bounded_part_of_the_input) {
+    io::http_client::limits bounds;
+    bounds.m_turn_bytes = 1000;
+    io::http_client client{m_loop, bounds};
+    std::size_t taken = 0;
+    const auto key = client.open(
+        m_server.where(), [&](connection_id, const io::client_event& what) {
+            record(what);
+            if (const auto* body = std::get_if<io::body_received>(&what))
+                taken += body->m_piece.size();
+        });
+    run_until([this] { return m_connected; });
+    m_server.accept_one();
+    client.send(key, request_bytes, false);
+    m_server.read_request();
+    const std::string body(20 * bounds.m_turn_bytes + 1, 'x');
+    m_server.write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body);
+    for (int i = 0; i < 5000 && !m_log.m_complete; ++i) {
+        const std::size_t before = taken;
+        m_loop.run_once(milliseconds{1});
+        // As the socket becomes readable, and as the rest has its turn.
+        EXPECT_LE(taken - before, 2 * bounds.m_turn_bytes);
+    }
+    EXPECT_TRUE(m_log.m_reusable);
+    EXPECT_EQ(m_log.m_body, body);
+    EXPECT_TRUE(client.usable(key));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     http_client, endless_answers,
     testing::Values(
