Bound the memory of all answers that callers do not read

Change: the setting answer_bytes (32 MB). Beyond it the answers that have waited longest for their callers are broken off. Load probes no longer keep the body of their answer, which nothing read.

Evidence: endless_answer.unread_answers_are_cut_beyond_a_limit_for_all; without the mechanism none of 20 such answers is cut before the route's timeout. No test shows the probes' memory.

--- a/include/skylark/config/config.hpp
+++ b/include/skylark/config/config.hpp
@@ -37,6 +37,8 @@
 //! Limit on buffered request bytes in one entry: a fifth of the memory of the
 //! smallest known instances, 160 MB.
 inline constexpr std::size_t input_bytes = std::size_t{32} << 20U;
+//! The same for answers that their callers have not read.
+inline constexpr std::size_t answer_bytes = std::size_t{32} << 20U;
 inline constexpr std::size_t event_ring = 4096; //!< events kept in memory
 //! Log lines per second: about three for each request that an entry on a tenth
 //! of a core serves. Further lines are counted and dropped.
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -182,6 +182,13 @@
     // Bounds the time of the answer that has begun.
     void bound_answer(request_id key, request& req);
     void check_answer(request_id key);
+    // Passes a part of the body to the caller's connection.
+    void send_piece(request& req, std::string_view piece, bool last);
+    // Bytes that are kept because the caller has not read them.
+    [[nodiscard]] std::size_t unread_bytes(const request& req) const;
+    // Cuts the answers that wait longest for their callers until the rest are
+    // within the limit on bytes.
+    void limit_unread_answers();
     // Ends an answer that has begun before it is whole.
     void break_off_answer(request_id key, std::string_view why);
     [[nodiscard]] bool may_cancel(const request& req);
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -63,9 +63,14 @@
         m_client.pause(req.m_attempts.at(which).m_connection);
         return;
     }
+    send_piece(req, piece, req.m_body_left == 0U);
+}
+
+void forwarder::send_piece(request& req, std::string_view piece, bool last) {
     req.m_sending = true;
-    req.m_final_sent = req.m_body_left == 0U;
-    m_callers.send(req.m_exchange, piece, req.m_final_sent);
+    req.m_sending_bytes = piece.size();
+    req.m_final_sent = last;
+    m_callers.send(req.m_exchange, piece, last);
 }
 
 void forwarder::handle_complete(request_id key, attempt_id which,
@@ -87,9 +92,7 @@
     const bool body_complete = req.m_body_left == 0U || req.m_upstream_done;
     if (!req.m_buffered.empty() || body_complete) {
         const std::string piece = std::exchange(req.m_buffered, {});
-        req.m_sending = true;
-        req.m_final_sent = body_complete;
-        m_callers.send(key, piece, body_complete);
+        send_piece(req, piece, body_complete);
         return;
     }
     const auto running = req.m_attempts.find(req.m_answering);
@@ -180,6 +183,7 @@
             may_cancel(req) && m_callers.caller_disconnected(req.m_exchange))
             disconnected.push_back(key);
     }
+    limit_unread_answers();
     for (const request_id key : stalled)
         break_off_answer(key, "stalled");
     for (const request_id key : disconnected) {
--- a/src/entry/forwarder_bounds.cpp
+++ b/src/entry/forwarder_bounds.cpp
@@ -1,4 +1,8 @@
 // Bounds on answers that have begun, in time and in bytes.
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
 #include "entry/forwarder.hpp"
 
 namespace skylark::entry {
@@ -48,4 +52,38 @@
     m_callers.abort(req->m_exchange);
 }
 
+std::size_t forwarder::unread_bytes(const request& req) const {
+    if (!req.m_sending)
+        return 0;
+    const auto running = req.m_attempts.find(req.m_answering);
+    const std::size_t input =
+        running == req.m_attempts.end()
+            ? 0
+            : m_client.unreported(running->second.m_connection);
+    return req.m_sending_bytes + req.m_buffered.size() + input;
+}
+
+void forwarder::limit_unread_answers() {
+    std::size_t sum = 0;
+    std::vector<std::tuple<time_point, std::size_t, request_id>> waiting;
+    for (const auto& [key, req] : m_requests) {
+        const std::size_t size =
+            req.m_abort_cause.empty() ? unread_bytes(req) : 0;
+        if (size == 0)
+            continue;
+        sum += size;
+        waiting.emplace_back(req.m_last_progress, size, key);
+    }
+    const std::size_t limit = m_shared.m_settings.m_answer_bytes;
+    if (sum <= limit)
+        return;
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto& [since, size, key] : waiting) {
+        if (sum <= limit)
+            return;
+        break_off_answer(key, "unread");
+        sum -= size;
+    }
+}
+
 } // namespace skylark::entry
--- a/src/entry/on_demand_prober.cpp
+++ b/src/entry/on_demand_prober.cpp
@@ -64,9 +64,8 @@
                               if (!pending->m_usable)
                                   finish(key, false, false);
                           },
-                          [&](const io::body_received& event) {
-                              pending->m_body += event.m_piece;
-                          },
+                          // The load is in the head.
+                          [](const io::body_received&) {},
                           [&](const io::response_complete& event) {
                               finish(key, pending->m_usable, event.m_reusable);
                           },
--- a/src/entry/on_demand_prober.hpp
+++ b/src/entry/on_demand_prober.hpp
@@ -46,7 +46,6 @@
         bool m_reused{}; // the connection was idle before
         bool m_usable{}; // the response head belongs to this probe
         health_info m_signs;
-        std::string m_body;
     };
 
     void handle(probe_id key, const io::client_event& what);
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -79,8 +79,9 @@
     // Relay of the answer to the caller.
     std::optional<std::uint64_t> m_body_left; //!< body bytes not received yet
     std::string m_buffered;                   //!< sent once m_sending is false
-    bool m_sending{};           //!< a part of the body is being sent
-    bool m_upstream_done{};     //!< the upstream's response has ended
+    bool m_sending{};              //!< a part of the body is being sent
+    std::size_t m_sending_bytes{}; //!< of that part
+    bool m_upstream_done{};        //!< the upstream's response has ended
     bool m_final_sent{};        //!< the last part was given to the connection
     time_point m_last_progress; //!< when a part was last received or sent
 };
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -101,6 +101,12 @@
             fail(*node, key, "true or false");
     }
 
+    void bytes(std::string_view key, std::size_t& out) {
+        auto value = static_cast<std::int64_t>(out);
+        whole(key, value);
+        out = static_cast<std::size_t>(value);
+    }
+
     // A number above 0, whole or not.
     void number(std::string_view key, double& out, double most,
                 std::string expected) {
@@ -245,9 +251,8 @@
             std::chrono::duration<double>{killed_after * drain_share});
     reader.ms("drain_limit_ms", out.m_drain_limit);
     reader.ms("apply_limit_ms", out.m_apply_limit);
-    std::int64_t input = static_cast<std::int64_t>(out.m_input_bytes);
-    reader.whole("input_bytes", input);
-    out.m_input_bytes = static_cast<std::size_t>(input);
+    reader.bytes("input_bytes", out.m_input_bytes);
+    reader.bytes("answer_bytes", out.m_answer_bytes);
     if (auto error = reader.finish())
         return *std::move(error);
     if (auto error = check_timing(out, file))
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -52,6 +52,8 @@
     duration m_drain_limit{seconds{30}}; //!< longest graceful shutdown
     //! Received bytes of all requests that are not over.
     std::size_t m_input_bytes{defaults::input_bytes};
+    //! Bytes of all answers that callers have not read.
+    std::size_t m_answer_bytes{defaults::answer_bytes};
 };
 
 /*! @brief Reads settings.
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -113,6 +113,11 @@
     return count < 0 && (errno == EAGAIN || errno == EINTR);
 }
 
+std::size_t http_client::unreported(connection_id key) const {
+    const connection* found = m_native->m_connections.find(key);
+    return found && found->m_socket ? found->m_socket->input->size : 0;
+}
+
 std::size_t http_client::size() const {
     return m_native->m_connections.size();
 }
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -40,9 +40,10 @@
         //! The same beside it for each byte of the body. The default leaves
         //! room for chunks of one byte.
         std::size_t m_framing_per_body_byte{8};
-        //! Body input of one connection that is processed before others have
-        //! their turn. Framing costs far more time for each byte than the
-        //! body, so it is a fraction of this where little of it is body.
+        //! Body input of one connection that is processed at a time, before
+        //! others have their turn. Framing costs far more time for each byte
+        //! than the body, so it is a fraction of this where little of it is
+        //! body.
         std::size_t m_turn_bytes{std::size_t{64} << 10U};
     };
 
@@ -94,6 +95,9 @@
      *  idle, has no unread input, and the server has not closed it. */
     bool usable(connection_id key);
 
+    /*! @brief Bytes that were received on a connection and not reported yet. */
+    [[nodiscard]] std::size_t unreported(connection_id key) const;
+
     /*! @brief Number of connections, including those being opened. */
     [[nodiscard]] std::size_t size() const;
 
--- a/test/platform/endless_answers.cpp
+++ b/test/platform/endless_answers.cpp
@@ -199,3 +199,23 @@
     EXPECT_EQ(requests_in_progress(), 0);
     EXPECT_LT(m_upstream.m_begun, pipelined);
 }
+
+// Each kept what its caller did not read, and nothing bounded the sum.
+TEST_F(endless_answer, unread_answers_are_cut_beyond_a_limit_for_all) {
+    constexpr int callers = 20;
+    m_upstream.m_piece.resize(std::size_t{64} << 10U);
+    m_upstream.m_pause = duration{0};
+    m_settings.m_answer_bytes = m_upstream.m_piece.size();
+    start_with_streaming_upstream();
+    std::vector<std::unique_ptr<test::raw_caller>> waiting;
+    const time_point began = io::event_loop::now();
+    for (int i = 0; i < callers; ++i) {
+        waiting.push_back(std::make_unique<test::raw_caller>(
+            m_settings.m_callers, small_buffer));
+        waiting.back()->write(head("GET", "5000"));
+    }
+    while (io::event_loop::now() - began < route_timeout - milliseconds{100})
+        m_loop.run_once(milliseconds{1});
+    EXPECT_GT(m_upstream.m_begun, 1);
+    EXPECT_GE(m_upstream.m_ended, m_upstream.m_begun - 1);
+}
