Tell how an entry came to a configuration

A second line for each adoption, a line for each failed fetch, skylark_config_pending_ms, skylark_config_delay_seconds and skylark_config_fetch_failures_total. No decision changes. update_delay.counts_from_the_first_announcement passes.

--- a/include/skylark/config/fwd.hpp
+++ b/include/skylark/config/fwd.hpp
@@ -15,6 +15,8 @@
 class store_reachability;
 struct watch_state;
 class watch_schedule;
+class update_delay;
+struct announcement;
 
 } // namespace skylark
 
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -115,6 +115,7 @@
     }
     m_shared.m_metrics.count(counter::store_reads);
     const time_point asked = io::event_loop::now();
+    m_store_call = asked;
     // The store's document may be older than the one in force, at a later
     // position.
     const store_position seen = std::max(m_shared.m_config.position(),
@@ -166,6 +167,7 @@
         overloaded{[&](const adopted&) {
                        m_shared.m_newer_announced = false;
                        note("adopted");
+                       note_adoption(position, source);
                        note_zones(before);
                        schedule_retention_end();
                        m_changed();
@@ -182,6 +184,7 @@
                    },
                    [&](const refused& why) {
                        m_shared.m_newer_announced = false;
+                       m_delay.ended();
                        if (std::exchange(m_noted_revert, position) != position)
                            note("refused: " + why.m_error.text());
                    }},
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include <skylark/config/update_delay.hpp>
 #include <skylark/config/watch_schedule.hpp>
 #include <skylark/discovery/instance_log.hpp>
 #include <skylark/discovery/instance_memory.hpp>
@@ -43,6 +44,12 @@
     void offer(const store_position& position, const std::string& text,
                std::string_view source);
 
+    /*! @brief Time since a newer configuration was announced that is not in
+     *  force; zero if there is none. */
+    [[nodiscard]] duration pending_for(time_point now) const {
+        return m_delay.pending_for(now);
+    }
+
     store::client& store() { return m_store; }
 
 private:
@@ -61,6 +68,9 @@
     void fetch_document(const member& from);
     void fetch_instances(const member& from);
     void take_changes(std::string_view body);
+    void note_failed_fetch(std::string_view what, const address& from,
+                           std::string_view cause);
+    void note_adoption(const store_position& position, std::string_view source);
     void note_zones(const document& before);
     void schedule_retention_end();
     void note_era(std::uint64_t era);
@@ -74,8 +84,10 @@
     instance_log m_log; //!< of the list in use, for peers
     watch_schedule m_document_turn;
     watch_schedule m_list_turn;
-    bool m_noted_lost{}; // what was last noted of the store
-    bool m_peer_knows{}; // one with document and list was heard
+    update_delay m_delay;    // of the configuration
+    time_point m_store_call; // begin of the last read of the configuration
+    bool m_noted_lost{};     // what was last noted of the store
+    bool m_peer_knows{};     // one with document and list was heard
     bool m_fetching_document{};
     bool m_fetching_instances{};
     store_position m_noted_revert; // that was told last
--- a/src/entry/configurator_peers.cpp
+++ b/src/entry/configurator_peers.cpp
@@ -15,6 +15,8 @@
         theirs.m_revision == m_shared.m_config.refused_position();
     if (theirs.order() > m_shared.m_config.order() && !refused_before) {
         m_shared.m_newer_announced = true;
+        m_delay.announced(peer.m_record.m_contact.m_control,
+                          io::event_loop::now());
         fetch_document(peer);
     }
     if (theirs.m_instances > m_shared.m_instances.m_index)
@@ -28,6 +30,13 @@
         .value_or(store_position{});
 }
 
+std::string cause_of(const io::fetch_result& result) {
+    if (const auto* failure = std::get_if<io::fetch_failure>(&result))
+        return failure->m_cause;
+    return "status " +
+           std::to_string(std::get<io::fetch_answer>(result).m_status);
+}
+
 } // namespace
 
 void configurator::fetch_document(const member& from) {
@@ -36,12 +45,15 @@
     io::fetch_request request;
     request.m_to = from.m_record.m_contact.m_control;
     request.m_path = "/peer/config";
-    m_peers.run(request, [this](const io::fetch_result& result) {
-        m_fetching_document = false;
-        const auto* answer = std::get_if<io::fetch_answer>(&result);
-        if (answer && position_of(*answer).known())
-            offer(position_of(*answer), answer->m_body, "peer");
-    });
+    m_peers.run(
+        request, [this, to = request.m_to](const io::fetch_result& result) {
+            m_fetching_document = false;
+            const auto* answer = std::get_if<io::fetch_answer>(&result);
+            if (answer && position_of(*answer).known())
+                offer(position_of(*answer), answer->m_body, "peer");
+            else
+                note_failed_fetch("configuration", to, cause_of(result));
+        });
 }
 
 void configurator::fetch_instances(const member& from) {
@@ -51,12 +63,15 @@
     request.m_to = from.m_record.m_contact.m_control;
     request.m_path =
         "/peer/instances?after=" + text_of(m_shared.m_instances.m_index);
-    m_peers.run(request, [this](const io::fetch_result& result) {
-        m_fetching_instances = false;
-        const auto* answer = std::get_if<io::fetch_answer>(&result);
-        if (answer)
-            take_changes(answer->m_body);
-    });
+    m_peers.run(
+        request, [this, to = request.m_to](const io::fetch_result& result) {
+            m_fetching_instances = false;
+            const auto* answer = std::get_if<io::fetch_answer>(&result);
+            if (answer)
+                take_changes(answer->m_body);
+            else
+                note_failed_fetch("instance list", to, cause_of(result));
+        });
 }
 
 void configurator::take_changes(std::string_view body) {
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -25,7 +25,7 @@
                               "abandoned"};
 
 // In the order of the enumerations.
-constexpr std::array<description, 17> counters{{
+constexpr std::array<description, 18> counters{{
     {"skylark_retries_total", "attempts after a failed one"},
     {"skylark_hedges_total", "second attempts beside a slow one"},
     {"skylark_hedges_won_total", "hedges that answered first"},
@@ -43,14 +43,17 @@
     {"skylark_pauses_total", "times this process did not run"},
     {"skylark_stale_connections_total", "silent connections closed"},
     {"skylark_rejected_total", "requests that the HTTP server rejected"},
+    {"skylark_config_fetch_failures_total",
+     "fetches from peers that brought nothing usable"},
 }};
 
-constexpr std::array<description, 9> gauges{{
+constexpr std::array<description, 10> gauges{{
     {"skylark_requests", "requests at hand"},
     {"skylark_queued", "requests that wait for an upstream"},
     {"skylark_members", "entries in the view"},
     {"skylark_config_revision", "revision in force"},
     {"skylark_config_age_ms", "time since the revision was confirmed"},
+    {"skylark_config_pending_ms", "time since a newer one was announced"},
     {"skylark_has_majority", "1 while a majority acknowledges"},
     {"skylark_isolated", "1 while new work is refused"},
     {"skylark_upstreams_warm", "upstreams that take full load"},
@@ -63,6 +66,7 @@
     prometheus::Registry m_registry;
     std::vector<prometheus::Counter*> m_finished;  // class x outcome
     std::vector<prometheus::Histogram*> m_latency; // by class
+    prometheus::Histogram* m_config_delay{};
     std::vector<prometheus::Counter*> m_counters;
     std::vector<prometheus::Gauge*> m_gauges;
 };
@@ -86,6 +90,14 @@
                 &finished.Add({{"class", name}, {"outcome", outcome}}));
         m_store->m_latency.push_back(&latency.Add({{"class", name}}, edges));
     }
+    const prometheus::Histogram::BucketBoundaries delay_edges{
+        0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10};
+    m_store->m_config_delay =
+        &prometheus::BuildHistogram()
+             .Name("skylark_config_delay_seconds")
+             .Help("from a configuration's announcement to its adoption")
+             .Register(registry)
+             .Add({}, delay_edges);
     for (const auto& item : counters)
         m_store->m_counters.push_back(&prometheus::BuildCounter()
                                            .Name(item.m_name)
@@ -111,6 +123,11 @@
         m_store->m_latency[row]->Observe(seconds_taken.count());
 }
 
+void metrics::adopted(duration delay) {
+    const std::chrono::duration<double> seconds_taken = delay;
+    m_store->m_config_delay->Observe(seconds_taken.count());
+}
+
 void metrics::count(counter which, std::uint64_t by) {
     m_store->m_counters[static_cast<std::size_t>(which)]->Increment(
         static_cast<double>(by));
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -38,7 +38,8 @@
     store_failures,
     pauses,
     stale_connections_closed,
-    rejected
+    rejected,
+    config_fetch_failures
 };
 
 /*! @brief Values that are set anew. */
@@ -48,6 +49,7 @@
     members,
     config_revision,
     config_age_ms,
+    config_pending_ms,
     has_majority,
     isolated,
     upstreams_warm,
@@ -68,6 +70,10 @@
      *  @param took from arrival to the beginning of the answer */
     void finished(request_class of, outcome how, duration took);
 
+    /*! @brief Counts an adopted configuration.
+     *  @param delay since a peer announced it first */
+    void adopted(duration delay);
+
     void count(counter which, std::uint64_t by = 1);
     void set(gauge which, std::int64_t value);
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -179,6 +179,7 @@
     out.set(gauge::config_revision,
             signed_size(m_shared.m_config.position().m_revision));
     out.set(gauge::config_age_ms, to_ms(m_configurator.mark().m_confirmed_age));
+    out.set(gauge::config_pending_ms, to_ms(m_configurator.pending_for(now)));
     out.set(gauge::has_majority, m_shared.m_fleet.has_majority() ? 1 : 0);
     out.set(gauge::isolated, m_shared.m_isolated ? 1 : 0);
     out.set(gauge::upstreams_warm, warm);
