Give up transfers that stop, not those that are large

A limit on the whole of a fetch is a limit on its size: a value of a megabyte is 1.4 MB in the store's answer, 1.1 s at 10 Mbit/s, and a listing or a watch had 1 s.

--- a/include/skylark/config/store_reachability.hpp
+++ b/include/skylark/config/store_reachability.hpp
@@ -8,6 +8,7 @@
 #ifndef SKYLARK_CONFIG_STORE_REACHABILITY_HPP
 #define SKYLARK_CONFIG_STORE_REACHABILITY_HPP
 
+#include <algorithm>
 #include <optional>
 
 #include <skylark/core/time.hpp>
@@ -24,6 +25,14 @@
         m_call_deadline = now + wait + answer_timeout;
     }
 
+    /*! @brief A part of the response arrived. A large one takes long on a
+     *  slow link, which is no sign of trouble.
+     *  @param now current time */
+    void call_progressed(time_point now) {
+        if (m_call_deadline)
+            m_call_deadline = std::max(*m_call_deadline, now + answer_timeout);
+    }
+
     /*! @brief The call returned a complete response.
      *  @param now current time */
     void call_succeeded(time_point now) {
--- a/src/io/fetcher.cpp
+++ b/src/io/fetcher.cpp
@@ -31,22 +31,49 @@
 fetcher::fetcher(event_loop& loop, std::size_t body_limit)
     : m_loop{loop}, m_body_limit{body_limit}, m_client{loop, {}} {}
 
-void fetcher::run(const fetch_request& request, callback done) {
+fetcher::fetch_id fetcher::run(const fetch_request& request, callback done,
+                               std::function<void()> on_input) {
     const fetch_id key = m_fetches.emplace();
     fetch& created = *m_fetches.find(key);
     created.m_output = format_request(request);
     created.m_head_only = request.m_method == "HEAD";
     created.m_done = std::move(done);
+    created.m_on_input = std::move(on_input);
+    created.m_piece_timeout = request.m_piece_timeout;
     created.m_connection = m_client.open(
         request.m_to, [this, key](connection_id, const client_event& event) {
             handle_event(key, event);
         });
-    created.m_timer = m_loop.after(request.m_timeout, [this, key] {
-        if (const fetch* found = m_fetches.find(key))
-            finish(key, fetch_failure{found->m_sent, "timeout"});
+    start_timer(key, request.m_timeout);
+    return key;
+}
+
+void fetcher::cancel(fetch_id key) {
+    const fetch* found = m_fetches.find(key);
+    if (!found)
+        return;
+    m_loop.cancel(found->m_timer);
+    m_client.close(found->m_connection);
+    m_fetches.erase(key);
+}
+
+void fetcher::start_timer(fetch_id key, duration timeout) {
+    fetch* found = m_fetches.find(key);
+    m_loop.cancel(found->m_timer);
+    found->m_timer = m_loop.after(timeout, [this, key] {
+        if (const fetch* late = m_fetches.find(key))
+            finish(key, fetch_failure{late->m_sent, "timeout"});
     });
 }
 
+void fetcher::handle_input(fetch_id key) {
+    const fetch* found = m_fetches.find(key);
+    if (found->m_piece_timeout)
+        start_timer(key, *found->m_piece_timeout);
+    if (found->m_on_input)
+        found->m_on_input();
+}
+
 void fetcher::copy_head(fetch& target, const response_head& head) {
     target.m_answer.m_status = head.m_status;
     for (const header_view& field : head.m_headers)
@@ -67,11 +94,14 @@
                    },
                    [&](const head_received& received) {
                        copy_head(*found, received.m_head);
+                       handle_input(key);
                    },
                    [&](const body_received& received) {
                        found->m_answer.m_body += received.m_piece;
                        if (found->m_answer.m_body.size() > m_body_limit)
                            finish(key, fetch_failure{true, "answer too large"});
+                       else
+                           handle_input(key);
                    },
                    [&](const response_complete& end) {
                        if (end.m_close_delimited) {
--- a/src/io/fetcher.hpp
+++ b/src/io/fetcher.hpp
@@ -4,6 +4,7 @@
 #define SKYLARK_IO_FETCHER_HPP
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -25,7 +26,12 @@
     std::string m_path;
     std::vector<header> m_headers;
     std::string m_body;
+    //! Until the answer is complete, or until it begins if m_piece_timeout is
+    //! set.
     duration m_timeout{seconds{1}};
+    //! Longest time between two pieces of an answer that has begun. For answers
+    //! whose size has no small bound: one that makes progress is not given up.
+    std::optional<duration> m_piece_timeout;
     std::string m_host; //!< value of the Host header; empty: m_to
 };
 
@@ -54,6 +60,7 @@
 class fetcher {
 public:
     using callback = std::function<void(const fetch_result&)>;
+    using fetch_id = id<struct fetch_tag>;
 
     /*! @brief Constructs a fetcher without requests.
      *  @param loop must outlive the fetcher
@@ -63,15 +70,23 @@
 
     /*! @brief Starts a request.
      *  @param request the request
-     *  @param done called once, always after this call has returned */
-    void run(const fetch_request& request, callback done);
+     *  @param done called once, always after this call has returned
+     *  @param on_input called for the head and for each piece of the answer
+     *  @return id for cancel() */
+    fetch_id run(const fetch_request& request, callback done,
+                 std::function<void()> on_input = {});
+
+    /*! @brief Ends a request without calling its callback; does nothing if it
+     *  has ended. */
+    void cancel(fetch_id key);
 
 private:
-    using fetch_id = id<struct fetch_tag>;
     struct fetch {
         std::string m_output;
         bool m_head_only{};
         callback m_done;
+        std::function<void()> m_on_input;
+        std::optional<duration> m_piece_timeout;
         connection_id m_connection;
         timer_id m_timer;
         bool m_sent{};
@@ -79,6 +94,8 @@
     };
 
     void handle_event(fetch_id key, const client_event& event);
+    void handle_input(fetch_id key);
+    void start_timer(fetch_id key, duration timeout);
     void finish(fetch_id key, const fetch_result& result);
     void copy_head(fetch& target, const response_head& head);
 
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -86,8 +86,9 @@
     auto request = m_protocol.range(all_keys, after);
     request.m_to = m_where;
     m_reachability.call_started(io::event_loop::now(), duration{0});
-    m_fetcher.run(request,
-                  [this](const io::fetch_result& got) { handle_page(got); });
+    m_fetcher.run(
+        request, [this](const io::fetch_result& got) { handle_page(got); },
+        [this] { m_reachability.call_progressed(io::event_loop::now()); });
 }
 
 void mirror_client::handle_page(const io::fetch_result& got) {
@@ -151,8 +152,9 @@
     auto request = m_protocol.watch(all_keys, m_mirror.revision(), m_call_wait);
     request.m_to = m_where;
     m_reachability.call_started(now, m_call_wait);
-    m_fetcher.run(request,
-                  [this](const io::fetch_result& got) { handle_changes(got); });
+    m_fetcher.run(
+        request, [this](const io::fetch_result& got) { handle_changes(got); },
+        [this] { m_reachability.call_progressed(io::event_loop::now()); });
 }
 
 void mirror_client::handle_changes(const io::fetch_result& got) {
--- a/test/config/store_reachability.cpp
+++ b/test/config/store_reachability.cpp
@@ -64,3 +64,15 @@
     subject.call_failed(start + seconds{1});
     EXPECT_TRUE(subject.lost(start + seconds{1}));
 }
+
+// A large response on a slow link.
+TEST(store_reachability, a_response_that_makes_progress_is_not_lost) {
+    store_reachability subject;
+    subject.call_started(start, duration{0});
+    for (int ms = 100; ms <= 3000; ms += 100) {
+        const time_point now = start + milliseconds{ms};
+        EXPECT_FALSE(subject.lost(now)) << ms;
+        subject.call_progressed(now);
+    }
+    EXPECT_TRUE(subject.lost(start + milliseconds{3300}));
+}
--- a/test/io/fetcher.cpp
+++ b/test/io/fetcher.cpp
@@ -53,3 +53,58 @@
         fetch("HTTP/1.1 200 OK\r\nContent-Length: 2,5\r\n\r\nhello");
     EXPECT_TRUE(std::holds_alternative<io::fetch_failure>(got));
 }
+
+// The time of a large answer depends on its size and the link, so no limit on
+// the whole suits all.
+TEST_F(fetcher_test, an_answer_that_makes_progress_is_not_given_up) {
+    std::optional<io::fetch_result> out;
+    io::fetch_request request;
+    request.m_to = m_server.where();
+    request.m_path = "/";
+    request.m_timeout = milliseconds{200};
+    request.m_piece_timeout = milliseconds{200};
+    int inputs = 0;
+    m_fetcher.run(
+        request, [&](const io::fetch_result& got) { out = got; },
+        [&] { ++inputs; });
+    m_server.accept_one();
+    m_server.write("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n");
+    for (int i = 0; i < 12; ++i) {
+        const time_point next = io::event_loop::now() + milliseconds{50};
+        run_until([&] { return io::event_loop::now() >= next; });
+        ASSERT_FALSE(out) << i;
+        m_server.write("x");
+    }
+    run_until([&] { return out.has_value(); });
+    ASSERT_TRUE(std::holds_alternative<io::fetch_answer>(*out));
+    EXPECT_EQ(std::get<io::fetch_answer>(*out).m_body, std::string(12, 'x'));
+    EXPECT_GT(inputs, 12);
+}
+
+TEST_F(fetcher_test, an_answer_that_stops_is_given_up) {
+    std::optional<io::fetch_result> out;
+    io::fetch_request request;
+    request.m_to = m_server.where();
+    request.m_path = "/";
+    request.m_piece_timeout = milliseconds{100};
+    m_fetcher.run(request, [&](const io::fetch_result& got) { out = got; });
+    m_server.accept_one();
+    m_server.write("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nx");
+    run_until([&] { return out.has_value(); });
+    EXPECT_TRUE(std::holds_alternative<io::fetch_failure>(*out));
+}
+
+TEST_F(fetcher_test, a_cancelled_request_reports_nothing) {
+    bool reported = false;
+    io::fetch_request request;
+    request.m_to = m_server.where();
+    request.m_path = "/";
+    request.m_timeout = milliseconds{50};
+    const auto key = m_fetcher.run(
+        request, [&](const io::fetch_result&) { reported = true; });
+    m_fetcher.cancel(key);
+    m_fetcher.cancel(key);
+    const time_point end = io::event_loop::now() + milliseconds{100};
+    run_until([&] { return io::event_loop::now() >= end; });
+    EXPECT_FALSE(reported);
+}
