Serve a configuration to a bounded number of peers, compressed

A source serves what fits into 256 KiB, three transfers at least, and refers the others to entries that have got it: its cost at a moment does not grow with the fleet. The document goes out without defaults on one line, in gzip format, and not at all to an entry that has the same text. Entries of older releases are served as before. zlib1g-dev is a new package.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -12,8 +12,9 @@
     platform/base64.cpp platform/kv_protocol.cpp platform/records.cpp)
 target_include_directories(skylark_store PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(skylark_store PUBLIC skylark_io)
-add_library(skylark_peer STATIC src/peer/codec.cpp src/peer/instance_codec.cpp)
-target_link_libraries(skylark_peer PUBLIC skylark_decide skylark_wire)
+add_library(skylark_peer STATIC src/peer/codec.cpp src/peer/instance_codec.cpp
+    src/peer/gzip.cpp)
+target_link_libraries(skylark_peer PUBLIC skylark_decide skylark_wire PRIVATE z)
 
 # The entry as a library, so that tests can use its parts.
 add_library(skylark_entry STATIC
@@ -30,6 +31,8 @@
     src/entry/forwarder_drain.cpp src/entry/forwarder_bounds.cpp
     src/entry/configurator.cpp
     src/entry/configurator_peers.cpp src/entry/configurator_notes.cpp
+    src/entry/document_source.cpp
+    src/entry/packed_document.cpp
     src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
     src/entry/changer.cpp src/entry/inspector.cpp src/entry/node.cpp)
 target_link_libraries(skylark_entry PUBLIC
--- a/include/skylark/config/document.hpp
+++ b/include/skylark/config/document.hpp
@@ -60,6 +60,12 @@
  *  @return indented JSON that parse_document reads back */
 std::string format_document(const document& subject);
 
+/*! @brief Writes the JSON form for other entries: on one line, without the
+ *  fields that have their defaults.
+ *  @param subject the document
+ *  @return JSON that parse_document reads back */
+std::string format_compact_document(const document& subject);
+
 /*! @brief Name of a request class in documents and commands. */
 std::string_view name_of(request_class value);
 
--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -149,6 +149,20 @@
     return out;
 }
 
+// Leaves out the fields that a reader takes to have their defaults.
+template <class Item>
+static json write_compact(const std::vector<Item>& items) {
+    const json defaults = write(Item{});
+    json out = json::array();
+    for (const Item& item : items) {
+        json& fields = out.emplace_back(write(item));
+        for (const auto& [key, value] : defaults.items())
+            if (fields[key] == value)
+                fields.erase(key);
+    }
+    return out;
+}
+
 static json write(const rule& from) {
     return {{"name", from.m_name},
             {"service", from.m_service},
@@ -203,4 +217,16 @@
     return json_text(tree, indent);
 }
 
+std::string format_compact_document(const document& subject) {
+    const nlohmann::json tree{
+        {"change_id", subject.m_change_id},
+        {"version", subject.m_version},
+        {"recent_changes", subject.m_recent_changes},
+        {"zones", internal::write_compact(subject.m_zones)},
+        {"services", internal::write_compact(subject.m_services)},
+        {"rules", internal::write_compact(subject.m_rules)},
+        {"limits", internal::write(subject.m_limits)}};
+    return json_text(tree);
+}
+
 } // namespace skylark
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -13,6 +13,7 @@
 #include "entry/fleet.hpp"
 #include "entry/journal.hpp"
 #include "entry/metrics.hpp"
+#include "entry/packed_document.hpp"
 #include "entry/settings.hpp"
 #include "entry/upstream_table.hpp"
 #include "io/event_loop.hpp"
@@ -36,6 +37,7 @@
     journal m_journal;
     fleet m_fleet;
     config_adoption m_config;
+    packed_document m_packed;  //!< of m_config, for peers
     bool m_newer_announced{};  //!< by a peer, and not offered yet
     instance_list m_instances; //!< latest list; index 0 until there is one
     upstream_table m_upstreams;
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -32,6 +32,15 @@
                                                        : path.substr(at + 1));
 }
 
+// A transfer to a peer counts until nearly all of it has arrived.
+io::server_limits control_limits() {
+    constexpr int send_buffer = 64 << 10;
+    io::server_limits out;
+    out.m_body_bytes = defaults::document_bytes;
+    out.m_send_buffer_bytes = send_buffer;
+    return out;
+}
+
 input_error no_number(std::string place, std::string_view value) {
     return {std::move(place), '"' + std::string{value} + '"', "a number"};
 }
@@ -41,12 +50,15 @@
 control::control(context& shared, forwarder& data_path, configurator& config)
     : m_shared{shared}, m_config{config},
       m_inspector{shared, data_path.routing()}, m_changer{shared, config},
-      m_server{shared.m_loop, {defaults::document_bytes, seconds{60}}} {
+      m_server{shared.m_loop, control_limits()}, m_documents{shared, m_server} {
     m_server.set_handlers(
         {[this](exchange_id key, const io::request_view& request) {
              serve(key, request);
          },
          {},
+         [this](exchange_id key, bool complete) {
+             m_documents.exchange_ended(key, complete);
+         },
          {}});
 }
 
@@ -70,7 +82,7 @@
     else if (path.starts_with("/in-force"))
         answer_in_force(key, path);
     else if (path == "/peer/config")
-        answer_config(key);
+        m_documents.answer(key, request);
     else if (path.starts_with("/peer/instances"))
         answer_instances(key, path);
     else
@@ -98,10 +110,6 @@
         text(key, io::status::unavailable, std::string{why} + "\n");
 }
 
-void control::answer_config(exchange_id key) {
-    json(key, m_shared.m_config.text());
-}
-
 // A peer names the index of the list that it has: /peer/instances?after=7.
 void control::answer_instances(exchange_id key, std::string_view path) {
     const auto after = position_after('=', path);
--- a/src/entry/control.hpp
+++ b/src/entry/control.hpp
@@ -7,6 +7,7 @@
 #include "entry/changer.hpp"
 #include "entry/configurator.hpp"
 #include "entry/context.hpp"
+#include "entry/document_source.hpp"
 #include "entry/forwarder.hpp"
 #include "entry/inspector.hpp"
 #include "io/http_server.hpp"
@@ -31,7 +32,6 @@
 private:
     void serve(exchange_id key, const io::request_view& request);
     void answer_ready(exchange_id key);
-    void answer_config(exchange_id key);
     void answer_instances(exchange_id key, std::string_view path);
     void answer_events(exchange_id key);
     void answer_query(exchange_id key, const io::request_view& request);
@@ -47,6 +47,7 @@
     inspector m_inspector;
     changer m_changer;
     io::http_server m_server;
+    document_source m_documents;
 };
 
 } // namespace skylark::entry
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -65,6 +65,7 @@
 void http_server::set_limits(const server_limits& limits) {
     m_native->m_config.max_request_entity_size = limits.m_body_bytes;
     m_native->m_head_limit = limits.m_head_bytes;
+    m_native->m_send_buffer = limits.m_send_buffer_bytes;
     m_native->m_input_limit = limits.m_body_bytes + limits.m_head_bytes;
     // The total must admit at least one request of maximum size.
     m_native->m_total_input_limit =
@@ -79,7 +80,8 @@
 }
 
 parsed<address> http_server::listen(address local) {
-    BOOST_OUTCOME_TRY(fd, internal::open_listener(local));
+    BOOST_OUTCOME_TRY(fd,
+                      internal::open_listener(local, m_native->m_send_buffer));
     auto* socket = h2o_evloop_socket_create(m_native->m_loop->native(), fd,
                                             H2O_SOCKET_FLAG_DONT_READ);
     socket->data = m_native.get();
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -31,6 +31,9 @@
     //! connections of requests that are still being received are closed,
     //! largest first. At least one request of maximum size is admitted.
     std::size_t m_input_bytes{defaults::input_bytes};
+    //! SO_SNDBUF, read by listen(); 0: kernel's default. Bounds what counts as
+    //! written although the caller has not received it.
+    int m_send_buffer_bytes{};
 };
 
 /*! @brief Serves HTTP/1 on one or more addresses.
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -83,6 +83,7 @@
     std::size_t m_head_limit{};        // bytes of all header fields
     std::size_t m_input_limit{};       // bytes of one request, head and body
     std::size_t m_total_input_limit{}; // bytes of all requests
+    int m_send_buffer{};               // bytes, see server_limits
     std::vector<header_view>
         m_headers; // of the present request; reused to save allocations
     time_point m_last_request;
--- a/src/io/listener.cpp
+++ b/src/io/listener.cpp
@@ -9,12 +9,14 @@
 
 namespace skylark::io::internal {
 
-parsed<int> open_listener(address local) {
+parsed<int> open_listener(address local, int send_buffer) {
     const int fd =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     constexpr int on = 1;
     constexpr int backlog = 1024;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (send_buffer > 0)
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer);
     const sockaddr_in name = to_native(local);
     const auto* generic = reinterpret_cast<const sockaddr*>(&name);
     if (bind(fd, generic, sizeof name) == 0 && listen(fd, backlog) == 0)
--- a/src/io/listener.hpp
+++ b/src/io/listener.hpp
@@ -8,8 +8,10 @@
 
 /*! @brief Opens a non-blocking listening socket.
  *  @param local address to bind; port 0 selects a free one
+ *  @param send_buffer SO_SNDBUF of accepted connections in bytes; 0: kernel's
+ *  default
  *  @return the descriptor, or an input_error with the reason */
-parsed<int> open_listener(address local);
+parsed<int> open_listener(address local, int send_buffer = 0);
 
 } // namespace skylark::io::internal
 
--- a/src/store/mirror_values.cpp
+++ b/src/store/mirror_values.cpp
@@ -27,8 +27,9 @@
     const auto read =
         platform::read_configuration(found->second.m_value, m_terms, drained);
     // Invalid text is passed on unchanged: the reader rejects it and logs why.
-    m_document = stored_value{position, read ? format_document(read.value())
-                                             : found->second.m_value};
+    m_document =
+        stored_value{position, read ? format_compact_document(read.value())
+                                    : found->second.m_value};
     if (!read)
         m_on_invalid(read.error());
     return *m_document;
--- a/test/config/document.cpp
+++ b/test/config/document.cpp
@@ -35,6 +35,21 @@
     EXPECT_EQ(read.value(), sample());
 }
 
+TEST(document, the_compact_form_reads_back_and_is_less_than_half_as_long) {
+    document subject = sample();
+    for (int i = 0; i < 100; ++i) {
+        rule added = subject.m_rules.front();
+        added.m_name = "r" + std::to_string(i);
+        added.m_path_prefix = "/r" + std::to_string(i) + "/";
+        subject.m_rules.push_back(added);
+    }
+    const std::string text = format_compact_document(subject);
+    const auto read = parse_document(text);
+    ASSERT_TRUE(read) << read.error().text();
+    EXPECT_EQ(read.value(), subject);
+    EXPECT_LT(2 * text.size(), format_document(subject).size());
+}
+
 TEST(document, names_place_and_value_of_errors) {
     expect_error("{", "document, byte 2", "JSON");
     expect_error("[]", "document/", "an object");
