Let the roster announce a configuration and tell when nobody is heard

Adds the announcement and the question; the configurator uses them next. roster.announces_a_change_to_all_that_hear_from_it, a_member_that_hears_nobody_is_cut_off, members_are_not_cut_off_while_they_find_other_relays.

--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -62,6 +62,21 @@
     [[nodiscard]] std::optional<outgoing_heartbeat>
     config_announcement(const heartbeat& from, const config_mark& mark) const;
 
+    /*! @brief Heartbeat that announces a change of this entry's configuration
+     *  to all that hear from it, so that it need not wait for the next round.
+     *  @param mark own configuration state
+     *  @param now the present */
+    [[nodiscard]] outgoing_heartbeat announcement(const config_mark& mark,
+                                                  time_point now) const;
+
+    /*! @brief Whether no peer has been heard for a time, although some are
+     *  known: what they know does not reach this entry.
+     *  @param limit longest silence
+     *  @param now the present */
+    [[nodiscard]] bool cut_off(duration limit, time_point now) const {
+        return !m_peers.empty() && now - m_last_received > limit;
+    }
+
     /*! @brief Handles a pause of the process: silence during the pause is no
      *  evidence of failure, so all peers count as heard now. */
     void paused(time_point now);
@@ -147,6 +162,8 @@
                                                time_point now) const;
     void remove_expired(time_point now);
     void choose_relays(time_point now);
+    [[nodiscard]] bool is_subscribed(const link_state& from,
+                                     time_point now) const;
     void apply_report(const member_record& record, const member_report& report,
                       time_point heard);
     void mark_missed(time_point now);
@@ -177,6 +194,7 @@
     std::map<entry_id, subscription> m_relays;
     bool m_is_relay{true};
     bool m_store_lost{};
+    time_point m_last_received; // of any heartbeat
     std::uint64_t m_round{};
     std::size_t m_live_count{1};
     // A member changed since the last round, so reports are due.
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -111,6 +111,11 @@
         send(item);
 }
 
+void fleet::announce_config() {
+    if (const auto* of = std::get_if<roster>(&m_members))
+        send(of->announcement(m_hooks.m_mark(), io::event_loop::now()));
+}
+
 void fleet::send(outgoing_heartbeat item) {
     item.m_message.m_clock = m_events.stamp();
     const auto bytes = peer::encode(item.m_message);
@@ -225,11 +230,6 @@
     return std::find(first.begin(), first.end(), self()) != first.end();
 }
 
-bool fleet::is_relay() const {
-    const auto* of = std::get_if<roster>(&m_members);
-    return of && of->is_relay();
-}
-
 bool fleet::live(const member& peer, time_point now) const {
     const auto* of = std::get_if<roster>(&m_members);
     return of ? of->live(peer, now)
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -74,7 +74,10 @@
     [[nodiscard]] bool is_watcher(time_point now) const;
 
     /*! @brief Whether this entry passes on what it hears to others. */
-    [[nodiscard]] bool is_relay() const;
+    [[nodiscard]] bool is_relay() const {
+        const auto* of = std::get_if<roster>(&m_members);
+        return of && of->is_relay();
+    }
 
     /*! @brief Whether a peer is heard lately enough to name it to callers. */
     [[nodiscard]] bool live(const member& peer, time_point now) const;
@@ -91,6 +94,17 @@
     /*! @brief Sends heartbeats now, because there is something new. */
     void beat();
 
+    /*! @brief Tells those that hear from this entry that its configuration has
+     *  changed. An agreement tells it with the next heartbeat. */
+    void announce_config();
+
+    /*! @brief Whether this entry has heard no peer for a time although it knows
+     *  some; never with an agreement, which then counts as isolated. */
+    [[nodiscard]] bool cut_off(duration limit) const {
+        const auto* of = std::get_if<roster>(&m_members);
+        return of && of->cut_off(limit, io::event_loop::now());
+    }
+
     [[nodiscard]] const std::map<entry_id, member>& peers() const;
     [[nodiscard]] const member_record& self_record() const;
     [[nodiscard]] member_state state() const;
--- a/src/member/roster.cpp
+++ b/src/member/roster.cpp
@@ -131,6 +131,7 @@
     const member_name& name = message.m_sender.m_name;
     if (name.m_id == m_self.m_name.m_id)
         return;
+    m_last_received = now;
     apply_report(message.m_sender,
                  {name, duration{0}, false, message.m_state,
                   message.m_config.m_revision, message.m_requests,
@@ -172,6 +173,7 @@
 }
 
 void roster::paused(time_point now) {
+    m_last_received = now;
     for (auto& [id, peer] : m_peers)
         peer.m_last_heard = now;
     for (auto& [id, to] : m_links)
--- a/src/member/roster_round.cpp
+++ b/src/member/roster_round.cpp
@@ -187,6 +187,20 @@
                               message_for({}, mark, {})};
 }
 
+bool roster::is_subscribed(const link_state& from, time_point now) const {
+    return from.m_last_subscribed && now - *from.m_last_subscribed <=
+                                         subscriber_rounds * m_timing.m_period;
+}
+
+outgoing_heartbeat roster::announcement(const config_mark& mark,
+                                        time_point now) const {
+    outgoing_heartbeat out{{}, message_for({}, mark, now)};
+    for (const auto& [id, peer] : m_peers)
+        if (m_relays.contains(id) || is_subscribed(m_links.at(id), now))
+            out.m_to.push_back(peer.m_record.m_contact.m_peer);
+    return out;
+}
+
 // New members are discovered at the seeds and the addresses that the platform
 // lists. Only relays do this; a member that knows no relay considers itself
 // one.
@@ -228,9 +242,7 @@
     for (const auto& [id, peer] : m_peers) {
         const link_state& to = m_links.at(id);
         const auto wanted = m_relays.find(id);
-        const bool subscribed =
-            to.m_last_subscribed && now - *to.m_last_subscribed <=
-                                        subscriber_rounds * m_timing.m_period;
+        const bool subscribed = is_subscribed(to, now);
         if (wanted == m_relays.end() && !subscribed)
             continue;
         const member_contact& contact = peer.m_record.m_contact;
--- a/test/member/roster.cpp
+++ b/test/member/roster.cpp
@@ -1,6 +1,8 @@
 // Roster: discovery, failure detection and the number of messages.
 #include <skylark/member/roster.hpp>
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "peer/codec.hpp"
@@ -229,3 +231,66 @@
     for (const auto& [seed, bytes] : sent)
         EXPECT_LE(bytes, run_time.count() * link_rate / 2) << seed;
 }
+
+// A relay reaches its subscribers, any member its relays.
+TEST(roster, announces_a_change_to_all_that_hear_from_it) {
+    fake_rosters fleet{fleet_size, zone_count, 14};
+    fleet.run(seconds{3});
+    const auto relays = relays_seen_by(fleet, 10);
+    const auto relay = relays.front().value();
+    const config_mark mark{7, 8, {}};
+    const auto from_relay = fleet.at(relay).announcement(mark, fleet.now());
+    std::size_t members = 0;
+    for (std::size_t i = 1; i <= fleet_size; ++i)
+        if (i != relay && fleet.zone_of(i) == fleet.zone_of(10)) {
+            ++members;
+            EXPECT_EQ(std::count(from_relay.m_to.begin(), from_relay.m_to.end(),
+                                 address{static_cast<std::uint32_t>(i), 1}),
+                      1)
+                << i;
+        }
+    EXPECT_GT(members, 20U);
+    EXPECT_EQ(from_relay.m_message.m_config.m_revision, 7U);
+    EXPECT_TRUE(from_relay.m_message.m_reports.empty());
+    std::size_t other = 10;
+    while (std::find(relays.begin(), relays.end(), entry_id{other}) !=
+           relays.end())
+        other += zone_count;
+    EXPECT_EQ(fleet.at(other).announcement(mark, fleet.now()).m_to.size(),
+              roster_timing{}.m_relays_per_zone);
+}
+
+TEST(roster, a_member_that_hears_nobody_is_cut_off) {
+    fake_rosters fleet{fleet_size, zone_count, 15};
+    constexpr duration limit{milliseconds{1100}};
+    EXPECT_FALSE(fleet.at(10).cut_off(limit, fleet.now()));
+    for (int i = 0; i < 50; ++i) {
+        fleet.run(milliseconds{100});
+        EXPECT_FALSE(fleet.at(10).cut_off(limit, fleet.now())) << i;
+    }
+    for (std::size_t i = 1; i <= fleet_size; ++i)
+        fleet.cut(i, 10);
+    fleet.run(limit + milliseconds{200});
+    EXPECT_TRUE(fleet.at(10).cut_off(limit, fleet.now()));
+    fleet.at(10).paused(fleet.now());
+    EXPECT_FALSE(fleet.at(10).cut_off(limit, fleet.now()));
+}
+
+// Both relays of a zone die at once; their members find others.
+TEST(roster, members_are_not_cut_off_while_they_find_other_relays) {
+    fake_rosters fleet{fleet_size, zone_count, 16};
+    fleet.run(seconds{3});
+    for (const entry_id relay : relays_seen_by(fleet, 10))
+        fleet.kill(relay.value());
+    std::size_t cut_off = 0;
+    for (int i = 0; i < 30; ++i) {
+        fleet.run(milliseconds{100});
+        for (std::size_t index = 1; index <= fleet_size; ++index)
+            cut_off +=
+                !fleet.dead(index) &&
+                        fleet.at(index).cut_off(milliseconds{1100}, fleet.now())
+                    ? 1
+                    : 0;
+    }
+    EXPECT_EQ(cut_off, 0U);
+}
