Fetch a newer configuration from several peers, and from the store in time

Causes: a newer mark counted as a confirmation of what the entry had, so that it never asked the store; one fetch at a time from one peer, thrown away after 1 s.

transfer_plan selects the sources: a silent one is overtaken by another one, one that makes progress goes on, busy ones refer to holders. The store is asked a quarter of the apply limit after the announcement, spread over 0.4 s. Only the version in force is confirmed by a mark. Who adopts from the store and relays announce at once; who hears nobody for 1.1 to 1.5 s watches for itself. The list of upstreams is fetched by the same plan.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -29,9 +29,9 @@
     src/entry/forwarder_admission.cpp src/entry/forwarder_attempt.cpp
     src/entry/forwarder_answer.cpp src/entry/forwarder_refusal.cpp
     src/entry/forwarder_drain.cpp src/entry/forwarder_bounds.cpp
-    src/entry/configurator.cpp
+    src/entry/configurator.cpp src/entry/configurator_adoption.cpp
     src/entry/configurator_peers.cpp src/entry/configurator_notes.cpp
-    src/entry/document_source.cpp
+    src/entry/peer_transfer.cpp src/entry/document_source.cpp
     src/entry/packed_document.cpp
     src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
     src/entry/changer.cpp src/entry/inspector.cpp src/entry/node.cpp)
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -4,8 +4,8 @@
     test/core/store_position.cpp test/discovery/instance_memory.cpp
     test/config/document.cpp test/config/adoption.cpp test/config/absence_claim.cpp test/config/poll_timer.cpp
     test/config/store_reachability.cpp test/config/watch_schedule.cpp
-    test/config/upload_limit.cpp
-    test/peer/gzip.cpp
+    test/config/transfer_plan.cpp test/config/upload_limit.cpp
+    test/config/distribution.cpp test/peer/gzip.cpp
     test/config/update_delay.cpp
     test/member/watchers.cpp test/member/listing_policy.cpp
     test/attempt/machine.cpp test/rule/classify.cpp
--- a/include/skylark/config/adoption.hpp
+++ b/include/skylark/config/adoption.hpp
@@ -56,7 +56,8 @@
 
     /*! @brief The store, or a peer's chain to it, confirmed a document.
      *  @param which the confirmed one, position 0 while there is none; ignored
-     *  when it is older than the one in force
+     *  unless it is the one in force, or the same version in a store that was
+     *  restored. A newer one shows that the one in force is outdated.
      *  @param at latest time at which the store can have confirmed it */
     void confirmed(const config_order& which, time_point at);
 
--- a/include/skylark/config/fwd.hpp
+++ b/include/skylark/config/fwd.hpp
@@ -15,6 +15,9 @@
 class store_reachability;
 struct watch_state;
 class watch_schedule;
+struct transfer_timing;
+class transfer_plan;
+class upload_limit;
 class update_delay;
 struct announcement;
 
--- a/include/skylark/config/watch_schedule.hpp
+++ b/include/skylark/config/watch_schedule.hpp
@@ -22,6 +22,8 @@
     duration m_age{};        //!< of the newest confirmation, own or a peer's
     bool m_has_value{true};  //!< holds some version of the value
     bool m_peer_has_value{}; //!< a peer reported that it holds one
+    //! A peer has a newer value, and peers do not deliver it in time.
+    bool m_overdue{};
 };
 
 /*! @brief Schedules one kind of store call. */
@@ -59,6 +61,8 @@
             return true;
         if (state.m_store_lost)
             return m_recheck.due(now, duration::max());
+        if (state.m_overdue)
+            return m_catch_up.due(now, duration::max());
         return m_fallback.due(now, state.m_age);
     }
 
@@ -66,6 +70,8 @@
     // How often an entry that the store rejects tries again. Others watch in
     // the meantime, and a failed call is billed like any other.
     static constexpr duration recheck_period{seconds{15}};
+    // Between the calls for a value that peers do not deliver.
+    static constexpr duration catch_up_period{seconds{1}};
     // When all entries start together, they have discovered each other and
     // elected the watchers after this time.
     static constexpr duration bootstrap_delay{seconds{1}};
@@ -83,6 +89,7 @@
 
     poll_timer m_fallback;
     poll_timer m_recheck{recheck_period};
+    poll_timer m_catch_up{catch_up_period};
     time_point m_earliest_call; // no call before this
     time_point m_peer_wait_end; // no wait for peers after this
 };
--- a/src/config/adoption.cpp
+++ b/src/config/adoption.cpp
@@ -41,7 +41,8 @@
                                        time_point now) {
     if (offered == position())
         return unchanged{};
-    auto read = parse_document(text);
+    auto read =
+        text == m_text ? parsed<document>{m_offered} : parse_document(text);
     if (!read) {
         m_refused = std::max(m_refused, offered);
         return refused{read.error()};
@@ -93,7 +94,9 @@
 }
 
 void config_adoption::confirmed(const config_order& which, time_point at) {
-    if (which < m_order)
+    const bool restored = which.m_version == m_order.m_version &&
+                          which.m_position.m_era > m_order.m_position.m_era;
+    if (which != m_order && !restored)
         return;
     m_confirmed = std::max(m_confirmed.value_or(at), at);
 }
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -24,7 +24,11 @@
 // Upstreams that are alive have written their records again this long after
 // the store was restored.
 constexpr auto rewrite_time = milliseconds{2200};
-constexpr std::size_t answer_limit = 2 * defaults::document_bytes;
+constexpr std::size_t answer_limit = 8 * defaults::document_bytes;
+// Silence of all peers after which an entry watches the store for itself: both
+// relays of a zone may have died, and it takes this long to find others.
+constexpr auto peer_silence_limit = milliseconds{1100};
+constexpr auto peer_silence_step = milliseconds{25};
 
 // From a call that stays unanswered until its successor's news is everywhere:
 // lateness, a heartbeat, a check of the turn, a listing, two heartbeats over
@@ -38,17 +42,23 @@
                                 most_wait);
 }
 
+// Spreads entries over time that act for the same reason at the same moment.
+duration spread(const settings& from, duration step) {
+    return step * (hash(from.m_name) % trust_steps);
+}
+
 duration longest_trust(const settings& from) {
-    return watch_wait(from) + trust_margin +
-           trust_step * (hash(from.m_name) % trust_steps);
+    return watch_wait(from) + trust_margin + spread(from, trust_step);
 }
 
 } // namespace
 
 configurator::configurator(context& shared, std::function<void()> changed)
     : m_shared{shared}, m_changed{std::move(changed)}, m_store{open_store()},
-      m_peers{shared.m_loop, answer_limit}, m_guard{list_patience},
-      m_memory{rewrite_time}, m_document_turn{longest_trust(shared.m_settings)},
+      m_documents{shared.m_loop, answer_limit, plan(), document_hooks()},
+      m_lists{shared.m_loop, answer_limit, plan(), list_hooks()},
+      m_guard{list_patience}, m_memory{rewrite_time},
+      m_document_turn{longest_trust(shared.m_settings)},
       m_list_turn{longest_trust(shared.m_settings)} {}
 
 void configurator::start() {
@@ -79,14 +89,33 @@
                          note};
 }
 
-bool configurator::is_turn(watch_schedule& of) const {
+// The store is asked when half of the time is over in which a change must be
+// in force; its announcement and the call take the rest.
+transfer_plan configurator::plan() const {
+    const settings& from = m_shared.m_settings;
+    constexpr int store_part = 4;
+    constexpr int longest_part = 2;
+    transfer_timing timing;
+    timing.m_store_delay =
+        from.m_apply_limit / store_part + spread(from, peer_silence_step);
+    timing.m_longest_transfer =
+        from.m_apply_limit / longest_part + spread(from, peer_silence_step);
+    return {timing, hash(from.m_name)};
+}
+
+bool configurator::is_turn(watch_schedule& of,
+                           const peer_transfer& from_peers) const {
     const time_point now = io::event_loop::now();
     const bool lost = m_store.lost(now);
-    // Peers no longer tell an entry that leaves.
-    const bool watches =
-        m_shared.m_fleet.is_watcher(now) || (m_shared.m_drain && !lost);
-    const watch_state state{watches, lost, m_shared.m_config.age(now),
-                            knows_all(), m_peer_knows};
+    // Peers no longer tell an entry that leaves, or that none of them reaches.
+    const bool untold =
+        m_shared.m_drain || m_shared.m_fleet.cut_off(
+                                peer_silence_limit +
+                                spread(m_shared.m_settings, peer_silence_step));
+    const bool watches = m_shared.m_fleet.is_watcher(now) || (untold && !lost);
+    const watch_state state{
+        watches,     lost,         m_shared.m_config.age(now),
+        knows_all(), m_peer_knows, from_peers.plan().overdue(now)};
     return of.due(now, state);
 }
 
@@ -109,7 +138,7 @@
 }
 
 void configurator::watch_document() {
-    if (!is_turn(m_document_turn)) {
+    if (!is_turn(m_document_turn, m_documents)) {
         m_shared.m_loop.after(next_check(), [this] { watch_document(); });
         return;
     }
@@ -138,8 +167,8 @@
                        if (!absent)
                            offer(at, value.m_text, "store");
                        // Also by an older version: the store has no newer one.
-                       config.confirmed({config.order().m_version, at},
-                                        m_store.confirmed_at(asked));
+                       if (usable)
+                           confirm(m_store.confirmed_at(asked));
                        if (!usable ||
                            (absent && !m_store.authoritative_instances()) ||
                            at == config.refused_position())
@@ -154,59 +183,8 @@
     m_shared.m_loop.after(wait, [this] { watch_document(); });
 }
 
-void configurator::offer(const store_position& position,
-                         const std::string& text, std::string_view source) {
-    note_era(position.m_era);
-    const document before = m_shared.m_config.current();
-    const auto note = [&](const std::string& detail) {
-        m_shared.m_journal.note(event_kind::configuration,
-                                "revision " + text_of(position),
-                                detail + " from " + std::string{source});
-    };
-    std::visit(
-        overloaded{[&](const adopted&) {
-                       m_shared.m_newer_announced = false;
-                       note("adopted");
-                       note_adoption(position, source);
-                       note_zones(before);
-                       schedule_retention_end();
-                       m_changed();
-                   },
-                   [](const unchanged&) {},
-                   [&](const reverted& old) {
-                       if (std::exchange(m_noted_revert, old.m_offered) !=
-                           old.m_offered)
-                           note("ignored, older than what is in force,");
-                       if (!old.m_zones_changed)
-                           return;
-                       note_zones(before);
-                       m_changed();
-                   },
-                   [&](const refused& why) {
-                       m_shared.m_newer_announced = false;
-                       m_delay.ended();
-                       if (std::exchange(m_noted_revert, position) != position)
-                           note("refused: " + why.m_error.text());
-                   }},
-        m_shared.m_config.offer(position, text, io::event_loop::now()));
-}
-
-void configurator::schedule_retention_end() {
-    const auto end = m_shared.m_config.retention_end();
-    if (!end)
-        return;
-    const duration left = *end - io::event_loop::now();
-    m_shared.m_loop.after(std::max(duration{0}, left), [this] {
-        const document before = m_shared.m_config.current();
-        if (!m_shared.m_config.end_retention(io::event_loop::now()))
-            return;
-        note_zones(before);
-        m_changed();
-    });
-}
-
 void configurator::watch_instances() {
-    if (!is_turn(m_list_turn)) {
+    if (!is_turn(m_list_turn, m_lists)) {
         m_shared.m_loop.after(next_check(), [this] { watch_instances(); });
         return;
     }
@@ -252,6 +230,7 @@
     drop_resurrected(list, m_shared.m_instances);
     m_shared.m_instances = std::move(list);
     m_log.update(m_shared.m_instances, corrected);
+    m_lists.adopted({0, m_shared.m_instances.m_index});
     note_instances(m_log.since(before), source);
     m_changed();
 }
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -14,6 +14,7 @@
 #include <skylark/discovery/list_guard.hpp>
 
 #include "entry/context.hpp"
+#include "entry/peer_transfer.hpp"
 #include "io/fetcher.hpp"
 #include "store/client.hpp"
 
@@ -54,20 +55,26 @@
 
 private:
     store::client open_store();
-    [[nodiscard]] bool is_turn(watch_schedule& of) const;
+    [[nodiscard]] bool is_turn(watch_schedule& of,
+                               const peer_transfer& from_peers) const;
+    [[nodiscard]] transfer_plan plan() const;
+    [[nodiscard]] transfer_hooks document_hooks();
+    [[nodiscard]] transfer_hooks list_hooks();
     [[nodiscard]] bool knows_all() const;
     [[nodiscard]] duration next_check() const;
     void note_store();
     void watch_document();
     void watch_instances();
     void take_document(const store::read_result& result, time_point asked);
+    void confirm(time_point at);
     void take_instances(const store::list_result& result);
     void offer_instances(instance_list list, std::string_view source);
     void note_instances(const instance_changes& changes,
                         std::string_view source);
-    void fetch_document(const member& from);
-    void fetch_instances(const member& from);
-    void take_changes(std::string_view body);
+    [[nodiscard]] io::fetch_request document_request();
+    transfer_end take_peer_document(const io::fetch_answer& answer);
+    transfer_end take_changes(const io::fetch_answer& answer);
+    void apply_adopted(const document& before, std::string_view source);
     void note_failed_fetch(std::string_view what, const address& from,
                            std::string_view cause);
     void note_adoption(const store_position& position, std::string_view source);
@@ -78,7 +85,8 @@
     context& m_shared;
     std::function<void()> m_changed;
     store::client m_store;
-    io::fetcher m_peers;
+    peer_transfer m_documents;
+    peer_transfer m_lists;
     list_guard m_guard;
     instance_memory m_memory;
     instance_log m_log; //!< of the list in use, for peers
@@ -88,8 +96,6 @@
     time_point m_store_call; // begin of the last read of the configuration
     bool m_noted_lost{};     // what was last noted of the store
     bool m_peer_knows{};     // one with document and list was heard
-    bool m_fetching_document{};
-    bool m_fetching_instances{};
     store_position m_noted_revert; // that was told last
     std::optional<std::uint64_t> m_noted_era;
 };
--- a/test/config/adoption.cpp
+++ b/test/config/adoption.cpp
@@ -137,3 +137,23 @@
     EXPECT_TRUE(
         is<adopted>(subject.offer({50, 2}, text_of("thirteen", 13), start)));
 }
+
+// It shows that the one in force is outdated.
+TEST(adoption, a_newer_version_does_not_confirm_the_one_in_force) {
+    config_adoption subject;
+    subject.offer({50, 1}, text_of("twelve", 12), start);
+    subject.confirmed({13, {51, 1}}, start);
+    subject.confirmed({12, {51, 1}}, start);
+    EXPECT_EQ(subject.age(start), duration::max());
+    subject.confirmed({12, {50, 1}}, start);
+    EXPECT_EQ(subject.age(start), duration{0});
+}
+
+TEST(adoption, the_same_text_at_a_later_position_is_adopted) {
+    config_adoption subject;
+    subject.offer({50, 1}, text_of("twelve", 12), start);
+    EXPECT_TRUE(
+        is<adopted>(subject.offer({60, 1}, text_of("twelve", 12), start)));
+    EXPECT_EQ(subject.position(), (store_position{60, 1}));
+    EXPECT_EQ(subject.current().m_change_id, "twelve");
+}
--- a/test/config/watch_schedule.cpp
+++ b/test/config/watch_schedule.cpp
@@ -71,3 +71,12 @@
     const watch_state state{true, false, unknown_age, false, true};
     EXPECT_EQ(first_call(false, state), seconds{1});
 }
+
+TEST(watch_schedule, an_entry_calls_for_what_peers_do_not_deliver) {
+    watch_state state{false, false, seconds{1}};
+    state.m_overdue = true;
+    EXPECT_GE(calls(state), 20);
+    EXPECT_LE(calls(state), 30);
+    state.m_store_lost = true;
+    EXPECT_EQ(calls(state), 1);
+}
--- a/test/platform/late_configuration.cpp
+++ b/test/platform/late_configuration.cpp
@@ -1,9 +1,13 @@
 // A version that peers announce is in force although the announcing peer does
 // not deliver it.
+#include <array>
+#include <map>
+
+#include <skylark/core/hash.hpp>
+
 #include "io/udp_socket.hpp"
 #include "peer/codec.hpp"
 #include "test/platform/node_fixture.hpp"
-#include <skylark/core/hash.hpp>
 
 using namespace skylark;
 using skylark::test::configuration;
@@ -11,14 +15,25 @@
 
 namespace {
 
-// A configuration with further routes, "/0/" and on.
-std::string with_routes(const std::string& version, int count) {
+// Does not compress to less than half.
+std::string unlike_text(int index) {
+    std::string out;
+    for (int part = 0; part < 3; ++part)
+        out += std::to_string(hash(std::to_string(3 * index + part)));
+    return out;
+}
+
+// A configuration with further routes, "/0/" and on; unlike: each with a
+// long name that shares little with the others
+std::string with_routes(const std::string& version, int count,
+                        bool unlike = false) {
     std::string out = configuration;
     out.replace(out.find("00000007"), version.size(), version);
     const std::string rows = "\"rows\":[";
     std::string added;
     for (int i = 0; i < count; ++i)
-        added += R"(["r-)" + std::to_string(i) + R"(","h.example","/)" +
+        added += R"(["r-)" + std::to_string(i) +
+                 (unlike ? unlike_text(i) : "") + R"(","h.example","/)" +
                  std::to_string(i) + R"(/","safe",1000,"stock",2],)";
     out.insert(out.find(rows) + rows.size(), added);
     return out;
@@ -95,6 +110,42 @@
                          [this] { return status(ask("/0/x")) == 200; }));
 }
 
+// Entries that lack nothing cost no transfer; of the others a bounded number is
+// served at a time, and the rest is told who has the version.
+TEST_F(late_configuration, a_source_serves_few_and_refers_the_others) {
+    m_store.put("op/config", with_routes("00000008", 8'000, true));
+    start();
+    turn_until([this] {
+        return status(get(*m_settings.m_ready, "/readiness")) == 200;
+    });
+    io::fetch_request what;
+    what.m_to = m_settings.m_control;
+    what.m_path = "/peer/config";
+    what.m_headers = {{"Accept-Encoding", "gzip"}};
+    const auto whole = std::get<io::fetch_answer>(call(what));
+    ASSERT_EQ(whole.m_status, 200);
+    what.m_headers.push_back(
+        {"If-None-Match", std::string{whole.header_value("ETag")}});
+    EXPECT_EQ(status(call(what)), 304);
+    std::map<int, int> answers;
+    std::string holders;
+    constexpr int requests = 40;
+    for (int i = 1; i <= requests; ++i) {
+        what.m_headers = {{"Accept-Encoding", "gzip"},
+                          {"Entry-Control", "127.0.0.9:" + std::to_string(i)}};
+        m_fetcher.run(what, [&](const io::fetch_result& got) {
+            ++answers[status(got)];
+            if (status(got) == 503)
+                holders = std::get<io::fetch_answer>(got).header_value(
+                    "Config-Holders");
+        });
+    }
+    turn_until([&] { return answers[200] + answers[503] == requests; });
+    EXPECT_GT(answers[503], 0);
+    EXPECT_GT(answers[200], 0);
+    EXPECT_NE(holders.find("127.0.0.9:"), std::string::npos);
+}
+
 TEST_F(late_configuration, what_the_store_holds_at_most_reaches_a_peer) {
     constexpr int routes = 16'000; // nearly a megabyte in the store
     const std::string largest = with_routes("00000008", routes);
