--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -28,7 +28,7 @@
 // Silence of all peers after which an entry watches the store for itself: both
 // relays of a zone may have died, and it takes this long to find others.
 constexpr auto peer_silence_limit = milliseconds{1100};
-constexpr auto peer_silence_step = milliseconds{25};
+constexpr auto spread_step = milliseconds{25};
 
 // From a call that stays unanswered until its successor's news is everywhere:
 // lateness, a heartbeat, a check of the turn, a listing, two heartbeats over
@@ -89,17 +89,17 @@
                          note};
 }
 
-// The store is asked when half of the time is over in which a change must be
-// in force; its announcement and the call take the rest.
+// The announcement came some time after the change, and the store's answer
+// takes time, so the store is asked early in the time for a change.
 transfer_plan configurator::plan() const {
     const settings& from = m_shared.m_settings;
     constexpr int store_part = 4;
     constexpr int longest_part = 2;
     transfer_timing timing;
     timing.m_store_delay =
-        from.m_apply_limit / store_part + spread(from, peer_silence_step);
+        from.m_apply_limit / store_part + spread(from, spread_step);
     timing.m_longest_transfer =
-        from.m_apply_limit / longest_part + spread(from, peer_silence_step);
+        from.m_apply_limit / longest_part + spread(from, spread_step);
     return {timing, hash(from.m_name)};
 }
 
@@ -109,9 +109,9 @@
     const bool lost = m_store.lost(now);
     // Peers no longer tell an entry that leaves, or that none of them reaches.
     const bool untold =
-        m_shared.m_drain || m_shared.m_fleet.cut_off(
-                                peer_silence_limit +
-                                spread(m_shared.m_settings, peer_silence_step));
+        m_shared.m_drain ||
+        m_shared.m_fleet.cut_off(peer_silence_limit +
+                                 spread(m_shared.m_settings, spread_step));
     const bool watches = m_shared.m_fleet.is_watcher(now) || (untold && !lost);
     const watch_state state{
         watches,     lost,         m_shared.m_config.age(now),
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -67,6 +67,7 @@
     void watch_instances();
     void take_document(const store::read_result& result, time_point asked);
     void confirm(time_point at);
+    void forget_announced();
     void take_instances(const store::list_result& result);
     void offer_instances(instance_list list, std::string_view source);
     void note_instances(const instance_changes& changes,
--- a/src/entry/configurator_adoption.cpp
+++ b/src/entry/configurator_adoption.cpp
@@ -34,9 +34,7 @@
                        m_changed();
                    },
                    [&](const refused& why) {
-                       m_shared.m_newer_announced = false;
-                       m_documents.clear();
-                       m_delay.ended();
+                       forget_announced();
                        if (std::exchange(m_noted_revert, position) != position)
                            note("refused: " + why.m_error.text());
                    }},
@@ -64,7 +62,13 @@
     // What a restored store has lost cannot be fetched from anybody.
     if (m_documents.plan().pending() &&
         at > now - m_documents.plan().pending_for(now))
-        m_documents.clear();
+        forget_announced();
+}
+
+void configurator::forget_announced() {
+    m_documents.clear();
+    m_delay.ended();
+    m_shared.m_newer_announced = false;
 }
 
 void configurator::schedule_retention_end() {
