Refuse an empty configuration before the first one again

Before the first document both are empty, so an entry that started beside a configuration that cannot be read, which stands as an empty value, would have taken an empty one into force and answered every path with 404.

--- a/src/config/adoption.cpp
+++ b/src/config/adoption.cpp
@@ -41,8 +41,9 @@
                                        time_point now) {
     if (offered == position())
         return unchanged{};
-    auto read =
-        text == m_text ? parsed<document>{m_offered} : parse_document(text);
+    // Before the first document both texts may be empty, which is none.
+    auto read = ready() && text == m_text ? parsed<document>{m_offered}
+                                          : parse_document(text);
     if (!read) {
         m_refused = std::max(m_refused, offered);
         return refused{read.error()};
--- a/test/config/adoption.cpp
+++ b/test/config/adoption.cpp
@@ -157,3 +157,10 @@
     EXPECT_EQ(subject.position(), (store_position{60, 1}));
     EXPECT_EQ(subject.current().m_change_id, "twelve");
 }
+
+// A record of the store that cannot be read has an empty value.
+TEST(adoption, an_empty_text_is_refused_before_the_first_document) {
+    config_adoption subject;
+    EXPECT_TRUE(is<refused>(subject.offer(5, "", start)));
+    EXPECT_FALSE(subject.ready());
+}
