--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -9,7 +9,7 @@
     src/store/consul_protocol.cpp src/store/polling_client.cpp
     src/store/mirror.cpp src/store/mirror_client.cpp src/store/mirror_values.cpp
     src/store/lease_holder.cpp
-    platform/base64.cpp platform/kv_protocol.cpp platform/records.cpp)
+    src/store/base64.cpp platform/kv_protocol.cpp platform/records.cpp)
 target_include_directories(skylark_store PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(skylark_store PUBLIC skylark_io)
 add_library(skylark_peer STATIC src/peer/codec.cpp src/peer/instance_codec.cpp
--- a/platform/base64.cpp
+++ b/src/store/base64.cpp
@@ -1,12 +1,12 @@
 // Base64 with padding, by OpenSSL.
-#include "platform/base64.hpp"
+#include "store/base64.hpp"
 
 #include <algorithm>
 #include <stdexcept>
 
 #include <openssl/evp.h>
 
-namespace skylark::platform {
+namespace skylark::store {
 
 namespace {
 constexpr std::size_t group_bytes = 3;
@@ -59,4 +59,4 @@
     return out;
 }
 
-} // namespace skylark::platform
+} // namespace skylark::store
--- a/standin/kv_store.cpp
+++ b/standin/kv_store.cpp
@@ -8,8 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include "io/http_status.hpp"
-#include "platform/base64.hpp"
 #include "standin/query.hpp"
+#include "store/base64.hpp"
 
 namespace standin {
 
@@ -49,7 +49,7 @@
 
 void kv_store::put(const std::string& key, const std::string& value) {
     ++m_revision;
-    write(key, skylark::platform::encode_base64(value), 0);
+    write(key, skylark::store::encode_base64(value), 0);
     answer_watchers();
 }
 
@@ -67,7 +67,7 @@
 bool kv_store::holds(const std::string& key, const std::string& value) const {
     const auto found = m_items.find(key);
     return found != m_items.end() &&
-           found->second.m_value == skylark::platform::encode_base64(value);
+           found->second.m_value == skylark::store::encode_base64(value);
 }
 
 std::vector<std::string> kv_store::keys(std::string_view prefix) const {
--- a/test/platform/kv_protocol.cpp
+++ b/test/platform/kv_protocol.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/base64.hpp"
+#include "store/base64.hpp"
 
 using namespace skylark;
 
@@ -94,12 +94,10 @@
     for (const std::string& bytes :
          {std::string{}, std::string{"a"}, std::string{"ab"},
           std::string{"abc"}, std::string{"\0\xff\n", 3}})
-        EXPECT_EQ(platform::decode_base64(platform::encode_base64(bytes)),
-                  bytes);
-    EXPECT_THROW(platform::decode_base64("abc"), std::invalid_argument);
-    EXPECT_THROW(platform::decode_base64("a?c="), std::invalid_argument);
+        EXPECT_EQ(store::decode_base64(store::encode_base64(bytes)), bytes);
+    EXPECT_THROW(store::decode_base64("abc"), std::invalid_argument);
+    EXPECT_THROW(store::decode_base64("a?c="), std::invalid_argument);
     for (const char* text : {"====", "A===", "YW=j", "=WJj", "YWI=\n\n\n\n",
                              "\n\n\n\nYWI=", "    ", "YWI=YWI="})
-        EXPECT_THROW(platform::decode_base64(text), std::invalid_argument)
-            << text;
+        EXPECT_THROW(store::decode_base64(text), std::invalid_argument) << text;
 }
--- a/test/platform/odd_records.cpp
+++ b/test/platform/odd_records.cpp
@@ -12,9 +12,9 @@
 
 #include "core/foreign_text.hpp"
 #include "peer/codec.hpp"
-#include "platform/base64.hpp"
 #include "platform/kv_protocol.hpp"
 #include "platform/records.hpp"
+#include "store/base64.hpp"
 #include "store/consul_protocol.hpp"
 #include "test/platform/odd_values.hpp"
 
@@ -119,7 +119,7 @@
 
 nlohmann::json item(const std::string& key, std::uint64_t revision) {
     return {{"key", key},
-            {"value", platform::encode_base64(server)},
+            {"value", store::encode_base64(server)},
             {"revision", revision}};
 }
 
@@ -221,9 +221,9 @@
     run(R"({"lease":7,"ttl_ms":3000})", [&](const std::string& text) {
         expect_clean(protocol.read_lease(answer(text)), text);
     });
-    run(platform::encode_base64(server), [&](const std::string& text) {
+    run(store::encode_base64(server), [&](const std::string& text) {
         try {
-            const std::string bytes = platform::decode_base64(text);
+            const std::string bytes = store::decode_base64(text);
             EXPECT_LE(bytes.size(), text.size());
         } catch (const std::invalid_argument&) {
         }
