--- a/cmake/standin.cmake
+++ b/cmake/standin.cmake
@@ -1,7 +1,7 @@
 # Stand-ins for the outside systems; never linked into the product.
 add_executable(standin-platform standin/platform.cpp standin/platform_main.cpp)
 add_executable(standin-upstream standin/upstream.cpp standin/upstream_main.cpp)
-add_executable(standin-load standin/load.cpp standin/experiment.cpp
+add_executable(standin-load standin/load.cpp standin/load_entries.cpp standin/experiment.cpp
                standin/load_result.cpp standin/load_main.cpp)
 add_executable(standin-wire standin/wire.cpp standin/wire_main.cpp)
 add_executable(standin-overload standin/overload_model.cpp
