--- a/include/skylark/config/transfer_plan.hpp
+++ b/include/skylark/config/transfer_plan.hpp
@@ -31,8 +31,8 @@
     std::size_t m_most_transfers{3};
     //! From the first announcement until the store is asked.
     duration m_store_delay{milliseconds{750}};
-    //! The same while a transfer makes progress.
-    duration m_longest_transfer{milliseconds{1250}};
+    //! The same while a transfer makes progress; the transfer goes on.
+    duration m_store_delay_in_progress{milliseconds{1250}};
 };
 
 /*! @brief How a transfer ended. */
@@ -93,10 +93,11 @@
 
 private:
     struct source {
-        config_order m_order;              // newest that it announced
-        std::optional<time_point> m_input; // last one; set during a transfer
-        time_point m_not_before;           // no transfer before
-        unsigned m_transfers{};            // started so far
+        config_order m_order; // newest that it announced
+        std::optional<time_point>
+            m_last_input;        // last one; set during a transfer
+        time_point m_not_before; // no transfer before
+        unsigned m_transfers{};  // started so far
     };
 
     [[nodiscard]] bool progressing(time_point now) const;
--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -66,8 +66,8 @@
      *  to all that hear from it, so that it need not wait for the next round.
      *  @param mark own configuration state
      *  @param now the present */
-    [[nodiscard]] outgoing_heartbeat announcement(const config_mark& mark,
-                                                  time_point now) const;
+    [[nodiscard]] outgoing_heartbeat
+    change_announcement(const config_mark& mark, time_point now) const;
 
     /*! @brief Whether no peer has been heard for a time, although some are
      *  known: what they know does not reach this entry.
--- a/src/config/transfer_plan.cpp
+++ b/src/config/transfer_plan.cpp
@@ -36,7 +36,7 @@
     }
     m_pending_since = m_wanted_since;
     std::erase_if(m_sources, [&](const auto& item) {
-        return item.second.m_order <= in_force && !item.second.m_input;
+        return item.second.m_order <= in_force && !item.second.m_last_input;
     });
 }
 
@@ -49,7 +49,7 @@
 std::optional<address> transfer_plan::next(time_point now) {
     const auto active =
         std::count_if(m_sources.begin(), m_sources.end(), [](const auto& item) {
-            return item.second.m_input.has_value();
+            return item.second.m_last_input.has_value();
         });
     if (!m_pending_since || progressing(now) ||
         static_cast<std::size_t>(active) >= m_timing.m_most_transfers)
@@ -61,20 +61,20 @@
     };
     auto best = m_sources.end();
     for (auto it = m_sources.begin(); it != m_sources.end(); ++it)
-        if (!it->second.m_input && it->second.m_not_before <= now &&
+        if (!it->second.m_last_input && it->second.m_not_before <= now &&
             (best == m_sources.end() || rank(*it) < rank(*best)))
             best = it;
     if (best == m_sources.end())
         return std::nullopt;
-    best->second.m_input = now;
+    best->second.m_last_input = now;
     ++best->second.m_transfers;
     return best->first;
 }
 
 void transfer_plan::input_received(const address& from, time_point now) {
     const auto found = m_sources.find(from);
-    if (found != m_sources.end() && found->second.m_input)
-        found->second.m_input = now;
+    if (found != m_sources.end() && found->second.m_last_input)
+        found->second.m_last_input = now;
 }
 
 void transfer_plan::ended(const address& from, transfer_end how,
@@ -82,7 +82,7 @@
     const auto found = m_sources.find(from);
     if (found == m_sources.end())
         return;
-    found->second.m_input.reset();
+    found->second.m_last_input.reset();
     if (how != transfer_end::delivered)
         found->second.m_not_before =
             now + (how == transfer_end::failed ? m_timing.m_failure_delay
@@ -93,14 +93,14 @@
     if (!m_pending_since)
         return false;
     const duration waited = now - *m_pending_since;
-    return waited > m_timing.m_longest_transfer ||
+    return waited > m_timing.m_store_delay_in_progress ||
            (waited > m_timing.m_store_delay && !progressing(now));
 }
 
 bool transfer_plan::progressing(time_point now) const {
     return std::any_of(
         m_sources.begin(), m_sources.end(), [&](const auto& item) {
-            const auto& input = item.second.m_input;
+            const auto& input = item.second.m_last_input;
             return input && now - *input <= m_timing.m_stall_limit;
         });
 }
--- a/src/entry/configurator.cpp
+++ b/src/entry/configurator.cpp
@@ -94,12 +94,12 @@
 transfer_plan configurator::plan() const {
     const settings& from = m_shared.m_settings;
     constexpr int store_part = 4;
-    constexpr int longest_part = 2;
+    constexpr int part_in_progress = 2;
     transfer_timing timing;
     timing.m_store_delay =
         from.m_apply_limit / store_part + spread(from, spread_step);
-    timing.m_longest_transfer =
-        from.m_apply_limit / longest_part + spread(from, spread_step);
+    timing.m_store_delay_in_progress =
+        from.m_apply_limit / part_in_progress + spread(from, spread_step);
     return {timing, hash(from.m_name)};
 }
 
--- a/src/entry/configurator_peers.cpp
+++ b/src/entry/configurator_peers.cpp
@@ -1,6 +1,4 @@
 // Configuration and instance list from peers that have newer ones.
-#include <array>
-
 #include "entry/configurator.hpp"
 #include "io/http_status.hpp"
 #include "peer/codec.hpp"
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -113,7 +113,7 @@
 
 void fleet::announce_config() {
     if (const auto* of = std::get_if<roster>(&m_members))
-        send(of->announcement(m_hooks.m_mark(), io::event_loop::now()));
+        send(of->change_announcement(m_hooks.m_mark(), io::event_loop::now()));
 }
 
 void fleet::send(outgoing_heartbeat item) {
--- a/src/member/roster_round.cpp
+++ b/src/member/roster_round.cpp
@@ -192,8 +192,8 @@
                                          subscriber_rounds * m_timing.m_period;
 }
 
-outgoing_heartbeat roster::announcement(const config_mark& mark,
-                                        time_point now) const {
+outgoing_heartbeat roster::change_announcement(const config_mark& mark,
+                                               time_point now) const {
     outgoing_heartbeat out{{}, message_for({}, mark, now)};
     for (const auto& [id, peer] : m_peers)
         if (m_relays.contains(id) || is_subscribed(m_links.at(id), now))
--- a/src/peer/gzip.cpp
+++ b/src/peer/gzip.cpp
@@ -1,7 +1,6 @@
 // Compression of documents that entries pass on to each other, by zlib.
 #include "peer/gzip.hpp"
 
-#include <algorithm>
 #include <array>
 #include <stdexcept>
 
--- a/test/config/transfer_plan.cpp
+++ b/test/config/transfer_plan.cpp
@@ -122,7 +122,7 @@
 TEST_F(transfer_plan_test, the_store_is_due_beside_a_transfer_without_an_end) {
     announce(8, first);
     ASSERT_EQ(m_plan.next(m_now), first);
-    const time_point limit = start + m_timing.m_longest_transfer;
+    const time_point limit = start + m_timing.m_store_delay_in_progress;
     while (m_now + milliseconds{100} <= limit) {
         pass(milliseconds{100});
         m_plan.input_received(first, m_now);
--- a/test/member/roster.cpp
+++ b/test/member/roster.cpp
@@ -239,7 +239,8 @@
     const auto relays = relays_seen_by(fleet, 10);
     const auto relay = relays.front().value();
     const config_mark mark{7, 8, {}};
-    const auto from_relay = fleet.at(relay).announcement(mark, fleet.now());
+    const auto from_relay =
+        fleet.at(relay).change_announcement(mark, fleet.now());
     std::size_t members = 0;
     for (std::size_t i = 1; i <= fleet_size; ++i)
         if (i != relay && fleet.zone_of(i) == fleet.zone_of(10)) {
@@ -256,8 +257,9 @@
     while (std::find(relays.begin(), relays.end(), entry_id{other}) !=
            relays.end())
         other += zone_count;
-    EXPECT_EQ(fleet.at(other).announcement(mark, fleet.now()).m_to.size(),
-              roster_timing{}.m_relays_per_zone);
+    EXPECT_EQ(
+        fleet.at(other).change_announcement(mark, fleet.now()).m_to.size(),
+        roster_timing{}.m_relays_per_zone);
 }
 
 TEST(roster, a_member_that_hears_nobody_is_cut_off) {
--- a/test/platform/late_configuration.cpp
+++ b/test/platform/late_configuration.cpp
@@ -23,8 +23,8 @@
     return out;
 }
 
-// A configuration with further routes, "/0/" and on; unlike: each with a
-// long name that shares little with the others
+// A configuration with further routes, "/0/" and on. With unlike names it
+// hardly compresses.
 std::string with_routes(const std::string& version, int count,
                         bool unlike = false) {
     std::string out = configuration;
