Tell when a connection ends with unanswered input

The log could not tell whether an answer closed its connection under a request that had arrived behind it, whether a limit did, or whether a connection could not linger for want of a descriptor: nothing was written in any of these cases.

Adds a line `discard` with cause and bytes, bounded apart from the others, and skylark_discarded_total. No decision has changed.

--- a/include/skylark/config/config.hpp
+++ b/include/skylark/config/config.hpp
@@ -48,6 +48,7 @@
 inline constexpr double unmatched_lines_per_s = 2.0;
 //! Anyone can cause these too; a group of callers shows as more than one line.
 inline constexpr double rejected_lines_per_s = 10.0;
+inline constexpr double discarded_lines_per_s = 10.0;
 //! One for each request that an entry serves at a time.
 inline constexpr double cut_lines_per_s = 1000.0;
 
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -58,6 +58,12 @@
      *  @param from what could be read of the request */
     void log_rejected(int status, const io::request_view& from);
 
+    /*! @brief Logs and counts a connection that the HTTP server ended with
+     *  unanswered input.
+     *  @param cause why it ended
+     *  @param bytes of that input, as far as they are known */
+    void log_discarded(io::discard_cause cause, std::size_t bytes);
+
     /*! @brief Closes the idle connections of removed upstreams. */
     void upstreams_removed(const std::vector<upstream>& gone);
 
--- a/src/entry/forwarder_log.cpp
+++ b/src/entry/forwarder_log.cpp
@@ -160,4 +160,12 @@
                                line_kind::rejected);
 }
 
+void forwarder::log_discarded(io::discard_cause cause, std::size_t bytes) {
+    m_shared.m_metrics.count(counter::discarded);
+    log_line line{"discard"};
+    line.add("cause", io::name_of(cause)).add("bytes", bytes);
+    m_shared.m_journal.decided(line, io::event_loop::now(),
+                               line_kind::discarded);
+}
+
 } // namespace skylark::entry
--- a/src/entry/journal.hpp
+++ b/src/entry/journal.hpp
@@ -73,6 +73,7 @@
         line_budget{defaults::unmatched_lines_per_s},
         line_budget{defaults::cut_lines_per_s},
         line_budget{defaults::rejected_lines_per_s},
+        line_budget{defaults::discarded_lines_per_s},
         line_budget{defaults::change_lines_per_s}}; // in the order of line_kind
     event_ring m_ring{defaults::event_ring};
 };
--- a/src/entry/line_kind.hpp
+++ b/src/entry/line_kind.hpp
@@ -15,10 +15,11 @@
     unmatched, //!< refusals of requests that no rule matches
     cut,       //!< requests that a shutdown ends without an answer
     rejected,  //!< requests that the HTTP server rejected
+    discarded, //!< input that the HTTP server discarded
     change     //!< of state
 };
 
-inline constexpr std::size_t line_kind_count = 5;
+inline constexpr std::size_t line_kind_count = 6;
 
 /*! @brief Name of a kind in the line that counts what was left out. */
 constexpr std::string_view name_of(line_kind kind) {
@@ -31,6 +32,8 @@
         return "cut";
     case line_kind::rejected:
         return "rejected";
+    case line_kind::discarded:
+        return "discarded";
     case line_kind::change:
         break;
     }
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -25,7 +25,7 @@
                               "abandoned"};
 
 // In the order of the enumerations.
-constexpr std::array<description, 18> counters{{
+constexpr std::array<description, 19> counters{{
     {"skylark_retries_total", "attempts after a failed one"},
     {"skylark_hedges_total", "second attempts beside a slow one"},
     {"skylark_hedges_won_total", "hedges that answered first"},
@@ -43,6 +43,7 @@
     {"skylark_pauses_total", "times this process did not run"},
     {"skylark_stale_connections_total", "silent connections closed"},
     {"skylark_rejected_total", "requests that the HTTP server rejected"},
+    {"skylark_discarded_total", "connections that ended with unanswered input"},
     {"skylark_config_fetch_failures_total",
      "fetches from peers that brought nothing usable"},
 }};
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -39,6 +39,7 @@
     pauses,
     stale_connections_closed,
     rejected,
+    discarded,
     config_fetch_failures
 };
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -48,6 +48,9 @@
          },
          [this](int status, const io::request_view& request) {
              m_forwarder.log_rejected(status, request);
+         },
+         [this](io::discard_cause cause, std::size_t bytes) {
+             m_forwarder.log_discarded(cause, bytes);
          }});
     loop.on_pause(defaults::pause_limit, [this](duration gap) { paused(gap); });
 }
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -160,6 +160,9 @@
     // down first keeps it off the wire. While a send is pending h2o must not
     // be called; it then detects the shutdown itself.
     const bool send_pending = found->m_send_pending;
+    static_cast<internal::accepted_connection*>(
+        native::socket_of(found->m_request)->on_close.data)
+        ->m_broken_off = true;
     // h2o would otherwise go on with the next request of the connection.
     found->m_request->http1_is_persistent = 0;
     if (send_pending || !found->m_complete)
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -16,6 +16,7 @@
 #include <skylark/core/id.hpp>
 #include <skylark/core/time.hpp>
 
+#include "io/discard_cause.hpp"
 #include "io/http_message.hpp"
 
 namespace skylark::io {
@@ -53,6 +54,9 @@
         //! A request was rejected with a status without being passed to
         //! m_request. What could be read of it is valid during the call only.
         std::function<void(int, const request_view&)> m_rejected;
+        //! A connection was ended although bytes that the caller had sent on it
+        //! were not answered; how many, as far as they are known.
+        std::function<void(discard_cause, std::size_t)> m_discarded;
     };
 
     http_server(event_loop& loop, const server_limits& limits);
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -97,9 +97,13 @@
 // h2o rejects an unfinished head only at one exact size, which its input may
 // skip. Closes such connections, so that each holds bounded memory.
 void http_server::native::close_oversized() {
-    for (const auto& [key, item] : m_connections)
-        if (item.m_socket->input->size > m_input_limit)
-            shutdown(h2o_socket_get_fd(item.m_socket), SHUT_RDWR);
+    for (const auto& [key, item] : m_connections) {
+        const std::size_t size = item.m_socket->input->size;
+        if (size <= m_input_limit)
+            continue;
+        discarded(discard_cause::input_limit, size);
+        shutdown(h2o_socket_get_fd(item.m_socket), SHUT_RDWR);
+    }
 }
 
 // Closes connections whose requests are still being received, largest first,
@@ -125,6 +129,7 @@
     for (const auto& [size, fd] : receiving) {
         if (sum <= m_total_input_limit)
             return;
+        discarded(discard_cause::input_limit, size);
         shutdown(fd, SHUT_RDWR);
         sum -= size;
     }
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -6,6 +6,7 @@
 #include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
 #include "io/http_status.hpp"
+#include "io/request_input.hpp"
 
 namespace skylark::io {
 
@@ -41,6 +42,12 @@
     return request->conn->callbacks->get_socket(request->conn);
 }
 
+void http_server::native::discarded(discard_cause cause,
+                                    std::size_t bytes) const {
+    if (m_handlers.m_discarded)
+        m_handlers.m_discarded(cause, bytes);
+}
+
 exchange_id http_server::native::open(h2o_req_t* request) {
     auto* self = static_cast<generator*>(h2o_mem_alloc_shared(
         &request->pool, sizeof(generator), &native::on_dispose));
@@ -123,15 +130,24 @@
 // connection open.
 void http_server::native::on_answer_end(void* self) {
     const auto* guard = static_cast<answer_guard*>(self);
-    const h2o_socket_t* socket = socket_of(guard->m_request);
-    static_cast<internal::accepted_connection*>(socket->on_close.data)
-        ->m_answer_bytes = socket->bytes_written;
+    h2o_socket_t* socket = socket_of(guard->m_request);
+    auto& connection =
+        *static_cast<internal::accepted_connection*>(socket->on_close.data);
+    connection.m_answer_bytes = socket->bytes_written;
     if (guard->m_request->http1_is_persistent)
         return;
+    auto& server = *static_cast<native*>(guard->m_server);
+    if (const std::size_t behind = internal::input_behind(*guard->m_request))
+        server.discarded(connection.m_broken_off
+                             ? discard_cause::broken_answer
+                             : discard_cause::closing_answer,
+                         behind);
     const int fd = fcntl(h2o_socket_get_fd(socket_of(guard->m_request)),
                          F_DUPFD_CLOEXEC, 0);
     if (fd >= 0)
-        static_cast<native*>(guard->m_server)->m_lingering.add(fd);
+        server.m_lingering.add(fd);
+    else
+        server.discarded(discard_cause::no_descriptor, 0);
 }
 
 void http_server::native::on_proceed(h2o_generator_t* self, h2o_req_t*) {
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -60,7 +60,8 @@
     h2o_socket_t* m_socket;
     time_point m_accepted;
     connection_id m_key;
-    bool m_ended{}; // shut down while idle; requests are not passed on
+    bool m_ended{};      // shut down while idle; requests are not passed on
+    bool m_broken_off{}; // its last answer was broken off
     std::size_t m_answer_bytes{}; // written up to the end of the last answer
 };
 
@@ -105,6 +106,7 @@
     static void on_dispose(void* self);
 
     static h2o_socket_t* socket_of(h2o_req_t* request);
+    void discarded(discard_cause cause, std::size_t bytes) const;
     exchange_id open(h2o_req_t* request);
     std::size_t collect_headers(h2o_req_t* request);
     // Valid until the next call.
--- a/test/io/http_server_fixture.hpp
+++ b/test/io/http_server_fixture.hpp
@@ -33,6 +33,9 @@
              },
              [this](int status, const io::request_view& request) {
                  m_rejected.push_back({status, std::string{request.m_path}});
+             },
+             [this](io::discard_cause cause, std::size_t bytes) {
+                 m_discarded.push_back({cause, bytes});
              }});
         m_where = m_server.listen({0x7f000001U, 0}).value();
     }
@@ -70,6 +73,8 @@
     bool m_refuse_all{};
     // Status and path of the requests that the server rejected.
     std::vector<std::pair<int, std::string>> m_rejected;
+    // Why connections ended with unanswered input, and how much of it.
+    std::vector<std::pair<io::discard_cause, std::size_t>> m_discarded;
     int m_closed{};
     bool m_complete{};
 };
