Reproduce requests that a planned stop drops

Ten callers of one entry send a second POST up to 0.3 s behind the first one on the same connection; the entry is stopped by SIGTERM. Requests that were sent whole more than 0.2 s before their connection ended get no answer: 30 and 26 of 743 and 747, in two runs of two. None of them ran.

The callers of planned_stop send one request at a time and lose none.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -65,6 +65,12 @@
          COMMAND ${Python3_EXECUTABLE}
                  ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
                  --deadline-ms 2000 --net 93 --build ${CMAKE_BINARY_DIR})
+# A second request is sent while the first one is at an upstream.
+add_test(NAME planned_stop_pipelined
+         COMMAND ${Python3_EXECUTABLE}
+                 ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
+                 --pipelined --callers 10 --service-us 300000
+                 --deadline-ms 3000 --net 94 --build ${CMAKE_BINARY_DIR})
 # The signal arrives while the process is frozen.
 add_test(NAME planned_stop_while_frozen
          COMMAND ${Python3_EXECUTABLE}
--- a/test/process/planned_stop.py
+++ b/test/process/planned_stop.py
@@ -17,7 +17,7 @@
 sys.path.insert(0, str(ROOT / "scripts"))
 
 import deployment as dep  # noqa: E402
-from staying_callers import StayingCaller  # noqa: E402
+from staying_callers import PipeliningCaller, StayingCaller  # noqa: E402
 
 dep.SHAPES["planned_stop"] = {
     "zones": ["a"],
@@ -89,8 +89,8 @@
             f"planned-stop-{args.net}",
             upstream_args={"service-us": args.service_us},
             settings={"killed_after_s": GRACE_S}) as deployment:
-        callers = [StayingCaller(deployment.callers(1), f"c{i}",
-                                 args.deadline_ms)
+        kind = PipeliningCaller if args.pipelined else StayingCaller
+        callers = [kind(deployment.callers(1), f"c{i}", args.deadline_ms)
                    for i in range(args.callers)]
         for caller in callers:
             caller.start()
@@ -136,6 +136,8 @@
     parser.add_argument("--frozen-s", type=float, default=0.0)
     parser.add_argument("--long-work", action="store_true",
                         help="work may last into the end of the grace")
+    parser.add_argument("--pipelined", action="store_true",
+                        help="each caller sends a second request behind")
     return run(parser.parse_args())
 
 
