Answer requests behind another one in a planned stop

What callers saw: a request that they had sent on a connection whose previous request was still in progress ended without an answer when the entry was stopped, up to 0.7 s after its last byte. For a POST they can't know that it hasn't run.

Cause: a draining entry made every answer close its connection when the answer began, whatever had arrived behind its request. What h2o had read behind it was freed with the connection, and the lingering close discarded the rest. The class is a connection that is ended for one request while it carries another.

Now an answer in a drain closes its connection only if it is whole when its head is written and nothing is behind its request, read or in the kernel. Input behind it is handled first: served, or refused as not run like any other. An answer whose rest is still to come can't know what arrives until its end, so it leaves the connection open for the next request, whose answer closes.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -8,6 +8,7 @@
 #include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
 #include "io/listener.hpp"
+#include "io/request_input.hpp"
 
 namespace skylark::io {
 
@@ -125,8 +126,6 @@
     request->res.status = status;
     request->res.reason = "-";
     request->res.content_length = length.value_or(SIZE_MAX);
-    if (m_closing)
-        request->http1_is_persistent = 0;
     for (const header& field : headers) {
         const auto name = h2o_strdup(&request->pool, field.m_name.data(),
                                      field.m_name.size());
@@ -144,6 +143,12 @@
     if (!found || !found->m_started || found->m_complete ||
         found->m_send_pending)
         return;
+    // A caller that is told that its connection closes takes what it has sent
+    // behind the request for lost.
+    if (m_closing && last && !found->m_head_sent &&
+        internal::input_behind(*found->m_request) == 0)
+        found->m_request->http1_is_persistent = 0;
+    found->m_head_sent = true;
     found->m_piece.assign(piece);
     found->m_complete = last;
     found->m_send_pending = true;
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -78,13 +78,15 @@
     /*! @brief Closes the listening sockets; open connections stay open. */
     void stop_listening();
 
-    /*! @brief Makes each answer that starts after this call close its
-     *  connection. */
+    /*! @brief Makes answers close their connections from now on. An answer
+     *  closes its connection if it is whole when its head is sent and its
+     *  caller has sent nothing behind the request; otherwise the next request
+     *  is handled first. */
     void close_after_answer() { m_closing = true; }
 
     /*! @brief Ends the server gracefully. Accepts the connections in the listen
-     *  queue and closes the listening sockets; makes each answer that starts
-     *  after this call close its connection; closes idle connections, also
+     *  queue and closes the listening sockets; makes answers close their
+     *  connections, see close_after_answer(); closes idle connections, also
      *  those that become idle later. Requests that arrive meanwhile are passed
      *  to m_request as before. Further calls have no effect.
      *  @note A request that crosses the close of an idle connection is not
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -26,6 +26,7 @@
     int m_socket;
     std::string m_piece;
     bool m_started{};
+    bool m_head_sent{}; // whether the connection closes is decided
     bool m_complete{};
     bool m_send_pending{}; // h2o has not reported the last send as done
 };
--- a/test/platform/draining.cpp
+++ b/test/platform/draining.cpp
@@ -189,3 +189,24 @@
     turn_until([this] { return m_got.has_value(); });
     EXPECT_EQ(status(*m_got), 200);
 }
+
+TEST_F(draining_node, a_request_behind_another_is_refused_and_not_dropped) {
+    start_with_holding_upstream();
+    const auto post = [](const std::string& name, const std::string& deadline) {
+        return "POST /b/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + name +
+               "\r\nDeadline-Ms: " + deadline + "\r\nContent-Length: 0\r\n\r\n";
+    };
+    test::raw_caller caller{m_settings.m_callers};
+    caller.write(post("r1", "800"));
+    turn_until([this] { return !m_upstream.m_held.empty(); });
+    caller.write(post("r2", "30000"));
+    m_node->drain();
+    m_upstream.answer_all();
+    turn_until([&] { return !caller.read(); });
+    EXPECT_EQ(caller.error(), 0);
+    EXPECT_TRUE(caller.bytes().starts_with("HTTP/1.1 200 "));
+    const auto refusal = caller.bytes().find("HTTP/1.1 503 ");
+    ASSERT_NE(refusal, std::string::npos);
+    EXPECT_GT(caller.bytes().find("Connection: close\r\n"), refusal);
+    EXPECT_TRUE(m_upstream.m_held.empty());
+}
