Spare requests in progress when a limit is lowered

Cause: the periodic check of unfinished heads compared all input of a connection with the limit of now, also that of a request which had been received whole, and of one that had begun under a higher limit. The same class as requests that are dropped behind another one: a connection is ended for a reason that does not concern the request on it.

Now the check leaves out connections whose request is in progress, and a request that is arriving is held to the highest limit in force since its begin.

Evidence: with the old condition a_lowered_limit_spares_a_request_in_progress and a_lowered_limit_spares_a_request_that_arrives fail (no answer; the upload is cut). a_lowered_limit_binds_the_next_request guards the limit itself.

--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <cerrno>
 #include <netinet/tcp.h>
-#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -94,15 +93,27 @@
     server.m_connections.erase(self->m_key);
 }
 
+std::set<int> http_server::native::sockets_in_exchange() {
+    std::set<int> out;
+    for (const auto& [key, item] : m_exchanges)
+        out.insert(item.m_socket);
+    return out;
+}
+
 // h2o rejects an unfinished head only at one exact size, which its input may
 // skip. Closes such connections, so that each holds bounded memory.
 void http_server::native::close_oversized() {
-    for (const auto& [key, item] : m_connections) {
+    const std::set<int> in_exchange = sockets_in_exchange();
+    for (auto& [key, item] : m_connections) {
+        const int fd = h2o_socket_get_fd(item.m_socket);
         const std::size_t size = item.m_socket->input->size;
-        if (size <= m_input_limit)
+        if (size == 0)
+            item.m_input_limit = 0;
+        item.m_input_limit = std::max(item.m_input_limit, m_input_limit);
+        if (size <= item.m_input_limit || in_exchange.contains(fd))
             continue;
         discarded(discard_cause::input_limit, size);
-        shutdown(h2o_socket_get_fd(item.m_socket), SHUT_RDWR);
+        shutdown(fd, SHUT_RDWR);
     }
 }
 
@@ -115,9 +126,7 @@
         sum += item.m_socket->input->size;
     if (sum <= m_total_input_limit)
         return;
-    std::set<int> in_exchange;
-    for (const auto& [key, item] : m_exchanges)
-        in_exchange.insert(item.m_socket);
+    const std::set<int> in_exchange = sockets_in_exchange();
     std::vector<std::pair<std::size_t, int>> receiving;
     for (const auto& [key, item] : m_connections) {
         const int fd = h2o_socket_get_fd(item.m_socket);
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -4,6 +4,7 @@
 #define SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,9 @@
     connection_id m_key;
     bool m_ended{};      // shut down while idle; requests are not passed on
     bool m_broken_off{}; // its last answer was broken off
+    // Of the request that is being received: the highest limit in force since
+    // its begin.
+    std::size_t m_input_limit{};
     std::size_t m_answer_bytes{}; // written up to the end of the last answer
 };
 
@@ -91,6 +95,8 @@
     time_point m_last_request;
     bool m_shutting_down{};
 
+    // Sockets whose requests were received whole and are in progress.
+    [[nodiscard]] std::set<int> sockets_in_exchange();
     bool accept_one(h2o_socket_t* listener);
     void accept_queued(h2o_socket_t* listener);
     void end_idle();
--- /dev/null
+++ b/test/io/http_server_limits.cpp
@@ -0,0 +1,63 @@
+// Limits that are reached while requests are in progress or being answered.
+#include <string>
+
+#include "test/io/http_server_fixture.hpp"
+
+using namespace skylark;
+using skylark::test::raw_caller;
+
+namespace {
+
+class http_server_limits_test : public test::http_server_fixture {
+protected:
+    // Longer than the period of the checks on input.
+    void run_past_input_checks() {
+        const time_point end = io::event_loop::now() + milliseconds{300};
+        while (io::event_loop::now() < end)
+            m_loop.run_once(milliseconds{10});
+    }
+
+    void lower_limits() { m_server.set_limits({10, seconds{60}, 100}); }
+
+    static constexpr const char* m_upload =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n";
+};
+
+} // namespace
+
+TEST_F(http_server_limits_test, a_lowered_limit_spares_a_request_in_progress) {
+    raw_caller caller{m_where};
+    caller.write(m_upload + std::string(1000, 'x'));
+    run_until_received(1);
+    lower_limits();
+    run_past_input_checks();
+    EXPECT_EQ(m_server.body(m_exchanges.front()).size(), 1000U);
+    m_server.answer(m_exchanges.front(), 200, {}, "hello");
+    run_until([&] { return !caller.read() || body_of(caller) == "hello"; });
+    EXPECT_EQ(body_of(caller), "hello");
+}
+
+TEST_F(http_server_limits_test, a_lowered_limit_spares_a_request_that_arrives) {
+    raw_caller caller{m_where};
+    caller.write(m_upload + std::string(500, 'x'));
+    run_past_input_checks();
+    lower_limits();
+    run_past_input_checks();
+    caller.write(std::string(500, 'x'));
+    run_until_received(1);
+    ASSERT_EQ(m_exchanges.size(), 1U);
+    EXPECT_EQ(m_server.body(m_exchanges.front()).size(), 1000U);
+}
+
+TEST_F(http_server_limits_test, a_lowered_limit_binds_the_next_request) {
+    raw_caller caller{m_where};
+    caller.write(m_get);
+    run_until_received(1);
+    lower_limits();
+    m_server.answer(m_exchanges.front(), 200, {}, "");
+    run_until([this] { return m_closed == 1; });
+    run_past_input_checks();
+    caller.write("GET / HTTP/1.1\r\nX: " + std::string(1000, 'x'));
+    run_until_closed(caller);
+    EXPECT_EQ(m_exchanges.size(), 1U);
+}
