Deliver answers when no descriptor is left for lingering

What callers would see: an answer that the entry counts as complete arrives cut, as the connection is reset.

Cause: h2o closes its descriptor after an answer that ends the connection, and a duplicate keeps the connection open until the caller has read.

Now the connection that has lingered longest gives way; if none lingers, the unread input is discarded before the close, and a line `discard` says so. What arrives still later resets the connection as before.

--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -2,11 +2,13 @@
 #include <cstdint>
 #include <fcntl.h>
 #include <string>
+#include <sys/socket.h>
 
 #include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
 #include "io/http_status.hpp"
 #include "io/request_input.hpp"
+#include "io/socket_queue.hpp"
 
 namespace skylark::io {
 
@@ -142,12 +144,22 @@
                              ? discard_cause::broken_answer
                              : discard_cause::closing_answer,
                          behind);
-    const int fd = fcntl(h2o_socket_get_fd(socket_of(guard->m_request)),
-                         F_DUPFD_CLOEXEC, 0);
-    if (fd >= 0)
-        server.m_lingering.add(fd);
-    else
-        server.discarded(discard_cause::no_descriptor, 0);
+    server.linger(h2o_socket_get_fd(socket));
+}
+
+void http_server::native::linger(int socket) {
+    int kept = fcntl(socket, F_DUPFD_CLOEXEC, 0);
+    if (kept < 0 && m_lingering.close_oldest())
+        kept = fcntl(socket, F_DUPFD_CLOEXEC, 0);
+    if (kept >= 0) {
+        m_lingering.add(kept);
+        return;
+    }
+    // What arrives later resets the connection all the same.
+    const auto unread =
+        static_cast<std::size_t>(internal::unread_bytes(socket));
+    recv(socket, nullptr, unread, MSG_TRUNC | MSG_DONTWAIT);
+    discarded(discard_cause::no_descriptor, unread);
 }
 
 void http_server::native::on_proceed(h2o_generator_t* self, h2o_req_t*) {
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -114,6 +114,8 @@
 
     static h2o_socket_t* socket_of(h2o_req_t* request);
     void discarded(discard_cause cause, std::size_t bytes) const;
+    // Keeps a connection that h2o closes next until its caller has the answer.
+    void linger(int socket);
     exchange_id open(h2o_req_t* request);
     std::size_t collect_headers(h2o_req_t* request);
     // Valid until the next call.
--- a/src/io/lingering_connections.cpp
+++ b/src/io/lingering_connections.cpp
@@ -26,7 +26,7 @@
 
 void lingering_connections::add(int fd) {
     if (m_connections.size() >= m_limits.m_count)
-        close(m_connections.begin()->first);
+        close_oldest();
     shutdown(fd, SHUT_WR);
     auto* socket = h2o_evloop_socket_create(m_loop.native(), fd,
                                             H2O_SOCKET_FLAG_DONT_READ);
@@ -40,6 +40,13 @@
     h2o_socket_read_start(socket, &on_readable);
 }
 
+bool lingering_connections::close_oldest() {
+    if (m_connections.empty())
+        return false;
+    close(m_connections.begin()->first);
+    return true;
+}
+
 bool lingering_connections::delivered() const {
     return std::all_of(
         m_connections.begin(), m_connections.end(), [](const auto& item) {
--- a/src/io/lingering_connections.hpp
+++ b/src/io/lingering_connections.hpp
@@ -38,6 +38,10 @@
      *  @param fd connected socket; ownership passes to this object */
     void add(int fd);
 
+    /*! @brief Closes the oldest connection, to free its descriptor.
+     *  @return false if there is none */
+    bool close_oldest();
+
     /*! @brief Number of connections that are not closed yet. */
     [[nodiscard]] std::size_t size() const { return m_connections.size(); }
 
