Keep an upstream in the table while a probe of it is in progress

Suspected effect on callers: refusals for want of an upstream. An upstream that was dropped from the instance list and listed again while it was asked for its load began with no connections; the end of the probe counted one down, below zero, and above the limit the upstream got nothing more from this entry.

Evidence: upstream_table_test.connections_in_use_are_counted_when_listed_again failed before (0 connections, 1 in use). In a whole entry the state was not reached: one watch of the store brings the two lists 250 ms apart, which is the longest time of a probe; lists from two sources may be closer.

An upstream that is no longer listed now stays until all its connections in use have ended, as it does for requests in progress.

--- a/src/entry/upstream_table.cpp
+++ b/src/entry/upstream_table.cpp
@@ -29,7 +29,9 @@
     std::vector<upstream> removed;
     const time_point now = io::event_loop::now();
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
-        const bool unused = it->second.m_load.in_flight() == 0;
+        const bool unused =
+            it->second.m_load.in_flight() == 0 &&
+            it->second.m_connections == it->second.m_idle.size();
         if (it->second.m_listed || !unused) {
             ++it;
             continue;
--- a/test/entry/upstream_table.cpp
+++ b/test/entry/upstream_table.cpp
@@ -55,3 +55,9 @@
     adopt({});
     EXPECT_FALSE(adopt({listed(2)})->m_availability.leaving());
 }
+
+TEST_F(upstream_table_test, connections_in_use_are_counted_when_listed_again) {
+    adopt({listed(1)})->m_connections = 1;
+    adopt({});
+    EXPECT_EQ(adopt({listed(1)})->m_connections, 1U);
+}
