Promise a caller that ended its input only what is known

Seen: a caller that shuts its sending side after a GET and waits gets 503 without a body and without a field, although an upstream may have run the request. 503 promises that it has not run and never will.

Cause: the end of the input is taken for a caller that has left. The answer to it was meant for nobody.

The answer is now 502 if the request was passed on, and 503 with the fields of a refusal (verdict, Retry-After) if it was not. The request is cancelled as before, so nothing changes for a caller that has left.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -35,6 +35,7 @@
     test/platform/cut_answers.cpp test/platform/retired_service.cpp test/platform/endless_answers.cpp test/platform/repeated_refusals.cpp
     test/platform/answer_lines.cpp test/platform/unproven_answers.cpp
     test/platform/stale_configuration.cpp test/platform/late_configuration.cpp
+    test/platform/half_closed_callers.cpp
     test/platform/leaving.cpp test/platform/restored.cpp
     test/store/restored_store.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
--- a/include/skylark/attempt/machine.hpp
+++ b/include/skylark/attempt/machine.hpp
@@ -89,6 +89,9 @@
      *  idempotent and may_start() returns true */
     [[nodiscard]] bool may_hedge(time_point now) const;
 
+    /*! @brief What is known of the request once no attempt is running. */
+    [[nodiscard]] verdict overall_verdict() const;
+
     [[nodiscard]] bool done() const { return m_done; }
     [[nodiscard]] bool answer_has_begun() const { return bool{m_answering}; }
     [[nodiscard]] const attempt_terms& terms() const { return m_terms; }
@@ -98,7 +101,6 @@
     actions cancel_running(attempt_id except);
     [[nodiscard]] bool sent(attempt_id attempt) const;
     actions give_up(bool expired);
-    [[nodiscard]] verdict overall_verdict() const;
 
     attempt_terms m_terms;
     // Invariant: holds no attempt that has ended or was cancelled.
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -111,6 +111,9 @@
     // configuration may allow it.
     void refuse_unmatched(exchange_id key, const io::request_view& from);
     void refuse_caller(request& req, const refuse& why);
+    // Ends a request whose caller has ended its input. It may have left, or
+    // still read.
+    void refuse_departed(request_id key);
     // Retry-After of a service none of whose upstreams can be used.
     [[nodiscard]] duration retry_after_without(const std::string& service);
     // Refuses a request because this entry is shutting down.
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -186,15 +186,8 @@
     limit_unread_answers();
     for (const request_id key : stalled)
         break_off_answer(key, "stalled");
-    for (const request_id key : disconnected) {
-        request* req = m_requests.find(key);
-        if (!req)
-            continue;
-        req->m_outcome = outcome::abandoned;
-        apply(key, req->m_machine.abandoned());
-        if (req = m_requests.find(key); req)
-            m_callers.answer(req->m_exchange, io::status::unavailable, {}, "");
-    }
+    for (const request_id key : disconnected)
+        refuse_departed(key);
     dispatch_queued();
 }
 
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -145,4 +145,25 @@
     m_callers.answer(req.m_exchange, status, headers, reason + "\n");
 }
 
+void forwarder::refuse_departed(request_id key) {
+    request* req = m_requests.find(key);
+    if (!req)
+        return;
+    req->m_outcome = outcome::abandoned;
+    apply(key, req->m_machine.abandoned());
+    req = m_requests.find(key);
+    if (!req)
+        return;
+    const refuse known{req->m_machine.overall_verdict(), false};
+    const duration delay =
+        retry_after(refusal_of(*req, known), m_router.random());
+    const auto headers = std::visit(
+        [&](const auto& kind) {
+            return kind.refusal_headers(known.m_verdict, delay, std::nullopt);
+        },
+        m_shared.m_dialect);
+    m_callers.answer(req->m_exchange, status_of(known), headers,
+                     "the caller ended its input\n");
+}
+
 } // namespace skylark::entry
--- a/test/attempt/machine.cpp
+++ b/test/attempt/machine.cpp
@@ -268,6 +268,18 @@
     EXPECT_TRUE(find<begin_answer>(subject.answer_begun(attempt_id{1})));
 }
 
+TEST(attempt_machine, an_abandoned_request_that_was_sent_may_have_run) {
+    auto connecting = make_machine(true);
+    connecting.attempt_started(attempt_id{1});
+    connecting.abandoned();
+    EXPECT_TRUE(std::holds_alternative<not_run>(connecting.overall_verdict()));
+    auto sent = make_machine(true);
+    sent.attempt_started(attempt_id{1});
+    sent.try_begin_send(attempt_id{1}, start);
+    sent.abandoned();
+    EXPECT_TRUE(std::holds_alternative<may_have_run>(sent.overall_verdict()));
+}
+
 TEST(attempt_machine, random_event_orders_keep_the_guarantees) {
     constexpr std::uint64_t runs = 20000;
     std::uint64_t answered_runs = 0;
--- a/test/io/raw_caller.hpp
+++ b/test/io/raw_caller.hpp
@@ -60,6 +60,9 @@
         return count >= 0 || errno == EAGAIN;
     }
 
+    /*! @brief Ends the sending side; answers can still be received. */
+    void end_input() const { shutdown(m_socket, SHUT_WR); }
+
     /*! @brief Appends all available input to bytes(), without blocking.
      *  @return false once the server has closed the connection */
     bool read() {
