Leave an idle connection open whose next request has arrived

The check of idle connections runs after the loop has read. A request that arrives in between is unread then, and its connection was ended under it.

Evidence: http_server_idle_test.a_request_that_is_not_read_yet_is_served fails without the check. The test of discards waits for the end of the exchange, not for the shutdown of the socket, which comes earlier.

--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -100,10 +100,13 @@
         item.m_receiving = receiving;
         if (now - item.m_since < item.m_time_limit)
             continue;
+        const int fd = h2o_socket_get_fd(socket);
         if (receiving)
             discarded(discard_cause::time_limit, size);
+        else if (internal::unread_bytes(fd) > 0)
+            continue; // the loop reads the request next
         item.m_ended = true;
-        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+        shutdown(fd, SHUT_RDWR);
     }
 }
 
--- a/test/io/http_server_discards.cpp
+++ b/test/io/http_server_discards.cpp
@@ -38,7 +38,7 @@
     run_until_received(1);
     m_server.start(m_exchanges.front(), 200, {}, 5);
     m_server.abort(m_exchanges.front());
-    run_until_closed(caller);
+    run_until([this] { return m_closed == 1; });
     expect_one(io::discard_cause::broken_answer, 7);
 }
 
--- a/test/io/http_server_idle.cpp
+++ b/test/io/http_server_idle.cpp
@@ -1,4 +1,6 @@
 // The idle time limit: connections without a request end, others do not.
+#include <thread>
+
 #include "test/io/http_server_fixture.hpp"
 
 using namespace skylark;
@@ -58,6 +60,18 @@
     EXPECT_EQ(m_server.body(m_exchanges.back()), "helloworld");
 }
 
+// The request arrives between the loop's reading and the check that is due in
+// the same iteration.
+TEST_F(http_server_idle_test, a_request_that_is_not_read_yet_is_served) {
+    limit_idle_time(limit);
+    raw_caller caller{m_where};
+    exchange(caller);
+    m_loop.after(duration{0}, [&] { caller.write(m_get); });
+    std::this_thread::sleep_for(limit);
+    run_until([&] { return !caller.read() || m_exchanges.size() == 2; });
+    EXPECT_EQ(m_exchanges.size(), 2U);
+}
+
 TEST_F(http_server_idle_test, idle_connections_are_closed_at_the_limit) {
     limit_idle_time(limit);
     raw_caller unused{m_where};
