Keep a stall before the signal from shortening the shutdown

Callers saw requests cut, without an answer, that had been passed on before SIGTERM and would have ended within the time that the supervisor leaves.

Cause: a drain took the begin of any gap of the event loop over 0.4 s for the time of the signal. A gap that began before the signal was sent (a long turn, no processor time) ended the process sooner by up to its length.

The signal's handler now records when it ran. Only a pause that ended in the same turn leaves a span for the time of the signal: from the pause's begin to the handler. What is passed on, and when connections close, is judged by the earliest time as before; the process may stay until the latest end while a request is in progress. So a stall cuts nothing that was passed on before, and a freeze admits nothing that a supervisor would cut. Addresses expire as counted from the leave itself, since peers name the entry until they learn of it. "drain began" tells signal_ms_ago and pause_ms.

Here SIGCONT comes just before SIGTERM.

The tests of the schedule give a span in place of the one time; what they check is the same. The fixture's request waits 30 s for its answer, as its default of 1 s is shorter than the stall.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -78,6 +78,12 @@
          COMMAND ${Python3_EXECUTABLE}
                  ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
                  --frozen-s 2 --net 92 --build ${CMAKE_BINARY_DIR})
+# The process did not run until just before the signal.
+add_test(NAME planned_stop_after_a_stall
+         COMMAND ${Python3_EXECUTABLE}
+                 ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
+                 --stalled-s 3 --long-work --service-us 4000000 --net 94
+                 --build ${CMAKE_BINARY_DIR})
 
 # Real processes on the platform's interface. The schedule is seeded; the judge
 # has tests of its own.
--- a/include/skylark/limit/drain_schedule.hpp
+++ b/include/skylark/limit/drain_schedule.hpp
@@ -5,7 +5,11 @@
  *  Answers the load of callers that go on using an entry until its process is
  *  gone. What such a caller sends late cannot end before the process does, and
  *  another entry can serve it; so a request is passed on only if its deadline
- *  passes first. Everything else is refused while that is still true. */
+ *  passes first. Everything else is refused while that is still true.
+ *
+ *  What is passed on is judged by the earliest time at which the signal may
+ *  have been sent, as whoever sent it may count from then. What is in progress
+ *  may use the time until the latest one, as it was passed on before. */
 #ifndef SKYLARK_LIMIT_DRAIN_SCHEDULE_HPP
 #define SKYLARK_LIMIT_DRAIN_SCHEDULE_HPP
 
@@ -13,6 +17,7 @@
 
 #include <skylark/core/time.hpp>
 #include <skylark/limit/fwd.hpp>
+#include <skylark/limit/signal_span.hpp>
 
 namespace skylark {
 
@@ -21,16 +26,17 @@
 public:
     /*! @brief Plans a shutdown.
      *  @param now current time
-     *  @param began when the entry was told to end; earlier than now after a
-     *  pause of the process
+     *  @param told when the entry was told to end
      *  @param address_ttl how long callers may use addresses that they got
      *  before
      *  @param limit time within which the process must have ended; exceeded if
-     *  the pause left too little for what has become ready meanwhile */
-    constexpr drain_schedule(time_point now, time_point began,
+     *  a pause left too little for what has become ready meanwhile */
+    constexpr drain_schedule(time_point now, signal_span told,
                              duration address_ttl, duration limit)
-        : m_addresses_expire{began + address_ttl},
-          m_end{std::max(began + limit, now + 2 * delivery_time)} {}
+        : m_addresses_expire{now + address_ttl}, m_end{std::max(
+                                                     told.m_earliest + limit,
+                                                     now + 2 * delivery_time)},
+          m_latest_end{std::max(told.m_latest + limit, m_end)} {}
 
     /*! @brief Whether a request may be passed on to an upstream.
      *  @param deadline until when the upstream may work on it */
@@ -54,9 +60,18 @@
                since_last_request >= quiet_time;
     }
 
+    /*! @brief Whether the process ends although connections are open.
+     *  @param now current time
+     *  @param last_in_progress when a request was in progress last */
+    [[nodiscard]] constexpr bool may_end(time_point now,
+                                         time_point last_in_progress) const {
+        return expired(now) ||
+               (now >= m_end && now - last_in_progress >= delivery_time);
+    }
+
     /*! @brief Whether the process must end, whatever is in progress. */
     [[nodiscard]] constexpr bool expired(time_point now) const {
-        return now >= m_end;
+        return now >= m_latest_end;
     }
 
 private:
@@ -67,7 +82,9 @@
     static constexpr duration quiet_time = milliseconds{300};
 
     time_point m_addresses_expire;
-    time_point m_end; // of the process
+    // Of the process; the same unless a pause hides when the signal was sent.
+    time_point m_end;
+    time_point m_latest_end;
 };
 
 } // namespace skylark
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,5 +1,8 @@
 // skylark-entry: one entry instance.
+#include <atomic>
 #include <csignal>
+#include <cstdint>
+#include <ctime>
 #include <filesystem>
 #include <iostream>
 #include <string>
@@ -16,11 +19,21 @@
 
 namespace {
 
-volatile std::sig_atomic_t drain_requested = 0;
+// On the event loop's clock, in microseconds; 0 until the first signal.
+std::atomic<std::int64_t> drain_requested_us{0};
+static_assert(std::atomic<std::int64_t>::is_always_lock_free);
 volatile std::sig_atomic_t reload_requested = 0;
 
+// Runs at once also when the loop is in a long turn, so its time is the
+// signal's.
 void request_drain(int) {
-    drain_requested = 1;
+    constexpr std::int64_t us_in_s = 1'000'000;
+    constexpr std::int64_t ns_in_us = 1000;
+    timespec now{};
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    std::int64_t none = 0;
+    drain_requested_us.compare_exchange_strong(
+        none, now.tv_sec * us_in_s + now.tv_nsec / ns_in_us);
 }
 
 void request_reload(int) {
@@ -41,8 +54,10 @@
         return exit_bad_settings;
     }
     loop.every(signal_check, [&node, &path] {
-        if (drain_requested != 0)
-            node.drain();
+        const std::int64_t signalled_us = drain_requested_us;
+        if (signalled_us != 0)
+            node.drain(
+                skylark::time_point{skylark::microseconds{signalled_us}});
         if (reload_requested != 0) {
             reload_requested = 0;
             node.reload(path);
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -14,8 +14,6 @@
 constexpr auto place_life = seconds{15};
 constexpr auto gauge_period = milliseconds{500};
 constexpr auto place_check = milliseconds{500};
-constexpr auto drain_check = milliseconds{20};
-constexpr auto close_check = milliseconds{5};
 
 std::uint64_t seed_of(const settings& from) {
     return from.m_seed != 0 ? from.m_seed : hash(from.m_name);
@@ -222,72 +220,4 @@
                     : "reloaded; new addresses or a new zone need a restart");
 }
 
-void node::drain() {
-    if (m_shared.m_drain)
-        return;
-    // Answers that name this entry may have been given until peers learnt of
-    // the leave, and callers keep them for their whole life time.
-    const duration told = 2 * m_shared.m_settings.m_timing.m_period;
-    // A signal that came during a pause of the process was sent at its begin,
-    // at the earliest; whoever sent it has counted from then.
-    const time_point now = io::event_loop::now();
-    const time_point began = now - m_shared.m_loop.detect_pause();
-    m_shared.m_drain.emplace(now, began,
-                             m_shared.m_settings.m_entries_ttl + told,
-                             m_shared.m_settings.m_drain_limit);
-    note_drain("began");
-    m_callers.close_after_answer();
-    // Leaving gives up the shares and dispatches what waits, so requests are
-    // withdrawn for their deadlines before and for want of a share after it.
-    m_forwarder.withdraw_requests();
-    m_shared.m_fleet.leave();
-    m_forwarder.withdraw_requests();
-    if (m_place)
-        m_place->stop();
-    finish_drain_when_idle();
-}
-
-void node::note_drain(std::string_view step) {
-    std::string detail{step};
-    detail += ", connections=" + std::to_string(m_callers.connections()) +
-              " exchanges=" + std::to_string(m_callers.active());
-    const stage_counts counts = m_forwarder.stages();
-    for (std::size_t i = 0; i < counts.size(); ++i)
-        detail.append(" ")
-            .append(request_stage_names[i])
-            .append("=")
-            .append(std::to_string(counts[i]));
-    detail += " last_request_ms_ago=" +
-              std::to_string(to_ms(m_callers.time_since_last_request()));
-    m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
-                            detail);
-}
-
-void node::finish_drain_when_idle() {
-    const time_point now = io::event_loop::now();
-    const bool quiet = m_shared.m_drain->quiet(
-        now, m_callers.active() == 0, m_callers.time_since_last_request());
-    if (quiet || m_shared.m_drain->must_close(now)) {
-        note_drain("closing connections");
-        m_callers.begin_shutdown();
-        m_lookup.begin_shutdown();
-        m_control.begin_shutdown();
-        finish_when_closed();
-        return;
-    }
-    m_shared.m_loop.after(drain_check, [this] { finish_drain_when_idle(); });
-}
-
-void node::finish_when_closed() {
-    const bool closed =
-        m_callers.drained() && m_lookup.drained() && m_control.drained();
-    if (closed || m_shared.m_drain->expired(io::event_loop::now())) {
-        note_drain(closed ? "done" : "time limit reached");
-        m_forwarder.log_unfinished();
-        m_shared.m_loop.stop();
-        return;
-    }
-    m_shared.m_loop.after(close_check, [this] { finish_when_closed(); });
-}
-
 } // namespace skylark::entry
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -29,8 +29,9 @@
      *  @param path of the settings file */
     void reload(const std::string& path);
 
-    /*! @brief Begins the graceful shutdown; the loop is stopped at its end. */
-    void drain();
+    /*! @brief Begins the graceful shutdown; the loop is stopped at its end.
+     *  @param signalled when the process handled the signal to end */
+    void drain(time_point signalled = io::event_loop::now());
 
 private:
     void serve_caller(exchange_id key, const io::request_view& request);
@@ -55,6 +56,7 @@
     lookup m_lookup;
     std::optional<store::lease_holder> m_place; //!< in the store's list
     listing_policy m_listing_policy;
+    time_point m_last_in_progress{}; //!< during the end of the shutdown
 };
 
 } // namespace skylark::entry
--- /dev/null
+++ b/src/entry/node_drain.cpp
@@ -0,0 +1,82 @@
+// Graceful shutdown of an entry.
+#include "entry/node.hpp"
+
+namespace skylark::entry {
+
+namespace {
+constexpr auto drain_check = milliseconds{20};
+constexpr auto close_check = milliseconds{5};
+} // namespace
+
+void node::drain(time_point signalled) {
+    if (m_shared.m_drain)
+        return;
+    // Answers that name this entry may have been given until peers learnt of
+    // the leave, and callers keep them for their whole life time.
+    const duration told = 2 * m_shared.m_settings.m_timing.m_period;
+    const duration pause = m_shared.m_loop.detect_pause();
+    const time_point now = io::event_loop::now();
+    m_shared.m_drain.emplace(now, signal_span::around(signalled, now, pause),
+                             m_shared.m_settings.m_entries_ttl + told,
+                             m_shared.m_settings.m_drain_limit);
+    note_drain(
+        "began, signal_ms_ago=" + std::to_string(to_ms(now - signalled)) +
+        " pause_ms=" + std::to_string(to_ms(pause)));
+    m_callers.close_after_answer();
+    // Leaving gives up the shares and dispatches what waits, so requests are
+    // withdrawn for their deadlines before and for want of a share after it.
+    m_forwarder.withdraw_requests();
+    m_shared.m_fleet.leave();
+    m_forwarder.withdraw_requests();
+    if (m_place)
+        m_place->stop();
+    finish_drain_when_idle();
+}
+
+void node::note_drain(std::string_view step) {
+    std::string detail{step};
+    detail += ", connections=" + std::to_string(m_callers.connections()) +
+              " exchanges=" + std::to_string(m_callers.active());
+    const stage_counts counts = m_forwarder.stages();
+    for (std::size_t i = 0; i < counts.size(); ++i)
+        detail.append(" ")
+            .append(request_stage_names[i])
+            .append("=")
+            .append(std::to_string(counts[i]));
+    detail += " last_request_ms_ago=" +
+              std::to_string(to_ms(m_callers.time_since_last_request()));
+    m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
+                            detail);
+}
+
+void node::finish_drain_when_idle() {
+    const time_point now = io::event_loop::now();
+    const bool quiet = m_shared.m_drain->quiet(
+        now, m_callers.active() == 0, m_callers.time_since_last_request());
+    if (quiet || m_shared.m_drain->must_close(now)) {
+        note_drain("closing connections");
+        m_callers.begin_shutdown();
+        m_lookup.begin_shutdown();
+        m_control.begin_shutdown();
+        finish_when_closed();
+        return;
+    }
+    m_shared.m_loop.after(drain_check, [this] { finish_drain_when_idle(); });
+}
+
+void node::finish_when_closed() {
+    const time_point now = io::event_loop::now();
+    if (m_callers.active() > 0)
+        m_last_in_progress = now;
+    const bool closed =
+        m_callers.drained() && m_lookup.drained() && m_control.drained();
+    if (closed || m_shared.m_drain->may_end(now, m_last_in_progress)) {
+        note_drain(closed ? "done" : "time limit reached");
+        m_forwarder.log_unfinished();
+        m_shared.m_loop.stop();
+        return;
+    }
+    m_shared.m_loop.after(close_check, [this] { finish_when_closed(); });
+}
+
+} // namespace skylark::entry
--- a/test/limit/drain_schedule.cpp
+++ b/test/limit/drain_schedule.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr time_point start{seconds{100}};
-constexpr drain_schedule schedule{start, start, milliseconds{2400},
-                                  milliseconds{5500}};
+constexpr drain_schedule schedule{
+    start, {start, start}, milliseconds{2400}, milliseconds{5500}};
 
 } // namespace
 
@@ -49,8 +49,8 @@
 
 TEST(drain_schedule, a_long_pause_leaves_time_for_what_became_ready) {
     const time_point thawed = start + seconds{7};
-    const drain_schedule late{thawed, start, milliseconds{2400},
-                              milliseconds{5500}};
+    const drain_schedule late{
+        thawed, {start, start}, milliseconds{2400}, milliseconds{5500}};
     EXPECT_FALSE(late.must_close(thawed));
     EXPECT_FALSE(late.may_pass_on(thawed + seconds{1}));
     EXPECT_TRUE(late.expired(thawed + milliseconds{500}));
@@ -60,3 +60,43 @@
     EXPECT_FALSE(schedule.expired(start + milliseconds{5499}));
     EXPECT_TRUE(schedule.expired(start + milliseconds{5500}));
 }
+
+TEST(drain_schedule, a_stall_before_the_signal_cuts_nothing_in_progress) {
+    const time_point signalled = start + milliseconds{1300};
+    const drain_schedule stalled{
+        signalled, {start, signalled}, milliseconds{2400}, milliseconds{5500}};
+    EXPECT_FALSE(stalled.expired(signalled + milliseconds{5499}));
+    EXPECT_FALSE(stalled.may_end(signalled + milliseconds{5499},
+                                 signalled + milliseconds{5495}));
+    EXPECT_TRUE(stalled.expired(signalled + milliseconds{5500}));
+}
+
+TEST(drain_schedule,
+     a_freeze_counts_from_its_begin_but_for_what_is_in_progress) {
+    const time_point thawed = start + milliseconds{1300};
+    const drain_schedule frozen{
+        thawed, {start, thawed}, milliseconds{2400}, milliseconds{5500}};
+    EXPECT_TRUE(frozen.may_pass_on(start + milliseconds{5400}));
+    EXPECT_FALSE(frozen.may_pass_on(start + milliseconds{5401}));
+    EXPECT_TRUE(frozen.must_close(start + milliseconds{5400}));
+    EXPECT_FALSE(frozen.may_end(start + milliseconds{5499}, start));
+    EXPECT_TRUE(frozen.may_end(start + milliseconds{5500}, start));
+    // What ended just now is still being delivered.
+    EXPECT_FALSE(
+        frozen.may_end(start + milliseconds{6000}, start + milliseconds{5950}));
+    EXPECT_TRUE(
+        frozen.may_end(start + milliseconds{6050}, start + milliseconds{5950}));
+}
+
+TEST(signal_span, only_a_pause_hides_when_a_signal_was_sent) {
+    const time_point now = start + seconds{3};
+    const auto known = signal_span::around(now - seconds{1}, now, duration{0});
+    EXPECT_EQ(known.m_earliest, now - seconds{1});
+    EXPECT_EQ(known.m_latest, now - seconds{1});
+    const auto within = signal_span::around(now, now, seconds{2});
+    EXPECT_EQ(within.m_earliest, now - seconds{2});
+    EXPECT_EQ(within.m_latest, now);
+    const auto before = signal_span::around(start, now, seconds{2});
+    EXPECT_EQ(before.m_earliest, start);
+    EXPECT_EQ(before.m_latest, start);
+}
--- a/test/platform/draining.cpp
+++ b/test/platform/draining.cpp
@@ -1,4 +1,6 @@
 // What callers of an entry on the users' platform get while it shuts down.
+#include <thread>
+
 #include "test/io/raw_caller.hpp"
 #include "test/platform/node_fixture.hpp"
 
@@ -81,6 +83,7 @@
         what.m_path = "/b/x";
         what.m_host = "h.example";
         what.m_headers = {{"Request-Id", "r1"}, {"Deadline-Ms", deadline_ms}};
+        what.m_timeout = seconds{30};
         m_fetcher.run(what, [this](const io::fetch_result& is) { m_got = is; });
     }
 
@@ -180,6 +183,21 @@
     EXPECT_EQ(silent.error(), 0);
 }
 
+TEST_F(draining_node, a_stall_before_the_signal_cuts_no_request_in_progress) {
+    m_settings.m_drain_limit = milliseconds{1500};
+    start_with_holding_upstream();
+    send("30000");
+    turn_until([this] { return !m_upstream.m_held.empty(); });
+    m_loop.after(duration{0}, [this] {
+        std::this_thread::sleep_for(milliseconds{1300});
+        m_node->drain();
+        m_loop.after(milliseconds{700}, [this] { m_upstream.answer_all(); });
+    });
+    m_loop.run();
+    ASSERT_TRUE(m_got.has_value());
+    EXPECT_EQ(status(*m_got), 200);
+}
+
 TEST_F(draining_node, a_request_at_an_upstream_gets_its_answer) {
     start_with_holding_upstream();
     send("30000");
--- a/test/process/planned_stop.py
+++ b/test/process/planned_stop.py
@@ -72,6 +72,13 @@
     return findings, ends
 
 
+def stall(deployment, stalled_s):
+    """Keeps the entry from running for so long."""
+    deployment.signal("entry-1", signal.SIGSTOP)
+    time.sleep(stalled_s)
+    deployment.signal("entry-1", signal.SIGCONT)
+
+
 def stop(deployment, frozen_s):
     """Signals the entry; it is frozen then, for so long."""
     if frozen_s:
@@ -95,6 +102,8 @@
         for caller in callers:
             caller.start()
         time.sleep(1.0)
+        if args.stalled_s:
+            stall(deployment, args.stalled_s)
         stopped = time.monotonic()
         stop(deployment, args.frozen_s)
         process = deployment.processes.pop("entry-1")
@@ -134,6 +143,8 @@
     parser.add_argument("--service-us", type=int, default=200_000)
     parser.add_argument("--deadline-ms", type=int, default=8000)
     parser.add_argument("--frozen-s", type=float, default=0.0)
+    parser.add_argument("--stalled-s", type=float, default=0.0,
+                        help="the entry did not run just before the signal")
     parser.add_argument("--long-work", action="store_true",
                         help="work may last into the end of the grace")
     parser.add_argument("--pipelined", action="store_true",
