--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -5,7 +5,6 @@
 #include "core/overloaded.hpp"
 #include "entry/forwarder.hpp"
 #include "entry/request_head.hpp"
-#include "io/http_status.hpp"
 
 namespace skylark::entry {
 
