--- a/scripts/soaklib/evidence.py
+++ b/scripts/soaklib/evidence.py
@@ -76,9 +76,10 @@
         return first
 
     def grace_kill(self, kill):
-        """Whether a SIGKILL ended a planned stop."""
-        return bool(self.between(kill.subject, {"SIGTERM"},
-                                 kill.at - self.bounds.grace - 1.0, kill.at))
+        """Whether a SIGKILL ended the process that a planned stop was for."""
+        found = self.between(kill.subject, {"SIGTERM", "start", "exit"},
+                             kill.at - self.bounds.grace - 1.0, kill.at)
+        return bool(found) and found[-1].word == "SIGTERM"
 
     def unplanned(self, entry, begin, end):
         """Unplanned disturbance of an entry in a span of time."""
--- a/test/soak/test_stops.py
+++ b/test/soak/test_stops.py
@@ -101,6 +101,27 @@
         self.assertEqual(in_stop([late], PASSED_ON,
                                  [event(102.0, "SIGKILL")]), ["LOST"])
 
+    def test_a_kill_of_a_later_process_is_unplanned(self):
+        # Seed 44004: signalled twice, ended, started anew, killed.
+        later = cut(begin=101.0, sent=101.0, end=102.0)
+        ended = [event(96.5, "SIGTERM"), event(97.0, "exit", code=0)]
+        new = [event(97.5, "start"), event(101.95, "SIGKILL")]
+        self.assertEqual(in_stop([later], PASSED_ON, ended + new), [])
+        self.assertEqual(in_stop([later], PASSED_ON, new), [])
+        self.assertEqual(in_stop([later], PASSED_ON, ended + new[:1]),
+                         ["LOST"])
+
+    def test_the_kill_after_a_second_signal_is_planned(self):
+        late = cut(begin=101.0, sent=101.0, end=102.0)
+        self.assertEqual(in_stop([late], PASSED_ON, [
+            event(99.0, "SIGTERM"), event(102.0, "SIGKILL")]), ["LOST"])
+
+    def test_the_kill_in_the_stop_of_a_later_process_is_planned(self):
+        late = cut(begin=101.0, sent=101.0, end=102.0)
+        self.assertEqual(in_stop([late], PASSED_ON, [
+            event(97.0, "exit", code=0), event(97.5, "start"),
+            event(97.9, "SIGTERM"), event(102.0, "SIGKILL")]), ["LOST"])
+
     def test_a_kill_without_a_plan(self):
         found = judge.lost_in_stops(evidence(
             [cut()], PASSED_ON, [event(100.1, "SIGKILL")]))
