Pipelined requests are judged from their own last byte

The soak did not see that a draining entry drops a request that is pipelined behind another one (24 and 25 lost in the planned stop test): it counted from the end of the answer before, and a request behind an answer that closes was not judged at all.

Now each counts from its own last byte, also behind an answer that closes, with the delay of the caller as before; one that crosses the close (0.2 s) stays allowed. Where a request before it ended the connection without a whole answer for a reason that excuses it and leaves no way to answer those behind it (its server broke off, or its limit came, once its answer had begun; long work at the end of the grace), that excuses them too: they were not judged before. Pipelining callers also send unsafe requests, slower ones, and the second and third up to 0.3 s behind the one before.

--- a/scripts/soaklib/callers.py
+++ b/scripts/soaklib/callers.py
@@ -22,8 +22,14 @@
 BULK = Form("bulk", "GET", "/bulk/", False, size=200_000, chunked=True)
 BOOK = Form("book", "POST", "/book/", True, upload=200)
 HEAVY = Form("heavy", "POST", "/heavy/", True, upload=100, chunked=True)
-QUICK = Form("pipelined", "GET", "/quick/", False, deadline=4.0)
 UPLOAD = Form("upload", "POST", "/put/", True, upload=30_000)
+# A slow one first lets those behind it wait.
+PIPELINED = [
+    Form("pipelined", "GET", "/quick/", False, deadline=4.0),
+    Form("pipelined", "GET", "/read/", False, deadline=4.0),
+    Form("pipelined", "POST", "/put/", True, upload=100, deadline=4.0),
+    Form("pipelined", "POST", "/book/", True, upload=200, deadline=4.0)]
+BEHIND = 0.3  # longest time from one pipelined request to the next, seconds
 ADDED = Form("added", "GET", "/new/", False, size=100, deadline=2.0)
 FOLLOW = [dataclasses.replace(READ, kind="follow-read"),
           dataclasses.replace(BOOK, kind="follow-book")]
@@ -85,7 +91,15 @@
             return dataclasses.replace(
                 self.random.choice([READ, BOOK]), kind="idle")
         return {"read": READ, "bulk": BULK, "book": BOOK,
-                "heavy": HEAVY, "pipelined": QUICK}[kind]
+                "heavy": HEAVY}[kind]
+
+    def pipelined(self):
+        """Three requests: pauses, and what is written at once after them."""
+        forms = self.random.choices(PIPELINED, k=3)
+        if self.random.random() < 0.3:
+            return [(0.0, forms)]
+        return [(self.random.uniform(0.0, BEHIND) if index else 0.0, [form])
+                for index, form in enumerate(forms)]
 
     def pause(self):
         if self.spec["kind"] == "idle":
@@ -105,7 +119,7 @@
     async def step(self):
         entry = self.spec["entry"]
         if self.spec["kind"] == "pipelined":
-            await self.exchange.pipeline(entry, self.form(), 3)
+            await self.exchange.pipeline(entry, self.pipelined())
         else:
             await self.exchange.perform(entry, self.form())
 
--- a/scripts/soaklib/evidence.py
+++ b/scripts/soaklib/evidence.py
@@ -29,6 +29,15 @@
         for event in self.events:
             self.events_of[event.subject].append(event)
 
+        self.on_connection = collections.defaultdict(list)
+        for call in self.calls:
+            self.on_connection[connection_of(call)].append(call)
+
+    def before(self, call):
+        """Requests before one on its connection."""
+        return [one for one in self.on_connection[connection_of(call)]
+                if one.position < call.position]
+
     def misdirected(self, arrival):
         return any(line.word == "misdirected" and
                    line.instance == arrival.instance
@@ -155,6 +164,12 @@
             f"{e.at - finding.at:+.2f} s" for e in close[:most])
 
 
+def connection_of(call):
+    """Worker processes number their connections apart, so the caller, which
+    its requests' ids begin with, belongs to the name."""
+    return call.id.rpartition("-")[0], call.connection
+
+
 def config_windows(evidence):
     """Spans of time, apart from each other, in which new configurations are
     planned work."""
--- a/scripts/soaklib/exchange.py
+++ b/scripts/soaklib/exchange.py
@@ -53,35 +53,57 @@
             left = limit - time.monotonic()
             await asyncio.sleep(max(0.0, min(retry_after, left / 3)))
 
-    async def pipeline(self, entry, form, count):
-        """Several safe requests in one write."""
+    async def pipeline(self, entry, writes):
+        """Requests one behind the other, none of them repeated.
+
+        writes: pairs of a pause and the forms that are written at once."""
         await self.open(entry)
         connection = self.connection
-        calls = [new_call(form, self.next_id(), connection, form.deadline)
-                 for _ in range(count)]
-        try:
-            connection.write(b"".join(head_of(form, c) for c in calls))
-            sent = time.monotonic()
-            for call in calls:
-                call.sent = sent
-        except wire.Ended:
-            self.drop()
-            return
+        sent = asyncio.Queue()
+        sending = asyncio.create_task(
+            self.send_behind(connection, writes, sent))
         before = None
-        for call in calls:
-            if before:
-                call.turn = before.end
-            if before and (before.closing or before.how == "behind_close"):
-                note_end(call, "behind_close", 0.0)
-            elif before and before.how == "gave_up":
-                note_end(call, "gave_up", 0.0)
-            else:
-                await self.receive(form, call, call.begin)
+        while item := await sent.get():
+            form, call = item
+            await self.receive_behind(form, call, before)
+            if call.how != "whole" or call.closing:
+                sending.cancel()
             before = call
             self.worker.record(call)
-        if before.how != "whole" or before.closing:
+        if not before or before.how != "whole" or before.closing:
             self.drop()
 
+    async def send_behind(self, connection, writes, sent):
+        """Writes requests until the connection ends, and tells of each one;
+        None is the last."""
+        try:
+            for pause, forms in writes:
+                await asyncio.sleep(pause)
+                calls = [new_call(form, self.next_id(), connection,
+                                  form.deadline) for form in forms]
+                connection.write(b"".join(
+                    head_of(form, call) + upload_body(call.id, form)
+                    for form, call in zip(forms, calls)))
+                for form, call in zip(forms, calls):
+                    call.sent = time.monotonic()
+                    sent.put_nowait((form, call))
+        except wire.Ended:
+            pass
+        finally:
+            sent.put_nowait(None)
+
+    async def receive_behind(self, form, call, before):
+        """Waits for the answer to a pipelined request, if one can come."""
+        if before:
+            call.turn = before.end
+        if before and (before.closing or before.how == "behind_close"):
+            # That answer has ended the connection for all behind it.
+            note_end(call, "behind_close", max(before.end, call.sent))
+        elif before and before.how == "gave_up":
+            note_end(call, "gave_up", 0.0)
+        else:
+            await self.receive(form, call, call.begin)
+
     async def fetch(self, address, path):
         """A GET on a connection of its own; None without a whole answer."""
         try:
--- a/scripts/soaklib/judge_stops.py
+++ b/scripts/soaklib/judge_stops.py
@@ -7,7 +7,7 @@
 from .evidence import config_windows
 from .records import Finding
 
-CUT = {"closed", "reset", "cut"}
+CUT = {"closed", "reset", "cut", "behind_close"}
 OF_TIMING = 0.05  # seconds that clocks of caller and entry may begin apart
 
 
@@ -26,7 +26,13 @@
 
 def long_work(evidence, call, term):
     """Whether a server was still at work in the last sixth of the grace on
-    a request that was sent soon enough."""
+    a request that was sent soon enough, or on one before it."""
+    return any(worked_long(evidence, one, term)
+               for one in [call, *broken_before(evidence, call,
+                                                {"closed", "reset", "cut"})])
+
+
+def worked_long(evidence, call, term):
     bounds = evidence.bounds
     if call.sent is None or call.sent > term.at + bounds.excused_sent:
         return False
@@ -37,6 +43,12 @@
     return False
 
 
+def broken_before(evidence, call, hows):
+    """Pipelined requests before one that ended their connection without a
+    whole answer: nothing behind them can be answered."""
+    return [one for one in evidence.before(call) if one.how in hows]
+
+
 def lost_whole(evidence, call):
     """Whether a request that was sent whole ended without an answer in a way
     that no crossing of the close explains."""
@@ -44,7 +56,7 @@
         return False
     if evidence.arrivals(call.id):
         return True
-    waited = call.end - max(call.sent, call.turn) - call.lag
+    waited = call.end - call.sent - call.lag
     return waited > evidence.bounds.loss_slack
 
 
@@ -62,7 +74,9 @@
 
 def excused(evidence, call):
     since = call.begin - evidence.bounds.stable_window
-    return at_limit(evidence, call) or server_fault(evidence, call) or \
+    # Before an answer has begun, the entry can give one of its own and go on.
+    return any(at_limit(evidence, one) or server_fault(evidence, one)
+               for one in [call, *broken_before(evidence, call, {"cut"})]) or \
         bool(evidence.unplanned(call.entry, since, call.end))
 
 
--- a/test/soak/test_stops.py
+++ b/test/soak/test_stops.py
@@ -31,9 +31,15 @@
     def test_crossed_the_close(self):
         self.assertEqual(in_stop([cut(end=100.19)]), [])
 
-    def test_the_turn_of_a_pipelined_request_counts(self):
-        self.assertEqual(in_stop([cut(end=101.1, turn=101.0)]), [])
-        self.assertEqual(in_stop([cut(end=101.3, turn=101.0)]), ["LOST"])
+    def test_a_pipelined_request_counts_from_its_last_byte(self):
+        self.assertEqual(in_stop([cut(end=100.19, turn=100.1)]), [])
+        self.assertEqual(in_stop([cut(end=101.1, turn=101.0)]), ["LOST"])
+
+    def test_behind_an_answer_that_closes(self):
+        behind = {"how": "behind_close", "position": 2}
+        self.assertEqual(in_stop([cut(end=100.21, **behind)]), ["LOST"])
+        self.assertEqual(in_stop([cut(end=100.19, **behind)]), [])
+        self.assertEqual(in_stop([cut(end=100.3, lag=0.15, **behind)]), [])
 
     def test_a_late_caller_does_not_count(self):
         self.assertEqual(in_stop([cut(end=100.3, lag=0.15)]), [])
@@ -132,6 +138,55 @@
         self.assertEqual(in_stop([cut()], PASSED_ON, [fault]), ["LOST"])
 
 
+class BehindOthers(unittest.TestCase):
+    """Requests behind one whose answer had to be broken off."""
+
+    behind = cut("c1-2", position=2, end=101.5)
+
+    def found(self, lines, **changes):
+        first = cut("c1-1", **{"how": "cut", "end": 101.5, **changes})
+        return in_stop([first, self.behind], lines)
+
+    def passed_on(self, *more):
+        return [line(100.05, "arrived", "c1-1"),
+                line(100.05, "run", "c1-1"), *more]
+
+    def test_a_sound_server(self):
+        lines = self.passed_on(line(100.1, "answered", "c1-1", status="200"))
+        self.assertEqual(self.found(lines), ["LOST", "LOST"])
+
+    def test_a_server_that_broke_off(self):
+        lines = self.passed_on(line(101.4, "broke", "c1-1"))
+        self.assertEqual(self.found(lines), [])
+
+    def test_a_limit(self):
+        self.assertEqual(self.found(self.passed_on(), deadline=1.5), [])
+
+    def test_before_an_answer_began(self):
+        lines = self.passed_on(line(101.4, "broke", "c1-1"))
+        self.assertEqual(self.found(lines, how="closed"), ["LOST"])
+        self.assertEqual(
+            self.found(self.passed_on(), how="closed", deadline=1.5),
+            ["LOST"])
+
+    def test_long_work(self):
+        early = {"begin": 98.9, "sent": 98.9}
+        self.assertEqual(self.found(self.passed_on(), **early), [])
+
+    def test_on_another_connection(self):
+        lines = self.passed_on(line(101.4, "broke", "c1-1"))
+        self.assertEqual(self.found(lines, connection=2), ["LOST"])
+        first = cut("c2-1", how="cut", end=101.5)
+        self.assertEqual(in_stop([first, self.behind], [
+            line(100.05, "arrived", "c2-1"),
+            line(101.4, "broke", "c2-1")]), ["LOST"])
+
+    def test_after_a_whole_answer(self):
+        self.assertEqual(in_stop(
+            [call("c1-1", end=101.5), self.behind],
+            self.passed_on(line(101.4, "broke", "c1-1"))), ["LOST"])
+
+
 class Instead(unittest.TestCase):
     def test_an_own_answer_while_the_server_works(self):
         self.assertEqual(in_stop([refusal(status=502)], PASSED_ON), ["LOST"])
