--- a/scripts/soaklib/evidence.py
+++ b/scripts/soaklib/evidence.py
@@ -58,6 +58,15 @@
                 return line
         return None
 
+    def work_over(self, run):
+        """Time at which it was, at the latest by the end of the server."""
+        line = self.work_end(run)
+        if line:
+            return line.at
+        ended = self.between(run.instance, {"server-end"}, run.at,
+                             float("inf"))
+        return ended[0].at if ended else float("inf")
+
     def between(self, subject, words, begin, end):
         """Events of a subject in a span of time, oldest first."""
         known = self.events_of[subject]
@@ -127,10 +136,10 @@
                   ("store-fault", "store-good") and e.at <= end]
         return not faults or faults[-1].word == "store-good"
 
-    def server_broke(self, instance, begin, end):
-        """Whether a server ended or was stopped in a span of time."""
-        return self.between(instance, {"server-end"} | FREEZES, begin, end) \
-            or self.frozen(instance, begin)
+    def disturbed(self, instance, begin, end):
+        """Whether a server was stopped in a span of time."""
+        return self.between(instance, FREEZES, begin, end) or \
+            self.frozen(instance, begin)
 
     def timeout(self, call):
         """Least time limit of the call's route that may have been in
--- a/scripts/soaklib/judge_stops.py
+++ b/scripts/soaklib/judge_stops.py
@@ -8,20 +8,40 @@
 from .records import Finding
 
 CUT = {"closed", "reset", "cut", "behind_close"}
-OF_TIMING = 0.05  # seconds that clocks of caller and entry may begin apart
+ROUNDED = 0.001  # seconds; Deadline-Ms counts whole milliseconds
 
 
 def at_limit(evidence, call):
     """Whether the deadline or the route's timeout was reached."""
-    return call.end - call.begin >= evidence.timeout(call) - OF_TIMING
+    return call.end - call.begin >= evidence.timeout(call) - ROUNDED
 
 
 def server_fault(evidence, call):
-    """Whether a server that had the request broke off."""
-    if any(line.word == "broke" for line in evidence.lines_of[call.id]):
-        return True
-    return any(evidence.server_broke(line.instance, line.at, call.end)
-               for line in evidence.arrivals(call.id))
+    """Whether the server that had the request last broke off and no other was
+    at work on it."""
+    arrivals = evidence.arrivals(call.id)
+    if not arrivals:
+        return False
+    last = arrivals[-1]
+    return server_broke(evidence, last, call.end) and not any(
+        run.instance != last.instance and
+        evidence.work_over(run) > call.end
+        for run in evidence.runs(call.id))
+
+
+def server_broke(evidence, arrival, end):
+    broke = any(line.word == "broke" and line.instance == arrival.instance and
+                arrival.at <= line.at <= end
+                for line in evidence.lines_of[arrival.id])
+    return broke or bool(evidence.between(arrival.instance, {"server-end"},
+                                          arrival.at, end))
+
+
+def silent_server(evidence, call):
+    """Whether the server that had the request last was stopped meanwhile."""
+    arrivals = evidence.arrivals(call.id)
+    return bool(arrivals) and bool(evidence.disturbed(
+        arrivals[-1].instance, arrivals[-1].at, call.end))
 
 
 def long_work(evidence, call, term):
@@ -37,8 +57,7 @@
     if call.sent is None or call.sent > term.at + bounds.excused_sent:
         return False
     for run in evidence.runs(call.id):
-        over = evidence.work_end(run)
-        if over is None or over.at >= term.at + bounds.last_sixth:
+        if evidence.work_over(run) >= term.at + bounds.last_sixth:
             return True
     return False
 
@@ -65,9 +84,9 @@
     if call.how != "whole" or call.stamp or 200 <= call.status < 300:
         return False
     for run in evidence.runs(call.id):
-        over = evidence.work_end(run)
-        if run.at < call.end and (over is None or over.word == "dropped"
-                                  or over.at > call.end):
+        end = evidence.work_end(run)
+        if run.at < call.end and (evidence.work_over(run) > call.end or
+                                  (end and end.word == "dropped")):
             return True
     return False
 
@@ -151,6 +170,7 @@
         if call.position > 0 and lost_whole(evidence, call) and \
                 evidence.arrivals(call.id) and \
                 not excused(evidence, call) and \
+                not silent_server(evidence, call) and \
                 not evidence.stop_before(call.entry, call.end) and \
                 evidence.in_touch(call.entry, call.begin, call.end):
             found[call.entry].append(call)
--- a/test/soak/test_stops.py
+++ b/test/soak/test_stops.py
@@ -82,6 +82,45 @@
         before = event(99.0, "server-end", "i-2")
         self.assertEqual(in_stop([cut()], PASSED_ON, [before]), ["LOST"])
 
+    def test_just_before_the_deadline(self):
+        self.assertEqual(in_stop([cut(deadline=0.21)], PASSED_ON), ["LOST"])
+
+    def test_a_server_that_broke_off_before_another_had_it(self):
+        other = [line(100.15, "arrived", instance="i-2"),
+                 line(100.15, "run", instance="i-2")]
+        first = [*PASSED_ON, line(100.1, "broke"), *other]
+        self.assertEqual(in_stop([cut()], first), ["LOST"])
+        ended = event(100.12, "server-end", SERVER)
+        self.assertEqual(in_stop([cut()], [*PASSED_ON, *other], [ended]),
+                         ["LOST"])
+        last = [*PASSED_ON, line(100.1, "dropped"), *other,
+                line(100.18, "broke", instance="i-2")]
+        self.assertEqual(in_stop([cut()], last), [])
+
+    def test_a_server_that_broke_off_while_another_worked(self):
+        other = [line(100.1, "arrived", instance="i-2"),
+                 line(100.1, "run", instance="i-2")]
+        ended = event(100.15, "server-end", "i-2")
+        self.assertEqual(in_stop([cut()], [*PASSED_ON, *other], [ended]),
+                         ["LOST"])
+        over = [*PASSED_ON, line(100.08, "dropped"), *other]
+        self.assertEqual(in_stop([cut()], over, [ended]), [])
+
+    def test_a_server_that_is_silent(self):
+        for word in ("SIGSTOP", "SIGCONT"):
+            silent = event(100.1, word, SERVER)
+            self.assertEqual(in_stop([cut()], PASSED_ON, [silent]), ["LOST"])
+
+    def test_long_work_of_a_server_that_ended(self):
+        early = cut(begin=98.9, sent=98.9, end=101.5)
+        elsewhere = [line(98.9, "arrived", instance="i-2"),
+                     line(98.9, "run", instance="i-2")]
+        ended = event(99.5, "server-end", "i-2")
+        again = [line(99.6, "arrived"), line(99.6, "run"),
+                 line(100.0, "answered", status="200")]
+        self.assertEqual(in_stop([early], elsewhere + again, [ended]),
+                         ["LOST"])
+
     def test_long_work_on_what_was_sent_early(self):
         early = {"begin": 98.9, "sent": 98.9, "end": 101.5}
         self.assertEqual(in_stop([cut(**early)], PASSED_ON), [])
@@ -201,6 +240,15 @@
         early = refusal(status=502, sent=None)
         self.assertEqual(in_stop([early], PASSED_ON), ["LOST"])
 
+    def test_after_the_server_has_ended(self):
+        ended = event(100.08, "server-end", SERVER)
+        refused = [line(100.1, "arrived", instance="i-2"),
+                   line(100.1, "refused", instance="i-2")]
+        self.assertEqual(in_stop([refusal(unsafe=False)],
+                                 PASSED_ON + refused, [ended]), [])
+        self.assertEqual(in_stop([refusal(unsafe=False)],
+                                 PASSED_ON + refused), ["LOST"])
+
     def test_a_true_refusal(self):
         self.assertEqual(in_stop([refusal()]), [])
 
@@ -281,6 +329,10 @@
         ended = event(100.15, "server-end", SERVER)
         self.assertEqual(self.found(4, [ended]), [])
 
+    def test_a_server_that_is_not_sound(self):
+        silent = event(100.15, "SIGSTOP", SERVER)
+        self.assertEqual(self.found(4, [silent]), [])
+
 
 class Exit(unittest.TestCase):
     def found(self, code, *words, calls=()):
