The soak meets lowered limits, load, slow readers and stops beside changes

New scenes limits, busy and stop_beside_changes are drawn from a generator of their own, so the other scenes of a seed stay as they are; beside restores the place of a drain may change.

413 is no denial for a body above a limit that may be in force; an entry out of touch may go by any of the run. All other 3xx and 4xx count as before.

Made-up records for the limits, tests that scenes keep their entries and servers apart, and tests of the callers against a small entry.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -23,7 +23,8 @@
 from soaklib.schedule import Schedule
 
 KINDS = ["book", "read", "pipelined", "upload", "book", "idle", "heavy",
-         "upload_chunked", "read", "bulk", "follow", "follow"]
+         "upload_chunked", "read", "bulk", "follow", "follow", "half_closed",
+         "slow"]
 # Mean pause of callers on added routes, in seconds.
 ADDED_THINK = 0.1
 # Callers of one worker process.
@@ -42,6 +43,12 @@
                 "zone": ZONES[index % len(ZONES)],
                 "seed": args.seed * 100_000 + index, "think": args.think,
                 "keep": 3 if index % 5 == 0 else 1})
+    for entry in fleet.entries * args.half_closed:
+        specs.append({"name": f"s{args.seed}-h{len(specs)}",
+                      "kind": "half_closed_read", "entry": entry,
+                      "zone": ZONES[0],
+                      "seed": args.seed * 100_000 + len(specs),
+                      "think": args.think, "keep": 1})
     # Requests on added routes tell whether a configuration is in force.
     for entry in fleet.entries if args.restores else ():
         specs.append({"name": f"s{args.seed}-a{len(specs)}", "kind": "added",
@@ -137,13 +144,16 @@
     parser.add_argument("--servers", type=int, default=12)
     parser.add_argument("--slots", type=int, default=16)
     parser.add_argument("--callers", type=int, default=48,
-                        help="of each entry; a sixth follows the directory")
+                        help="of each entry; a seventh follows the directory")
     parser.add_argument("--think", type=float, default=0.5,
                         help="mean pause between two requests, in seconds")
     parser.add_argument("--pace", type=float, default=0.6,
                         help="scenes a second")
     parser.add_argument("--restores", type=int, default=0,
                         help="returns of the store from a copy")
+    parser.add_argument("--half-closed", type=int, default=0,
+                        help="callers of each entry that shut their sending "
+                        "side behind a GET")
     parser.add_argument("--calm", type=float, default=3.0)
     parser.add_argument("--net", type=int, default=150)
     parser.add_argument("--build", default=None)
--- a/scripts/soaklib/callers.py
+++ b/scripts/soaklib/callers.py
@@ -31,6 +31,11 @@
     Form("pipelined", "POST", "/book/", True, upload=200, deadline=4.0)]
 BEHIND = 0.3  # longest time from one pipelined request to the next, seconds
 ADDED = Form("added", "GET", "/new/", False, size=100, deadline=2.0)
+HALF_CLOSED = {
+    "half_closed": dataclasses.replace(BOOK, kind="half_closed",
+                                       half_closed=True),
+    "half_closed_read": dataclasses.replace(READ, kind="half_closed_read",
+                                            half_closed=True)}
 FOLLOW = [dataclasses.replace(READ, kind="follow-read"),
           dataclasses.replace(BOOK, kind="follow-book")]
 
@@ -80,6 +85,10 @@
                 UPLOAD, kind=kind, upload_chunked=kind == "upload_chunked",
                 upload=self.random.randrange(2_000, 60_000),
                 upload_time=self.random.uniform(0.2, 2.5))
+        if kind == "slow":
+            return dataclasses.replace(
+                READ, kind=kind, size=self.random.randrange(200_000, 2_000_000),
+                read_time=self.random.uniform(0.3, 2.5))
         if kind == "added":
             known = json.loads(pathlib.Path(
                 self.worker.plan["added"]).read_text("utf-8"))
@@ -91,7 +100,7 @@
             return dataclasses.replace(
                 self.random.choice([READ, BOOK]), kind="idle")
         return {"read": READ, "bulk": BULK, "book": BOOK,
-                "heavy": HEAVY}[kind]
+                "heavy": HEAVY, **HALF_CLOSED}[kind]
 
     def pipelined(self):
         """Three requests: pauses, and what is written at once after them."""
--- a/scripts/soaklib/configuration.py
+++ b/scripts/soaklib/configuration.py
@@ -3,6 +3,11 @@
 import json
 
 SERVICES = ["quick", "steady", "heavy"]
+UNMOVED = "heavy"  # no change of a route concerns it
+# Limits of request bodies in bytes; the lower one is in the midst of what
+# callers upload.
+LARGEST_BODY = 1_048_576
+LOWERED_BODY = 20_000
 
 
 def base_routes():
@@ -29,6 +34,7 @@
         self.host = host
         self.version = 7
         self.routes = base_routes()
+        self.body_limit = LARGEST_BODY
 
     def change(self, what):
         """Applies a named change; its number decides the direction."""
@@ -44,6 +50,10 @@
                                else "steady")
         elif what == "timeout":
             read["timeout_ms"] = 12000 - read["timeout_ms"]
+        elif what == "lower":
+            self.body_limit = LOWERED_BODY
+        elif what == "raise":
+            self.body_limit = LARGEST_BODY
 
     def added(self):
         """Prefixes of the routes that were added."""
@@ -56,6 +66,7 @@
     def fields(self):
         """What the judge needs to know of this version."""
         return {"version": self.version, "timeouts": self.timeouts(),
+                "body_limit": self.body_limit,
                 "services": {r["prefix"]: r["service"] for r in self.routes}}
 
     def text(self):
@@ -69,5 +80,6 @@
             "routes": {"columns": columns, "rows": rows},
             "services": {"columns": ["name", "health_path", "max_conns"],
                          "rows": [[s, "/health", 1000] for s in SERVICES]},
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576,
+            "limits": {"max_header_bytes": 16384, 
+                       "max_body_bytes": self.body_limit,
                        "header_timeout_ms": 5000, "idle_timeout_ms": 15000}})
--- a/scripts/soaklib/evidence.py
+++ b/scripts/soaklib/evidence.py
@@ -144,21 +144,32 @@
     def timeout(self, call):
         """Least time limit of the call's route that may have been in
         force."""
+        return min([call.deadline,
+                    *(fields["timeouts"].get(call.prefix, call.deadline)
+                      for fields in self.in_force(call))])
+
+    def largest_body(self, call):
+        """Least limit of request bodies that may have been in force; an entry
+        out of touch may go by any older one."""
+        known = self.in_force(call) if self.in_touch(
+            call.entry, call.begin, call.end) else [
+                event.fields for event in self.events_of[""]
+                if event.word == "config" and event.at <= call.end]
+        return min((fields["body_limit"] for fields in known
+                    if "body_limit" in fields), default=float("inf"))
+
+    def in_force(self, call):
+        """Configurations that may have been in force during a call."""
         since = call.begin - self.bounds.config_apply - 1.0
-        limit = call.deadline
-        before = None
+        before, out = [], []
         for event in self.events_of[""]:
             if event.word != "config" or event.at > call.end:
                 continue
             if event.at < since:
-                before = event
-                continue
-            limit = min(limit, event.fields["timeouts"].get(call.prefix,
-                                                            limit))
-        if before:
-            limit = min(limit, before.fields["timeouts"].get(call.prefix,
-                                                             limit))
-        return limit
+                before = [event.fields]
+            else:
+                out.append(event.fields)
+        return before + out
 
     def near(self, finding, span=8.0, most=5):
         """Nearest events, as text with times relative to the finding."""
--- a/scripts/soaklib/exchange.py
+++ b/scripts/soaklib/exchange.py
@@ -155,6 +155,7 @@
     async def attempt(self, form, deadline):
         connection = self.connection
         call = new_call(form, self.next_id(), connection, deadline)
+        connection.read_over(form.size, form.read_time)
         answering = asyncio.create_task(self.receive(form, call, call.begin))
         try:
             await self.send(form, call, answering)
@@ -162,7 +163,8 @@
             pass
         retry_after = await answering
         self.worker.record(call)
-        if call.how != "whole" or call.closing or call.sent is None:
+        if call.how != "whole" or call.closing or call.sent is None or \
+                form.half_closed:
             self.drop()
         return call, retry_after
 
@@ -187,11 +189,14 @@
         if connection.transport.get_write_buffer_size():
             await connection.flush()
         call.sent = time.monotonic()
+        if form.half_closed:
+            connection.transport.write_eof()
 
     async def receive(self, form, call, begin):
         """Waits for the answer; returns its Retry-After in seconds."""
         connection = self.connection
-        limit = begin + form.upload_time + call.deadline + PATIENCE
+        limit = begin + form.upload_time + form.read_time + call.deadline + \
+            PATIENCE
         try:
             answer = await connection.answer(limit)
         except wire.Ended as ended:
--- a/scripts/soaklib/judge_operator.py
+++ b/scripts/soaklib/judge_operator.py
@@ -2,6 +2,7 @@
 
 from .records import PROMISES, Finding
 
+TOO_LARGE = 413
 DENIED_LEAST = 5
 DENIED_SHARE = 1 / 500
 
@@ -73,10 +74,13 @@
 
 
 def denied(evidence):
-    """Proper requests that an entry itself ends with 3xx or 4xx."""
+    """Proper requests that an entry itself ends with 3xx or 4xx. A body above
+    a limit that may be in force may be refused for it."""
     found = [call for call in evidence.calls
              if 300 <= call.status < 500 and not call.stamp and
-             call.status not in PROMISES]
+             call.status not in PROMISES and not
+             (call.status == TOO_LARGE and
+              call.body > evidence.largest_body(call))]
     if len(found) > DENIED_LEAST + DENIED_SHARE * len(evidence.calls):
         first = found[0]
         yield Finding("DENIED", first.end, f"{len(found)} of "
--- a/scripts/soaklib/player.py
+++ b/scripts/soaklib/player.py
@@ -5,6 +5,8 @@
 import time
 
 from .fleet import ZONES, call, wait_for
+from .player_beside import BesideScenes
+from .player_servers import ServerScenes
 from .requests import HOST
 
 STORE_FAULTS = {"store_refuses": "refusing", "store_slow": "delay_ms=700",
@@ -14,7 +16,7 @@
            "change_timeout": "timeout"}
 
 
-class Player:
+class Player(ServerScenes, BesideScenes):
     """Each scene runs on a thread of its own."""
 
     def __init__(self, fleet, bounds):
@@ -198,76 +200,6 @@
         self.fleet.note("taking-back", zone)
         self.fleet.erase(f"op/evacuate/{zone}")
 
-    # Servers.
-
-    def retire(self, place, amount):
-        """Ends a server that has left and starts its successor."""
-        time.sleep(self.bounds.drain + 1.5 + 2 * amount)
-        self.fleet.admin(place, "withdraw")
-        self.fleet.end_server(place)
-        self.fleet.start_server(place)
-
-    def leave(self, scene):
-        place = scene.places[0]
-        self.fleet.note("server-leaves", self.fleet.instances[place])
-        self.fleet.admin(place, "leave")
-        self.fleet.admin(place, "drain")
-        self.retire(place, scene.amount)
-
-    def leave_silently(self, scene):
-        """The store hears nothing of it; only answers say it."""
-        place = scene.places[0]
-        self.fleet.note("server-leaves", self.fleet.instances[place])
-        self.fleet.admin(place, "leave")
-        self.retire(place, scene.amount)
-
-    def drain(self, scene):
-        place = scene.places[0]
-        self.fleet.note("server-drains", self.fleet.instances[place])
-        self.fleet.admin(place, "drain")
-        self.retire(place, scene.amount)
-
-    def withdraw(self, scene):
-        place = scene.places[0]
-        self.fleet.note("server-withdrawn", self.fleet.instances[place])
-        self.fleet.admin(place, "withdraw")
-        self.retire(place, scene.amount)
-
-    def server_kill(self, scene):
-        place = scene.places[0]
-        instance = self.fleet.instances[place]
-        self.fleet.end_server(place)
-        time.sleep(3.0)
-        self.fleet.erase(f"servers/{instance}")
-        self.fleet.start_server(place)
-
-    def replace(self, scene):
-        """Another instance under the same address at once."""
-        place = scene.places[0]
-        instance = self.fleet.instances[place]
-        self.fleet.end_server(place)
-        self.fleet.start_server(place)
-        time.sleep(1.0 + 2 * scene.amount)
-        self.fleet.erase(f"servers/{instance}")
-
-    def rest(self, scene):
-        place = scene.places[0]
-        ms = int(2000 + 4000 * scene.amount)
-        self.fleet.note("server-rests", self.fleet.instances[place], ms=ms)
-        self.fleet.admin(place, f"rest?ms={ms}")
-        time.sleep(ms / 1000)
-
-    def break_answers(self, scene):
-        place = scene.places[0]
-        self.fleet.note("server-breaks", self.fleet.instances[place])
-        self.fleet.admin(place, f"break?count={1 + int(20 * scene.amount)}")
-
-    def server_freeze(self, scene):
-        instance = self.fleet.instances[scene.places[0]]
-        self.fleet.signal(instance, signal.SIGSTOP)
-        time.sleep(0.5 + 2 * scene.amount)
-        self.fleet.signal(instance, signal.SIGCONT)
-
     # The end of a run.
 
     def calm(self):
--- a/scripts/soaklib/records.py
+++ b/scripts/soaklib/records.py
@@ -30,6 +30,7 @@
     closing: bool = False      # the answer says Connection: close
     wrong: str = ""            # what is wrong with the answer
     lag: float = 0.0           # longest delay of the caller's own loop
+    body: int = 0              # bytes of the request's body
 
     @property
     def served(self):
--- a/scripts/soaklib/requests.py
+++ b/scripts/soaklib/requests.py
@@ -22,6 +22,8 @@
     upload: int = 0     # bytes of the request's body
     upload_chunked: bool = False
     upload_time: float = 0.0
+    read_time: float = 0.0      # takes the answer in over this time
+    half_closed: bool = False   # shuts its sending side behind the request
     deadline: float = 8.0
 
 
@@ -39,7 +41,7 @@
     connection.requests += 1
     return Call(name, form.kind, form.unsafe, connection.entry,
                 connection.number, position, form.prefix, deadline,
-                time.monotonic())
+                time.monotonic(), body=form.upload)
 
 
 def head_of(form, call):
--- a/scripts/soaklib/schedule.py
+++ b/scripts/soaklib/schedule.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from .configuration import SERVICES, UNMOVED
 from .fleet import ZONES
 
 # Scenes with their weights; each has a method in player.Player.
@@ -18,6 +19,14 @@
 OTHER_SCENES = {
     "store_refuses": 2, "store_slow": 2, "store_silent": 2, "add_route": 2,
     "move_route": 2, "change_timeout": 2, "evacuate": 2}
+# Drawn apart, so that they leave the other scenes of a seed as they are.
+BESIDE_SCENES = ["limits", "busy", "stop_beside_changes"]
+BESIDE_SPAN = 12.0   # seconds of the schedule that have one of each
+BESIDE_TRIES = 8     # draws of a time at which an entry and a server are free
+STOP_SPAN = 10.0     # of the last of them
+
+STOPS = [name for name in ENTRY_SCENES if name.startswith("stop")]
+TWICE = ("stop_again", "stop_in_start", "hup_in_start")
 
 # Until an entry can be used by another scene, in seconds.
 ENTRY_SPAN = 9.0
@@ -55,6 +64,7 @@
         self.restores = restores
         # Restores are drawn apart: the other scenes of a seed stay the same.
         self.apart = random.Random(f"restores of {seed}")
+        self.beside = random.Random(f"beside {seed}")
         self.busy = {}  # entry or place to the time until which it is busy
 
     def scenes(self):
@@ -69,7 +79,48 @@
                 [ENTRY_SCENES, SERVER_SCENES, OTHER_SCENES], [4, 3, 2])[0]
             out += self.draw_scene(at, group)
             at += self.random.expovariate(self.pace)
-        return self.add_restores(out)
+        return self.add_restores(out + self.scenes_beside(out))
+
+    def scenes_beside(self, scenes):
+        """Limits that are lowered and raised, busy processes beside a planned
+        stop, and a stop of an entry while a server leaves and a configuration
+        comes."""
+        out = []
+        stops = [scene.at for scene in scenes if scene.name in STOPS]
+        for begin in range(0, int(self.seconds), int(BESIDE_SPAN)):
+            span = min(BESIDE_SPAN, self.seconds - begin)
+            limits = begin + span * self.beside.random()
+            out.append(Scene(limits, "limits", [], [], self.beside.random()))
+            stop = self.beside.choice(stops)
+            busy = max(0.5, stop + self.beside.uniform(-1.0, 1.0))
+            out.append(Scene(busy, "busy", [], [], self.beside.random()))
+            out += self.stop_beside_changes(scenes + out, begin, span)
+        return out
+
+    def stop_beside_changes(self, scenes, begin, span):
+        for _ in range(BESIDE_TRIES):
+            at = begin + 1.0 + span * self.beside.random()
+            entries = [entry for entry in self.entries
+                       if self.unused(scenes, at, entry)]
+            # Servers of services whose route moves.
+            places = [place for place in range(self.servers)
+                      if SERVICES[place % len(SERVICES)] != UNMOVED and
+                      self.unused(scenes, at, place)]
+            if len(entries) > len(self.entries) // 3 and \
+                    len(places) > self.servers // 3:
+                return [Scene(at, "stop_beside_changes",
+                              [self.beside.choice(entries)],
+                              [self.beside.choice(places)],
+                              self.beside.random())]
+        return []
+
+    def unused(self, scenes, at, what):
+        """Whether no scene uses an entry or a place from a time on, for as
+        long as a stop beside changes takes."""
+        return all(at + STOP_SPAN <= scene.at or at >= scene.at + span_of(scene)
+                   for scene in scenes
+                   if what in scene.entries or
+                   what in scene.places and scene.name != "evacuate")
 
     def add_restores(self, scenes):
         """Adds restores, each beside changes before and after it. The store
@@ -93,8 +144,9 @@
 
     def place_for(self, scenes, at):
         """A place that no scene near a time uses."""
-        used = {place for scene in scenes if scene.name in SERVER_SCENES and
-                abs(scene.at - at) < SERVER_SPAN for place in scene.places}
+        used = {place for scene in scenes
+                if scene.name in (*SERVER_SCENES, "stop_beside_changes") and
+                abs(scene.at - at) < span_of(scene) for place in scene.places}
         open_to = [p for p in range(self.servers) if p not in used]
         return [self.apart.choice(open_to)] if open_to else []
 
@@ -142,6 +194,14 @@
             if not all(self.free(at, entry) for entry in among):
                 return []
             return self.pick(at, among, len(among), ENTRY_SPAN)
-        twice = name in ("stop_again", "stop_in_start", "hup_in_start")
         return self.pick(at, self.entries, 2 if name == "stop_two" else 1,
-                         TWO_STOPS_SPAN if twice else ENTRY_SPAN)
+                         TWO_STOPS_SPAN if name in TWICE else ENTRY_SPAN)
+
+
+def span_of(scene):
+    """Seconds for which a scene uses its entries or places."""
+    if scene.name in TWICE:
+        return TWO_STOPS_SPAN
+    if scene.name == "stop_beside_changes":
+        return STOP_SPAN
+    return ENTRY_SPAN if scene.entries else SERVER_SPAN
--- a/scripts/soaklib/wire.py
+++ b/scripts/soaklib/wire.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import dataclasses
+import socket
 import time
 
+SLOW_BUFFER = 32_768  # bytes that a slow reader's kernel holds
+
+
 
 class Garbage(Exception):
     """Bytes that are no answer."""
@@ -98,14 +102,30 @@
         self.ended = ""     # how, once it has
         self.ended_at = 0.0
         self.changed = asyncio.Event()
+        self.pace = 0.0     # bytes a second that it takes in; 0: all at once
 
     def connection_made(self, transport):
         self.transport = transport
         transport.set_write_buffer_limits(high=0)
 
+    def read_over(self, size, seconds):
+        """Takes the next answer of some size in over some time."""
+        self.pace = size / seconds if seconds else 0.0
+        if seconds and not self.ended:
+            self.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER)
+
     def data_received(self, data):
         self.buffer += data
         self.changed.set()
+        if self.pace:
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_later(len(data) / self.pace,
+                                                  self.read_on)
+
+    def read_on(self):
+        if not self.ended:
+            self.transport.resume_reading()
 
     def eof_received(self):
         self.finish("closed")
--- a/test/soak/made_up.py
+++ b/test/soak/made_up.py
@@ -51,9 +51,10 @@
     return Event(at, word, subject, fields)
 
 
-def configured(at, phase, version, service="steady", timeout=9.0):
+def configured(at, phase, version, service="steady", timeout=9.0,
+               **limits):
     return event(at, "config", "", phase=phase, version=version,
-                 timeouts={"/book/": timeout}, services={"/book/": service})
+                 timeouts={"/book/": timeout}, services={"/book/": service}, **limits)
 
 
 def evidence(calls=(), lines=(), events=()):
--- a/test/soak/test_operator.py
+++ b/test/soak/test_operator.py
@@ -71,6 +71,36 @@
         for status in (408, 421, 429, 502, 503):
             self.assertEqual(self.found(7, status=status), [])
 
+    def limited(self, *limits, more=(), **changes):
+        """Limits of bodies by the time of their confirmation."""
+        calls = [refusal(f"r{i}", **{"status": 413, "body": 500, **changes})
+                 for i in range(7)]
+        calls += [call(f"s{i}") for i in range(500)]
+        events = [configured(at, "done", 7 + i, body_limit=limit)
+                  for i, (at, limit) in enumerate(limits)]
+        return rules(judge_operator.denied(
+            evidence(calls, (), [*events, *more])))
+
+    def test_bodies_above_a_limit_that_may_be_in_force(self):
+        self.assertEqual(self.limited((50.0, 499)), [])
+        self.assertEqual(self.limited((50.0, 500)), ["DENIED"])
+        raised = (50.0, 499), (96.9, 1000)
+        self.assertEqual(self.limited(*raised), ["DENIED"])
+        self.assertEqual(self.limited((50.0, 499), (97.1, 1000)), [])
+        self.assertEqual(self.limited((50.0, 1000), (100.1, 499)), [])
+        self.assertEqual(self.limited((50.0, 1000), (100.3, 499)),
+                         ["DENIED"])
+
+    def test_an_entry_out_of_touch_may_go_by_an_older_limit(self):
+        limits = (50.0, 499), (90.0, 1000)
+        woken = [event(99.0, "SIGCONT")]
+        self.assertEqual(self.limited(*limits), ["DENIED"])
+        self.assertEqual(self.limited(*limits, more=woken), [])
+        self.assertEqual(self.limited((50.0, 1000), more=woken), ["DENIED"])
+
+    def test_other_failures_of_large_bodies(self):
+        self.assertEqual(self.limited((50.0, 499), status=400), ["DENIED"])
+
 
 class Progress(unittest.TestCase):
     def found(self, good, bad, missing=()):
--- a/test/soak/test_schedule.py
+++ b/test/soak/test_schedule.py
@@ -3,8 +3,9 @@
 import unittest
 
 import made_up  # noqa: F401 - finds the soak's modules
-from soaklib.schedule import (ENTRY_SCENES, ENTRY_SPAN, SERVER_SCENES,
-                              SERVER_SPAN, Schedule)
+from soaklib.configuration import SERVICES, UNMOVED
+from soaklib.schedule import (BESIDE_SCENES, ENTRY_SCENES, ENTRY_SPAN,
+                              SERVER_SCENES, SERVER_SPAN, Schedule)
 
 ENTRIES = [f"entry-{i}" for i in range(6)]
 SEEDS = range(1, 51)
@@ -45,6 +46,43 @@
                     gaps = [b - a for a, b in zip(times, times[1:])]
                     self.assertTrue(all(gap >= span for gap in gaps), seed)
 
+    def test_scenes_beside_others_are_drawn_apart(self):
+        for seed in SEEDS:
+            whole = Schedule(seed, 30.0, ENTRIES, 12, 0.6)
+            alone = Schedule(seed, 30.0, ENTRIES, 12, 0.6)
+            alone.scenes_beside = lambda _: []
+            plain = alone.scenes()
+            found = whole.scenes()
+            self.assertEqual(found[:len(plain)], plain)
+            self.assertLessEqual({scene.name for scene in found[len(plain):]},
+                                 set(BESIDE_SCENES))
+
+    def test_a_stop_beside_changes_has_its_entry_and_server_alone(self):
+        names = {*ENTRY_SCENES, *SERVER_SCENES, "stop_beside_changes"}
+        for seed in SEEDS:
+            found = [scene for scene in scenes(seed, 2)
+                     if scene.name in names]
+            for scene in found:
+                if scene.name != "stop_beside_changes":
+                    continue
+                self.assertNotEqual(
+                    SERVICES[scene.places[0] % len(SERVICES)], UNMOVED)
+                for other in found:
+                    shared = {*scene.entries, *scene.places} & \
+                        {*other.entries, *other.places}
+                    if other is not scene and shared:
+                        self.assertGreaterEqual(abs(scene.at - other.at),
+                                                ENTRY_SPAN, seed)
+
+    def test_load_begins_beside_a_stop(self):
+        for seed in SEEDS:
+            stops = [s.at for s in scenes(seed) if s.name in ENTRY_SCENES and
+                     s.name.startswith("stop")]
+            for scene in scenes(seed):
+                if scene.name == "busy":
+                    self.assertLessEqual(
+                        min(abs(scene.at - at) for at in stops), 1.0)
+
     def test_restores_leave_the_other_scenes_as_they_are(self):
         for seed in SEEDS:
             plain = [scene for scene in scenes(seed)
@@ -76,7 +114,8 @@
 
     def test_all_scenes_are_played_by_some_seed(self):
         played = {scene.name for seed in SEEDS for scene in scenes(seed)}
-        self.assertLessEqual({*ENTRY_SCENES, *SERVER_SCENES}, played)
+        self.assertLessEqual(
+            {*ENTRY_SCENES, *SERVER_SCENES, *BESIDE_SCENES}, played)
 
 
 if __name__ == "__main__":
