--- a/test/soak/made_up.py
+++ b/test/soak/made_up.py
@@ -6,6 +6,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "scripts"))
 
+from soaklib import judge_stops  # noqa: E402
 from soaklib.bounds import Bounds  # noqa: E402
 from soaklib.evidence import Evidence  # noqa: E402
 from soaklib.records import Call, Event, Line  # noqa: E402
@@ -51,10 +52,10 @@
     return Event(at, word, subject, fields)
 
 
-def configured(at, phase, version, service="steady", timeout=9.0,
-               **limits):
+def configured(at, phase, version, service="steady", timeout=9.0, **limits):
     return event(at, "config", "", phase=phase, version=version,
-                 timeouts={"/book/": timeout}, services={"/book/": service}, **limits)
+                 timeouts={"/book/": timeout}, services={"/book/": service},
+                 **limits)
 
 
 def evidence(calls=(), lines=(), events=()):
@@ -64,3 +65,13 @@
 
 def rules(found):
     return [finding.rule for finding in found]
+
+
+TERM = event(96.0, "SIGTERM")
+PASSED_ON = [line(100.05, "arrived"), line(100.05, "run")]
+
+
+def in_stop(calls, lines=(), events=()):
+    """Rules broken around a SIGTERM 4 s before the calls."""
+    return rules(judge_stops.lost_in_stops(
+        evidence(calls, lines, [TERM, *events])))
