Answer what came during a stall at the end of a shutdown

Cause: the check of the time limit stopped the loop in the turn in which a stall ended. Connections that had been accepted in that turn, or in the last accept, were never read. And after the loop had ended, the connections stayed open until the process was gone, up to 0.9 s, and held what callers still sent.

Now the loop turns once more at the limit, which reads and refuses what has come, and the connections are shut down before the process ends.

Without the last turn draining_node.a_request_that_comes_in_a_stall_at_the_end_is_answered fails; ended_connections_deliver_and_hold_nobody tests the end of the connections.

--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -57,6 +57,7 @@
     std::optional<store::lease_holder> m_place; //!< in the store's list
     listing_policy m_listing_policy;
     time_point m_last_in_progress{}; //!< during the end of the shutdown
+    bool m_last_turn{};              //!< the loop turns once more at most
 };
 
 } // namespace skylark::entry
--- a/src/entry/node_drain.cpp
+++ b/src/entry/node_drain.cpp
@@ -1,4 +1,6 @@
 // Graceful shutdown of an entry.
+#include <utility>
+
 #include "entry/node.hpp"
 
 namespace skylark::entry {
@@ -70,13 +72,20 @@
         m_last_in_progress = now;
     const bool closed =
         m_callers.drained() && m_lookup.drained() && m_control.drained();
-    if (closed || m_shared.m_drain->may_end(now, m_last_in_progress)) {
-        note_drain(closed ? "done" : "time limit reached");
-        m_forwarder.log_unfinished();
-        m_shared.m_loop.stop();
+    const bool limit = m_shared.m_drain->may_end(now, m_last_in_progress);
+    if (!closed && !limit) {
+        m_shared.m_loop.after(close_check, [this] { finish_when_closed(); });
+        return;
+    }
+    // What came during a stall has not been read yet.
+    if (!closed && !std::exchange(m_last_turn, true)) {
+        m_shared.m_loop.after(duration{0}, [this] { finish_when_closed(); });
         return;
     }
-    m_shared.m_loop.after(close_check, [this] { finish_when_closed(); });
+    note_drain(closed ? "done" : "time limit reached");
+    m_forwarder.log_unfinished();
+    m_callers.end_connections();
+    m_shared.m_loop.stop();
 }
 
 } // namespace skylark::entry
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -112,6 +112,11 @@
     native->m_loop->every(idle_check_period, [native] { native->end_idle(); });
 }
 
+void http_server::end_connections() {
+    for (const auto& [key, item] : m_native->m_connections)
+        shutdown(h2o_socket_get_fd(item.m_socket), SHUT_RDWR);
+}
+
 bool http_server::drained() const {
     return m_native->m_shutting_down && m_native->m_connections.empty() &&
            m_native->m_lingering.delivered();
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -96,6 +96,11 @@
      *  passed on. */
     void begin_shutdown();
 
+    /*! @brief Ends all connections. Their callers learn at once that no answer
+     *  follows, also while the process takes long to end; what was sent is
+     *  still delivered. */
+    void end_connections();
+
     /*! @brief Whether the process can end without taking an answer from a
      *  caller: begin_shutdown() was called, no connection is open, and all
      *  answers were acknowledged. A caller that sends its request slowly delays
--- a/test/io/http_server_shutdown.cpp
+++ b/test/io/http_server_shutdown.cpp
@@ -195,6 +195,24 @@
     run_until_drained();
 }
 
+TEST_F(http_server_shutdown_test, ended_connections_deliver_and_hold_nobody) {
+    raw_caller answered{m_where};
+    answered.write(m_get);
+    run_until_received(1);
+    raw_caller waiting{m_where};
+    waiting.write(m_get);
+    run_until_received(2);
+    m_server.answer(m_exchanges.front(), 200, {}, "hello");
+    run_until([this] { return m_closed == 1; });
+    m_server.end_connections();
+    // The loop does not turn again, as in a process that has ended its loop.
+    EXPECT_FALSE(answered.read());
+    EXPECT_EQ(body_of(answered), "hello");
+    EXPECT_EQ(answered.error(), 0);
+    EXPECT_FALSE(waiting.read());
+    EXPECT_EQ(waiting.error(), 0);
+}
+
 TEST_F(http_server_shutdown_test, a_sent_answer_is_waited_for) {
     raw_caller caller{m_where, small_buffer};
     caller.write(m_get);
--- a/test/platform/draining.cpp
+++ b/test/platform/draining.cpp
@@ -198,6 +198,20 @@
     EXPECT_EQ(status(*m_got), 200);
 }
 
+TEST_F(draining_node, a_request_that_comes_in_a_stall_at_the_end_is_answered) {
+    m_settings.m_drain_limit = milliseconds{500};
+    start_with_holding_upstream();
+    m_node->drain();
+    test::raw_caller caller{m_settings.m_callers};
+    caller.write("GET /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+                 "Deadline-Ms: 900\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds{700});
+    m_loop.run();
+    EXPECT_FALSE(caller.read());
+    EXPECT_EQ(caller.error(), 0);
+    EXPECT_TRUE(caller.bytes().starts_with("HTTP/1.1 503 "));
+}
+
 TEST_F(draining_node, a_request_at_an_upstream_gets_its_answer) {
     start_with_holding_upstream();
     send("30000");
