Read what has arrived before the idle time limit cuts it

Callers would have seen: a request on a connection that had been idle almost up to the limit, sent while the entry was busy for long (reading a large configuration, for example), ended without an answer; the same for a body whose rest arrived then. A limit that a configuration lowers makes it more likely.

Cause: due timers run at the end of a turn of the loop, by the time of then.

A connection that is overdue and has unread input is now spared for one check; the loop reads before the next one. Only one, so that a request that goes on without an end is still closed (test added; it passed before, too).

--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -98,7 +98,14 @@
         if (!receiving || !item.m_receiving)
             item.m_time_limit = m_idle_timeout;
         item.m_receiving = receiving;
-        if (now - item.m_since < item.m_time_limit)
+        const bool was_overdue = std::exchange(
+            item.m_overdue, now - item.m_since >= item.m_time_limit);
+        if (!item.m_overdue)
+            continue;
+        // A long turn of the loop ends with this check, before it reads what
+        // arrived meanwhile.
+        if (!was_overdue &&
+            internal::unread_bytes(h2o_socket_get_fd(socket)) > 0)
             continue;
         const int fd = h2o_socket_get_fd(socket);
         if (receiving)
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -138,6 +138,7 @@
     connection.m_answer_bytes = socket->bytes_written;
     connection.m_since = event_loop::now();
     connection.m_receiving = false;
+    connection.m_overdue = false;
     if (guard->m_request->http1_is_persistent)
         return;
     auto& server = *static_cast<native*>(guard->m_server);
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -72,6 +72,7 @@
     time_point m_since;
     duration m_time_limit{};
     bool m_receiving{};
+    bool m_overdue{}; // at the last check
 };
 
 } // namespace internal
--- a/test/io/http_server_idle.cpp
+++ b/test/io/http_server_idle.cpp
@@ -119,3 +119,46 @@
         EXPECT_TRUE(caller.read());
     }
 }
+
+// The request arrives in a long turn of the loop, the check follows in it.
+TEST_F(http_server_idle_test, a_request_that_is_not_read_yet_is_not_cut) {
+    limit_idle_time(limit);
+    raw_caller caller{m_where};
+    exchange(caller);
+    run_for(limit / 2);
+    m_loop.after(duration{0}, [&] {
+        caller.write(m_get);
+        std::this_thread::sleep_for(limit);
+    });
+    std::this_thread::sleep_for(limit / 4);
+    run_until([&] { return !caller.read() || m_exchanges.size() == 2; });
+    EXPECT_EQ(m_exchanges.size(), 2U);
+}
+
+TEST_F(http_server_idle_test, a_body_that_is_not_read_yet_is_not_cut) {
+    limit_idle_time(limit);
+    raw_caller caller{m_where};
+    caller.write(std::string{m_upload} + "hello");
+    run_for(limit / 2);
+    m_loop.after(duration{0}, [&] {
+        caller.write("world");
+        std::this_thread::sleep_for(limit);
+    });
+    std::this_thread::sleep_for(limit / 4);
+    run_until([&] { return !caller.read() || m_exchanges.size() == 1; });
+    EXPECT_EQ(m_exchanges.size(), 1U);
+}
+
+TEST_F(http_server_idle_test, a_request_that_goes_on_without_end_is_closed) {
+    limit_idle_time(limit);
+    raw_caller caller{m_where};
+    caller.write("POST / HTTP/1.1\r\nHost: h\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n1;");
+    m_loop.every(milliseconds{1}, [&] {
+        std::string more(16, 'x');
+        caller.write_some(more);
+    });
+    run_until_closed(caller);
+    ASSERT_FALSE(m_discarded.empty());
+    EXPECT_EQ(m_discarded.front().first, io::discard_cause::time_limit);
+}
