--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -104,14 +104,11 @@
             continue;
         // A long turn of the loop ends with this check, before it reads what
         // arrived meanwhile.
-        if (!was_overdue &&
-            internal::unread_bytes(h2o_socket_get_fd(socket)) > 0)
-            continue;
         const int fd = h2o_socket_get_fd(socket);
+        if (!was_overdue && internal::unread_bytes(fd) > 0)
+            continue;
         if (receiving)
             discarded(discard_cause::time_limit, size);
-        else if (internal::unread_bytes(fd) > 0)
-            continue; // the loop reads the request next
         item.m_ended = true;
         shutdown(fd, SHUT_RDWR);
     }
