Show requests that a 431 and a long closing answer still drop

A 431 closes the connection whatever is behind its request. An answer that is whole at its begin says that it closes; a request that the caller sends while the answer is still on its way is discarded, however long that takes.

Trial: letting the 431 close only if nothing is behind passed the first test but failed http_server_closing_test.a_431_survives_further_input, as the input behind may be no request; taken back.

--- a/test/io/http_server_pipelining.cpp
+++ b/test/io/http_server_pipelining.cpp
@@ -173,3 +173,31 @@
     run_until_closed(caller);
     run_until([this] { return m_server.drained(); });
 }
+
+TEST_F(http_server_pipelining_test,
+       a_request_behind_one_with_too_large_a_head_is_not_dropped) {
+    m_server.set_limits({body_limit, seconds{60}, 100});
+    raw_caller caller{m_where};
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " +
+                 std::string(200, 'x') + "\r\n\r\n" + m_get);
+    run_until([&] { return !caller.read() || m_exchanges.size() == 1; });
+    EXPECT_EQ(m_exchanges.size(), 1U);
+    EXPECT_TRUE(caller.bytes().starts_with("HTTP/1.1 431 "));
+}
+
+TEST_F(http_server_pipelining_test,
+       a_request_sent_during_a_closing_answer_that_lasts_is_not_dropped) {
+    constexpr int small_buffer = 4096;
+    m_server.close_after_answer();
+    raw_caller caller{m_where, small_buffer};
+    caller.write(m_get);
+    run_until_received(1);
+    m_server.answer(m_exchanges.front(), 200, {},
+                    std::string(std::size_t{8} << 20U, 'x'));
+    run_for(milliseconds{50});
+    caller.write(m_get);
+    run_for(milliseconds{300});
+    m_refuse_all = true;
+    run_until([&] { return !caller.read(); });
+    EXPECT_EQ(m_exchanges.size(), 2U);
+}
