Keep a connection open behind an answer that takes long to deliver

Cause: the answer was whole for the entry, but not for the caller. Now only an answer of up to 16 KiB closes its connection; behind a longer one the next request is answered, and closes.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -17,6 +17,8 @@
 using internal::handler;
 
 namespace {
+// Bytes that a caller receives at once, before it can send another request.
+constexpr std::size_t short_answer = std::size_t{16} << 10U;
 constexpr auto input_check_period = milliseconds{100};
 constexpr auto idle_check_period = milliseconds{10};
 // h2o's own time limit runs from the end of an answer until the next request
@@ -152,6 +154,7 @@
     // A caller that is told that its connection closes takes what it has sent
     // behind the request for lost.
     if (m_closing && last && !found->m_head_sent &&
+        piece.size() <= short_answer &&
         internal::input_behind(*found->m_request) == 0)
         found->m_request->http1_is_persistent = 0;
     found->m_head_sent = true;
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -82,9 +82,9 @@
     void stop_listening();
 
     /*! @brief Makes answers close their connections from now on. An answer
-     *  closes its connection if it is whole when its head is sent and its
-     *  caller has sent nothing behind the request; otherwise the next request
-     *  is handled first. */
+     *  closes its connection if it is short, is whole when its head is sent,
+     * and its caller has sent nothing behind the request; otherwise the next
+     *  request is handled first. */
     void close_after_answer() { m_closing = true; }
 
     /*! @brief Ends the server gracefully. Accepts the connections in the listen
@@ -97,8 +97,8 @@
     void begin_shutdown();
 
     /*! @brief Ends all connections. Their callers learn at once that no answer
-     *  follows, also while the process takes long to end; what was sent is
-     *  still delivered. */
+     *  follows, also while the process takes long to end. What was sent is
+     *  still delivered, unless input arrives that nobody reads any more. */
     void end_connections();
 
     /*! @brief Whether the process can end without taking an answer from a
