A stall at the end of a planned stop is a test of its own

planned_stop_after_a_stall moves to a net of its own: it shared one with planned_stop_pipelined, so the two could not run beside each other.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -82,8 +82,13 @@
 add_test(NAME planned_stop_after_a_stall
          COMMAND ${Python3_EXECUTABLE}
                  ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
-                 --stalled-s 3 --long-work --service-us 4000000 --net 94
+                 --stalled-s 3 --long-work --service-us 4000000 --net 96
                  --build ${CMAKE_BINARY_DIR})
+# What arrives in a stall at the end of the drain is read before the end.
+add_test(NAME planned_stop_stalled_at_the_end
+         COMMAND ${Python3_EXECUTABLE}
+                 ${CMAKE_SOURCE_DIR}/test/process/planned_stop.py
+                 --stalled-at 5.35 --net 95 --build ${CMAKE_BINARY_DIR})
 
 # Real processes on the platform's interface. The schedule is seeded; the judge
 # has tests of its own.
--- a/test/process/planned_stop.py
+++ b/test/process/planned_stop.py
@@ -35,6 +35,7 @@
 # They excuse a cut in the last sixth of the grace of what was sent by then.
 EXCUSED_SENT_S = 3.0
 LAST_SIXTH_S = GRACE_S * 5 / 6
+SHORT_STALL_S = 0.35  # of the machine; longer ones count as a freeze
 
 
 def executions(folder):
@@ -106,6 +107,9 @@
             stall(deployment, args.stalled_s)
         stopped = time.monotonic()
         stop(deployment, args.frozen_s)
+        if args.stalled_at:
+            time.sleep(max(0.0, stopped + args.stalled_at - time.monotonic()))
+            stall(deployment, SHORT_STALL_S)
         process = deployment.processes.pop("entry-1")
         try:
             process.wait(timeout=stopped + GRACE_S - time.monotonic())
@@ -145,6 +149,9 @@
     parser.add_argument("--frozen-s", type=float, default=0.0)
     parser.add_argument("--stalled-s", type=float, default=0.0,
                         help="the entry did not run just before the signal")
+    parser.add_argument("--stalled-at", type=float, default=0.0,
+                        help="the entry doesn't run for a moment then, seconds "
+                        "after the signal")
     parser.add_argument("--long-work", action="store_true",
                         help="work may last into the end of the grace")
     parser.add_argument("--pipelined", action="store_true",
