Tell why a draining entry closes its connections

`drain ... closing connections` now says whether the entry was quiet or its time limit near, and all drain lines tell when a request was admitted last. Without it the log can't tell an entry that serves until its limit from one that has only refused for seconds (docs/incidents/held-up-ends.md, hypothesis 1).

--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -76,6 +76,10 @@
     [[nodiscard]] std::size_t active() const { return m_requests.size(); }
     /*! @brief Number of requests in the admission queues. */
     [[nodiscard]] std::size_t queued() const;
+    /*! @brief Time since the last request that was admitted. */
+    [[nodiscard]] duration time_since_admission() const {
+        return io::event_loop::now() - m_last_admission;
+    }
     /*! @brief Number of requests that have not ended, by stage. */
     stage_counts stages();
     /*! @brief Logs a line for each request that has not ended. */
@@ -221,6 +225,7 @@
     on_demand_prober m_prober;
     router m_router;
     time_point m_started{io::event_loop::now()};
+    time_point m_last_admission{io::event_loop::now()};
     id_map<request_id, request> m_requests;
     std::map<exchange_id, request_id> m_by_exchange;
     std::map<std::string, admission_queue> m_queues; // by service
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -136,6 +136,7 @@
         attempt_machine{
             {matched.m_idempotent, now + time_left, matched.m_max_attempts}},
         now, forward_head(from, m_shared.m_dialect), from.m_method == "HEAD"});
+    m_last_admission = now;
     request& req = *m_requests.find(admitted);
     req.m_shortened = allowed - time_left;
     req.m_rank = matched.m_rank;
--- a/src/entry/node_drain.cpp
+++ b/src/entry/node_drain.cpp
@@ -46,7 +46,9 @@
             .append("=")
             .append(std::to_string(counts[i]));
     detail += " last_request_ms_ago=" +
-              std::to_string(to_ms(m_callers.time_since_last_request()));
+              std::to_string(to_ms(m_callers.time_since_last_request())) +
+              " last_admission_ms_ago=" +
+              std::to_string(to_ms(m_forwarder.time_since_admission()));
     m_shared.m_journal.note(event_kind::drain, m_shared.m_settings.m_name,
                             detail);
 }
@@ -56,7 +58,8 @@
     const bool quiet = m_shared.m_drain->quiet(
         now, m_callers.active() == 0, m_callers.time_since_last_request());
     if (quiet || m_shared.m_drain->must_close(now)) {
-        note_drain("closing connections");
+        note_drain(quiet ? "closing connections, quiet"
+                         : "closing connections, time limit near");
         m_callers.begin_shutdown();
         m_lookup.begin_shutdown();
         m_control.begin_shutdown();
