End a stop once an entry can only refuse

What callers saw: a connection that ends without an answer, up to 1.2 s after they sent a request to an entry that was told to stop (LOST).

Cause: an entry in its drain went on while any request came, also one that it could only refuse.

The entry now ends when no request was admitted for 300 ms; callers that it can only refuse find its port closed and go elsewhere.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -103,6 +103,10 @@
 add_process_test(planned_stop_stalled_at_the_end test/process/planned_stop.py
                  --stalled-at 5.35)
 
+# The process does not run any more from shortly before its time limit on.
+add_process_test(planned_stop_held_up_at_the_end test/process/planned_stop.py
+                 --held-up-at 4.8)
+
 # Real processes on the platform's interface. The schedule is seeded; the judge
 # has tests of its own.
 add_test(NAME soak_judge
--- a/include/skylark/limit/drain_schedule.hpp
+++ b/include/skylark/limit/drain_schedule.hpp
@@ -53,11 +53,12 @@
     /*! @brief Whether the entry is no longer needed.
      *  @param now current time
      *  @param idle whether no request is in progress
-     *  @param since_last_request time since the last request arrived */
+     *  @param since_last_admission time since a request was admitted last; a
+     *  caller that can only be refused does better elsewhere */
     [[nodiscard]] constexpr bool quiet(time_point now, bool idle,
-                                       duration since_last_request) const {
+                                       duration since_last_admission) const {
         return idle && now >= m_addresses_expire + quiet_time &&
-               since_last_request >= quiet_time;
+               since_last_admission >= quiet_time;
     }
 
     /*! @brief Whether the process ends although connections are open.
@@ -78,7 +79,7 @@
     // From a request's deadline until its caller has the answer that says so,
     // and from the close of a connection until its caller knows of it.
     static constexpr duration delivery_time = milliseconds{100};
-    // Callers that are still using the entry send more often than this.
+    // Callers that the entry still serves send more often than this.
     static constexpr duration quiet_time = milliseconds{300};
 
     time_point m_addresses_expire;
--- a/src/entry/node_drain.cpp
+++ b/src/entry/node_drain.cpp
@@ -56,7 +56,7 @@
 void node::finish_drain_when_idle() {
     const time_point now = io::event_loop::now();
     const bool quiet = m_shared.m_drain->quiet(
-        now, m_callers.active() == 0, m_callers.time_since_last_request());
+        now, m_callers.active() == 0, m_forwarder.time_since_admission());
     if (quiet || m_shared.m_drain->must_close(now)) {
         note_drain(quiet ? "closing connections, quiet"
                          : "closing connections, time limit near");
--- a/test/platform/draining.cpp
+++ b/test/platform/draining.cpp
@@ -1,4 +1,5 @@
 // What callers of an entry on the users' platform get while it shuts down.
+#include <functional>
 #include <thread>
 
 #include "test/io/raw_caller.hpp"
@@ -83,6 +84,26 @@
     EXPECT_TRUE(removed());
 }
 
+TEST_F(draining_node, ends_although_callers_that_it_can_only_refuse_come_back) {
+    m_settings.m_drain_limit = seconds{10};
+    m_settings.m_entries_ttl = milliseconds{200};
+    start_with_holding_upstream();
+    m_node->drain();
+    const time_point began = io::event_loop::now();
+    int refused = 0;
+    const std::function<void()> come_back = [&] {
+        if (m_got && status(*m_got) == 503)
+            ++refused;
+        m_got.reset();
+        send("60000");
+        m_loop.after(milliseconds{20}, come_back);
+    };
+    come_back();
+    m_loop.run();
+    EXPECT_GT(refused, 0);
+    EXPECT_LT(io::event_loop::now() - began, m_settings.m_drain_limit / 2);
+}
+
 TEST_F(draining_node, silent_connections_are_closed_and_not_reset) {
     m_settings.m_drain_limit = milliseconds{500};
     start_with_holding_upstream();
--- a/test/process/planned_stop.py
+++ b/test/process/planned_stop.py
@@ -110,6 +110,9 @@
         if args.stalled_at:
             time.sleep(max(0.0, stopped + args.stalled_at - time.monotonic()))
             stall(deployment, SHORT_STALL_S)
+        if args.held_up_at:
+            time.sleep(max(0.0, stopped + args.held_up_at - time.monotonic()))
+            deployment.signal("entry-1", signal.SIGSTOP)
         process = deployment.processes.pop("entry-1")
         try:
             process.wait(timeout=stopped + GRACE_S - time.monotonic())
@@ -152,6 +155,9 @@
     parser.add_argument("--stalled-at", type=float, default=0.0,
                         help="the entry doesn't run for a moment then, seconds "
                         "after the signal")
+    parser.add_argument("--held-up-at", type=float, default=0.0,
+                        help="the entry gets no processor time from then on, "
+                        "seconds after the signal")
     parser.add_argument("--long-work", action="store_true",
                         help="work may last into the end of the grace")
     parser.add_argument("--pipelined", action="store_true",
