Play half-closed callers in a shape of the soak

--half-closed added none to a shape, so callers that end their input were never played beside servers that are slow or hang (docs/incidents/own-answers.md, What remains).

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -35,7 +35,8 @@
 def caller_specs(args, fleet):
     """Callers that stay, and those that follow the directory."""
     if fleet.shape:
-        return fleet.shape.caller_specs(args.seed, args.load, args.stay)
+        return fleet.shape.caller_specs(args.seed, args.load, args.stay,
+                                        args.half_closed)
     specs = []
     for entry in fleet.entries:
         for _ in range(args.callers):
--- a/scripts/soaklib/callers.py
+++ b/scripts/soaklib/callers.py
@@ -195,8 +195,21 @@
         return kind.form(self.random)
 
 
+class HalfClosedSiteCaller(SiteCaller):
+    """One that shuts its sending side behind each GET."""
+
+    def next_form(self):
+        form = super().next_form()
+        while form.unsafe:
+            form = super().next_form()
+        self.exchange.drop()
+        return dataclasses.replace(form, kind=f"{form.kind}-half-closed",
+                                   half_closed=True)
+
+
 async def run(worker):
-    kinds = {"follow": Follower, "site": SiteCaller}
+    kinds = {"follow": Follower, "site": SiteCaller,
+             "site_half_closed": HalfClosedSiteCaller}
     callers = [kinds.get(spec["kind"], Caller)(worker, spec)
                for spec in worker.plan["callers"]]
     lag = asyncio.create_task(worker.watch_lag())
--- a/scripts/soaklib/shape.py
+++ b/scripts/soaklib/shape.py
@@ -88,14 +88,19 @@
                  "kind": kind.route, "service": kind.service,
                  "timeout_ms": kind.timeout_ms} for kind in KINDS]
 
-    def caller_specs(self, seed, load=1.0, stay=False):
+    def caller_specs(self, seed, load=1.0, stay=False, half_closed=0):
+        """Callers of a run; half_closed: more of them for each entry, which
+        shut their sending side behind a GET."""
         pause = max(0.05, self.callers / self.per_s / load - MEAN_TIME)
-        return [{"name": f"s{seed}-c{index}", "kind": "site",
+        more = half_closed * self.entries
+        return [{"name": f"s{seed}-c{index}",
+                 "kind": "site" if index < self.callers else
+                 "site_half_closed",
                  "zone": self.zones[index % len(self.zones)],
                  "seed": seed * 100_000 + index,
                  "think": pause,
                  "keep": STAYING if stay else 3 if index % 5 == 0 else 1}
-                for index in range(self.callers)]
+                for index in range(self.callers + more)]
 
     @staticmethod
     def possible(scenes):
