Count the stop before a start from its last signal

What callers saw: a caller behind a GET ends its input and waits, and gets the entry's own 502 while its upstream works, 5.0 to 5.4 s after the entry's start and 6.6 to 6.9 s after a second SIGTERM (LOST).

Cause: after a start, callers that end their input are spared for killed_after_s + 1 s, less the entries_ttl_ms that a stop lasts at least. That holds from the first signal; a second one may come just before the process ends, and counts for its own time.

Now killed_after_s + 1 s, without a deduction.

half_closed_after_second_signal: own 502 to 54 and 53 of 72 callers while the stop counts before, none in three runs after. half_closed_at_stop waits 7.2 s after a start, so that the signal alone keeps the callers there, as before.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -97,6 +97,9 @@
 # The same after a new start, while the stop still counts.
 add_process_test(half_closed_after_restart
                  test/process/half_closed_at_stop.py --restarted)
+# The same, while a second signal still counts.
+add_process_test(half_closed_after_second_signal
+                 test/process/half_closed_at_stop.py --signalled-again)
 # The end of a process waits for each of its threads.
 add_process_test(few_threads test/process/few_threads.py)
 # What arrives in a stall at the end of the drain is read before the end.
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -23,9 +23,10 @@
 constexpr double drain_share = 11.0 / 12.0;
 constexpr auto most_settling = seconds{30};
 
-// Supervisors count until 1 s after they kill; a stop lasts entries_ttl.
-duration settling_time(duration killed_after, duration entries_ttl) {
-    return std::clamp<duration>(killed_after + seconds{1} - entries_ttl,
+// Supervisors count until 1 s after they kill, from the last signal, which may
+// come just before the process ends.
+duration settling_time(duration killed_after) {
+    return std::clamp<duration>(killed_after + seconds{1},
                                 settings{}.m_settling_time, most_settling);
 }
 
@@ -260,7 +261,7 @@
                 std::chrono::duration<double>{killed_after * share});
         };
         out.m_drain_limit = within(drain_share);
-        out.m_settling_time = settling_time(within(1.0), out.m_entries_ttl);
+        out.m_settling_time = settling_time(within(1.0));
     }
     reader.ms("drain_limit_ms", out.m_drain_limit);
     reader.ms("apply_limit_ms", out.m_apply_limit);
