Let the callers of a stall at the end keep the entry until then

planned_stop_stalled_at_the_end stops the entry 5.35 s after SIGTERM. Since an entry that can only refuse ends by itself, its callers, whose deadline is 8 s, no longer kept it until then, so the test checked nothing. Its requests now have a deadline of 0.25 s, which is served until just before the limit, and the test fails if the entry has ended before the stall (seen with the deadline of before).

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -104,7 +104,7 @@
 add_process_test(few_threads test/process/few_threads.py)
 # What arrives in a stall at the end of the drain is read before the end.
 add_process_test(planned_stop_stalled_at_the_end test/process/planned_stop.py
-                 --stalled-at 5.35)
+                 --stalled-at 5.35 --deadline-ms 250 --service-us 50000)
 
 # The process does not run any more from shortly before its time limit on.
 add_process_test(planned_stop_held_up_at_the_end test/process/planned_stop.py
--- a/test/process/planned_stop.py
+++ b/test/process/planned_stop.py
@@ -105,11 +105,14 @@
         time.sleep(1.0)
         if args.stalled_s:
             stall(deployment, args.stalled_s)
+        ended_before = False
         stopped = time.monotonic()
         stop(deployment, args.frozen_s)
         if args.stalled_at:
             time.sleep(max(0.0, stopped + args.stalled_at - time.monotonic()))
-            stall(deployment, SHORT_STALL_S)
+            ended_before = deployment.processes["entry-1"].poll() is not None
+            if not ended_before:
+                stall(deployment, SHORT_STALL_S)
         if args.held_up_at:
             time.sleep(max(0.0, stopped + args.held_up_at - time.monotonic()))
             deployment.signal("entry-1", signal.SIGSTOP)
@@ -129,6 +132,9 @@
           f"code {process.returncode}: {dict(ends)}")
     for line in findings[:20]:
         print(line)
+    if ended_before:
+        findings.append("the entry ended before the stall")
+        print(findings[-1])
     if process.returncode != 0:
         findings.append("the entry did not end by itself")
     if sum(1 for call in calls if call.sent > stopped) < args.callers:
