End a stop sooner on a machine that has held the process up

What callers saw: requests that were passed on or only sent, and a connection that ends without an answer when the entry is killed at the end of its grace (LOST).

Cause: half a second is kept between the limit of a stop and SIGKILL, whatever the machine is like. The class: a bound made for a machine with room.

The longest hold-up of the last minute, those of the drain included, is now taken off the limit: the entry passes on less and closes its connections sooner, though not before the answers that name it have expired. What is in progress keeps its time.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -14,7 +14,7 @@
     test/load/service_time_estimator.cpp
     test/route/policy.cpp test/limit/token_bucket.cpp
     test/limit/ratio_budget.cpp test/limit/retry_after.cpp
-    test/limit/drain_schedule.cpp test/limit/arrival_span.cpp test/limit/answer_bound.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
+    test/limit/drain_schedule.cpp test/limit/hold_up_record.cpp test/limit/arrival_span.cpp test/limit/answer_bound.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
     test/discovery/list_guard.cpp test/discovery/instance_log.cpp
     test/discovery/lapse_window.cpp test/event/ring.cpp test/io/http_client.cpp test/io/response_parser.cpp
@@ -109,6 +109,11 @@
 # The process does not run any more from shortly before its time limit on.
 add_process_test(planned_stop_held_up_at_the_end test/process/planned_stop.py
                  --held-up-at 4.8)
+# It did not run for a while before the signal either, and requests are served
+# as long as they may end.
+add_process_test(planned_stop_held_up_again test/process/planned_stop.py
+                 --stalled-s 2 --running-again-s 1 --held-up-at 3.7
+                 --deadline-ms 2000 --service-us 1200000)
 
 # Real processes on the platform's interface. The schedule is seeded; the judge
 # has tests of its own.
--- a/include/skylark/limit/drain_schedule.hpp
+++ b/include/skylark/limit/drain_schedule.hpp
@@ -7,6 +7,10 @@
  *  another entry can serve it; so a request is passed on only if its deadline
  *  passes first. Everything else is refused while that is still true.
  *
+ *  A process that was held up lately may be held up again until it is killed.
+ *  So it ends sooner by as much, but not before the answers that name it have
+ *  expired.
+ *
  *  What is passed on is judged by the earliest time at which the signal may
  *  have been sent, as whoever sent it may count from then. What is in progress
  *  may use the time until the latest one, as it was passed on before. */
@@ -30,13 +34,24 @@
      *  @param address_ttl how long callers may use addresses that they got
      *  before
      *  @param limit time within which the process must have ended; exceeded if
-     *  a pause left too little for what has become ready meanwhile */
+     *  a pause left too little for what has become ready meanwhile
+     *  @param longest_hold_up of the process lately */
     constexpr drain_schedule(time_point now, signal_span told,
-                             duration address_ttl, duration limit)
-        : m_addresses_expire{now + address_ttl}, m_end{std::max(
+                             duration address_ttl, duration limit,
+                             duration longest_hold_up = duration{0})
+        : m_addresses_expire{now + address_ttl}, m_limit{std::max(
                                                      told.m_earliest + limit,
                                                      now + 2 * delivery_time)},
-          m_latest_end{std::max(told.m_latest + limit, m_end)} {}
+          m_end{end_with(longest_hold_up)},
+          m_latest_end{std::max(told.m_latest + limit, m_limit)} {}
+
+    /*! @brief Handles that the process was held up until now.
+     *  @param now current time
+     *  @param length of the hold-up */
+    constexpr void held_up(time_point now, duration length) {
+        m_end = std::min(m_end,
+                         std::max(end_with(length), now + 2 * delivery_time));
+    }
 
     /*! @brief Whether a request may be passed on to an upstream.
      *  @param deadline until when the upstream may work on it */
@@ -82,9 +97,17 @@
     // Callers that the entry still serves send more often than this.
     static constexpr duration quiet_time = milliseconds{300};
 
+    [[nodiscard]] constexpr time_point end_with(duration hold_up) const {
+        return std::min(m_limit, std::max(m_limit - hold_up,
+                                          m_addresses_expire + quiet_time));
+    }
+
     time_point m_addresses_expire;
-    // Of the process; the same unless a pause hides when the signal was sent.
+    time_point m_limit; // by the earliest time of the signal
+    // Until when the entry may be of use. Invariant: not after m_limit.
     time_point m_end;
+    // By the latest time of the signal; the same as m_limit unless a pause
+    // hides when it was sent.
     time_point m_latest_end;
 };
 
--- a/include/skylark/limit/fwd.hpp
+++ b/include/skylark/limit/fwd.hpp
@@ -1,6 +1,6 @@
 /*! @file
  *  Declarations of the limit module: token bucket, ratio budget, drain
- *  schedule, signal span, arrival span and answer bound. */
+ *  schedule, hold-up record, signal span, arrival span and answer bound. */
 #ifndef SKYLARK_LIMIT_FWD_HPP
 #define SKYLARK_LIMIT_FWD_HPP
 
@@ -9,6 +9,7 @@
 class token_bucket;
 class ratio_budget;
 class drain_schedule;
+class hold_up_record;
 struct signal_span;
 struct arrival_span;
 class answer_bound;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -190,6 +190,10 @@
 }
 
 void node::paused(duration gap) {
+    const time_point now = io::event_loop::now();
+    m_hold_ups.add(now, gap);
+    if (m_shared.m_drain)
+        m_shared.m_drain->held_up(now, gap);
     m_shared.m_metrics.count(counter::pauses);
     m_shared.m_fleet.paused();
     m_forwarder.process_paused();
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -2,6 +2,7 @@
 #ifndef SKYLARK_ENTRY_NODE_HPP
 #define SKYLARK_ENTRY_NODE_HPP
 
+#include <skylark/limit/hold_up_record.hpp>
 #include <skylark/member/listing_policy.hpp>
 
 #include "entry/configurator.hpp"
@@ -56,6 +57,7 @@
     lookup m_lookup;
     std::optional<store::lease_holder> m_place; //!< in the store's list
     listing_policy m_listing_policy;
+    hold_up_record m_hold_ups;
     time_point m_last_in_progress{}; //!< during the end of the shutdown
     //! Since when the loop turns only to read what is there.
     std::optional<time_point> m_last_turns;
--- a/src/entry/node_drain.cpp
+++ b/src/entry/node_drain.cpp
@@ -18,12 +18,14 @@
     const duration told = 2 * m_shared.m_settings.m_timing.m_period;
     const duration pause = m_shared.m_loop.detect_pause();
     const time_point now = io::event_loop::now();
+    const duration held_up = m_hold_ups.longest(now);
     m_shared.m_drain.emplace(now, signal_span::around(signalled, now, pause),
                              m_shared.m_settings.m_entries_ttl + told,
-                             m_shared.m_settings.m_drain_limit);
+                             m_shared.m_settings.m_drain_limit, held_up);
     note_drain(
         "began, signal_ms_ago=" + std::to_string(to_ms(now - signalled)) +
-        " pause_ms=" + std::to_string(to_ms(pause)));
+        " pause_ms=" + std::to_string(to_ms(pause)) +
+        " held_up_ms=" + std::to_string(to_ms(held_up)));
     m_callers.close_after_answer();
     // Leaving gives up the shares and dispatches what waits, so requests are
     // withdrawn for their deadlines before and for want of a share after it.
--- a/test/limit/drain_schedule.cpp
+++ b/test/limit/drain_schedule.cpp
@@ -88,6 +88,53 @@
         frozen.may_end(start + milliseconds{6050}, start + milliseconds{5950}));
 }
 
+TEST(drain_schedule, ends_sooner_by_the_time_of_a_hold_up) {
+    const drain_schedule known{start,
+                               {start, start},
+                               milliseconds{2400},
+                               milliseconds{5500},
+                               seconds{2}};
+    drain_schedule met = schedule;
+    met.held_up(start + seconds{2}, seconds{2});
+    for (const drain_schedule& held_up : {known, met}) {
+        EXPECT_TRUE(held_up.may_pass_on(start + milliseconds{3400}));
+        EXPECT_FALSE(held_up.may_pass_on(start + milliseconds{3401}));
+        EXPECT_TRUE(held_up.must_close(start + milliseconds{3400}));
+        EXPECT_TRUE(held_up.may_end(start + milliseconds{3500}, start));
+        EXPECT_FALSE(held_up.may_end(start + milliseconds{3500},
+                                     start + milliseconds{3450}));
+        EXPECT_FALSE(held_up.expired(start + milliseconds{5499}));
+    }
+    met.held_up(start + seconds{3}, seconds{1});
+    EXPECT_FALSE(met.may_pass_on(start + milliseconds{3401}));
+}
+
+TEST(drain_schedule, a_late_hold_up_leaves_time_for_what_became_ready) {
+    drain_schedule met = schedule;
+    met.held_up(start + milliseconds{4500}, seconds{2});
+    EXPECT_FALSE(met.must_close(start + milliseconds{4599}));
+    EXPECT_TRUE(met.must_close(start + milliseconds{4600}));
+    EXPECT_FALSE(met.may_end(start + milliseconds{4699}, start));
+    EXPECT_TRUE(met.may_end(start + milliseconds{4700}, start));
+}
+
+TEST(drain_schedule, a_long_hold_up_leaves_the_time_for_which_it_is_named) {
+    const drain_schedule held_up{start,
+                                 {start, start},
+                                 milliseconds{2400},
+                                 milliseconds{5500},
+                                 seconds{20}};
+    EXPECT_FALSE(held_up.must_close(start + milliseconds{2400}));
+    EXPECT_TRUE(held_up.must_close(start + milliseconds{2700}));
+    const drain_schedule brief{start,
+                               {start, start},
+                               milliseconds{2400},
+                               milliseconds{1000},
+                               seconds{20}};
+    EXPECT_FALSE(brief.must_close(start + milliseconds{899}));
+    EXPECT_TRUE(brief.must_close(start + milliseconds{900}));
+}
+
 TEST(signal_span, only_a_pause_hides_when_a_signal_was_sent) {
     const time_point now = start + seconds{3};
     const auto known = signal_span::around(now - seconds{1}, now, duration{0});
--- a/test/process/planned_stop.py
+++ b/test/process/planned_stop.py
@@ -105,6 +105,7 @@
         time.sleep(1.0)
         if args.stalled_s:
             stall(deployment, args.stalled_s)
+            time.sleep(args.running_again_s)
         ended_before = False
         stopped = time.monotonic()
         stop(deployment, args.frozen_s)
@@ -158,6 +159,8 @@
     parser.add_argument("--frozen-s", type=float, default=0.0)
     parser.add_argument("--stalled-s", type=float, default=0.0,
                         help="the entry did not run just before the signal")
+    parser.add_argument("--running-again-s", type=float, default=0.0,
+                        help="between that and the signal")
     parser.add_argument("--stalled-at", type=float, default=0.0,
                         help="the entry doesn't run for a moment then, seconds "
                         "after the signal")
