--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -84,6 +84,12 @@
 add_process_test(planned_stop_pipelined test/process/planned_stop.py
                  --pipelined --callers 10 --service-us 300000
                  --deadline-ms 3000)
+# Requests that end in time keep the entry until its limit.
+add_process_test(planned_stop_until_the_limit test/process/planned_stop.py
+                 --deadline-ms 250 --service-us 50000)
+add_process_test(planned_stop_pipelined_until_the_limit
+                 test/process/planned_stop.py --pipelined --callers 10
+                 --deadline-ms 250 --service-us 50000)
 # The signal arrives while the process is frozen.
 add_process_test(planned_stop_while_frozen test/process/planned_stop.py
                  --frozen-s 2)
