--- a/include/skylark/config/document.hpp
+++ b/include/skylark/config/document.hpp
@@ -10,8 +10,10 @@
 #include <vector>
 
 #include <skylark/config/limits.hpp>
+#include <skylark/config/rollout_order.hpp>
 #include <skylark/config/rule.hpp>
 #include <skylark/config/service.hpp>
+#include <skylark/config/team.hpp>
 #include <skylark/config/zone.hpp>
 #include <skylark/core/error.hpp>
 
@@ -31,6 +33,8 @@
     std::vector<service> m_services;
     std::vector<rule> m_rules; //!< first match wins
     limits m_limits;
+    std::vector<team> m_teams;             //!< empty: requests need no keys
+    std::vector<rollout_order> m_rollouts; //!< one a service at most
 
     bool operator==(const document&) const = default;
 
--- a/include/skylark/config/rule.hpp
+++ b/include/skylark/config/rule.hpp
@@ -42,6 +42,7 @@
     //! Target response time; 0: the deadline.
     duration m_target{0};
     std::uint32_t m_rank{0}; //!< order within a class, 0 first
+    bool m_public{};         //!< needs no key where the document has teams
 
     bool operator==(const rule&) const = default;
 };
--- a/include/skylark/discovery/instance.hpp
+++ b/include/skylark/discovery/instance.hpp
@@ -24,6 +24,7 @@
     address m_address;     //!< for requests; an entry's: for heartbeats
     std::string m_service; //!< empty for an entry
     std::string m_zone;
+    std::string m_version; //!< of its software; may be empty
     bool m_leaving{};
     //! Changes when an instance restarts under its id; 0: unknown.
     std::uint64_t m_incarnation{};
--- a/src/entry/upstream.hpp
+++ b/src/entry/upstream.hpp
@@ -31,6 +31,7 @@
     address m_address;
     std::string m_service;
     std::string m_zone;
+    std::string m_version;                 //!< of its software; may be empty
     bool m_leaving{};                      //!< according to the instance list
     bool m_listed{true};                   //!< in the current instance list
     std::optional<time_point> m_gone_from; //!< see instance::m_gone_from
--- a/src/entry/upstream_table.cpp
+++ b/src/entry/upstream_table.cpp
@@ -63,6 +63,7 @@
     item.m_address = from.m_address;
     item.m_service = from.m_service;
     item.m_zone = from.m_zone;
+    item.m_version = from.m_version;
     item.m_leaving = from.m_leaving;
     item.m_listed = true;
     item.m_gone_from = from.m_gone_from;
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -1042,6 +1042,11 @@
 void instance::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void instance::__set_version(const std::string& val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const instance& obj)
 {
   obj.printTo(out);
@@ -1158,6 +1163,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1220,6 +1233,11 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 12);
+    xfer += oprot->writeString(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1238,6 +1256,7 @@
   swap(a.cold_us, b.cold_us);
   swap(a.gone_in_us, b.gone_in_us);
   swap(a.sequence, b.sequence);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -1253,6 +1272,7 @@
   cold_us = other10.cold_us;
   gone_in_us = other10.gone_in_us;
   sequence = other10.sequence;
+  version = other10.version;
   __isset = other10.__isset;
 }
 instance& instance::operator=(const instance& other11) {
@@ -1267,6 +1287,7 @@
   cold_us = other11.cold_us;
   gone_in_us = other11.gone_in_us;
   sequence = other11.sequence;
+  version = other11.version;
   __isset = other11.__isset;
   return *this;
 }
@@ -1284,6 +1305,7 @@
   out << ", " << "cold_us=" << to_string(cold_us);
   out << ", " << "gone_in_us="; (__isset.gone_in_us ? (out << to_string(gone_in_us)) : (out << "<null>"));
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -436,7 +436,7 @@
 std::ostream& operator<<(std::ostream& out, const member_report& obj);
 
 typedef struct _instance__isset {
-  _instance__isset() : id(false), role(false), ip(false), port(false), serves(false), zone(false), leaving(false), incarnation(false), cold_us(false), gone_in_us(false), sequence(false) {}
+  _instance__isset() : id(false), role(false), ip(false), port(false), serves(false), zone(false), leaving(false), incarnation(false), cold_us(false), gone_in_us(false), sequence(false), version(false) {}
   bool id :1;
   bool role :1;
   bool ip :1;
@@ -448,6 +448,7 @@
   bool cold_us :1;
   bool gone_in_us :1;
   bool sequence :1;
+  bool version :1;
 } _instance__isset;
 
 class instance : public virtual ::apache::thrift::TBase {
@@ -466,7 +467,8 @@
              incarnation(0),
              cold_us(0),
              gone_in_us(0),
-             sequence(0) {
+             sequence(0),
+             version() {
   }
 
   virtual ~instance() noexcept;
@@ -481,6 +483,7 @@
   int64_t cold_us;
   int64_t gone_in_us;
   int64_t sequence;
+  std::string version;
 
   _instance__isset __isset;
 
@@ -506,6 +509,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_version(const std::string& val);
+
   bool operator == (const instance & rhs) const
   {
     if (!(id == rhs.id))
@@ -532,6 +537,10 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const instance &rhs) const {
--- a/src/peer/instance_codec.cpp
+++ b/src/peer/instance_codec.cpp
@@ -31,6 +31,8 @@
     out.port = from.m_address.m_port;
     out.serves = from.m_service;
     out.zone = from.m_zone;
+    if (!from.m_version.empty())
+        out.__set_version(from.m_version);
     out.leaving = from.m_leaving;
     out.incarnation = to_wire(from.m_incarnation);
     out.sequence = to_wire(from.m_sequence);
@@ -47,6 +49,7 @@
     out.m_address = make_address(from.ip, from.port);
     out.m_service = from.serves;
     out.m_zone = from.zone;
+    out.m_version = from.version;
     out.m_leaving = from.leaving;
     out.m_incarnation = from_wire(from.incarnation);
     out.m_sequence = from_wire(from.sequence);
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -59,6 +59,7 @@
     9: i64 cold_us
     10: optional i64 gone_in_us
     11: i64 sequence
+    12: optional string version
 }
 
 struct instance_name {
