--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -204,7 +204,7 @@
     // What arrives later resets the connection all the same.
     const auto unread =
         static_cast<std::size_t>(internal::unread_bytes(socket));
-    recv(socket, nullptr, unread, MSG_TRUNC | MSG_DONTWAIT);
+    internal::discard_input(socket, unread);
     discarded(discard_cause::no_descriptor, unread);
 }
 
--- a/src/io/lingering_connections.cpp
+++ b/src/io/lingering_connections.cpp
@@ -60,9 +60,8 @@
 void lingering_connections::on_readable(h2o_socket_t* socket,
                                         const char* error) {
     auto& self = *static_cast<connection*>(socket->data);
-    // With MSG_TRUNC, a TCP socket discards its input without a copy.
-    const auto count = recv(h2o_socket_get_fd(socket), nullptr, discard_limit,
-                            MSG_TRUNC | MSG_DONTWAIT);
+    const auto count =
+        internal::discard_input(h2o_socket_get_fd(socket), discard_limit);
     const bool retry = count < 0 && (errno == EAGAIN || errno == EINTR);
     if (error || count == 0 || (count < 0 && !retry))
         self.m_owner->close(self.m_key);
--- a/src/io/socket_queue.hpp
+++ b/src/io/socket_queue.hpp
@@ -3,6 +3,9 @@
 #ifndef SKYLARK_IO_SOCKET_QUEUE_HPP
 #define SKYLARK_IO_SOCKET_QUEUE_HPP
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <optional>
 
 #include <linux/sockios.h>
@@ -37,6 +40,26 @@
     return milliseconds{info.tcpi_last_data_recv};
 }
 
+// Reads and drops input. A buffer is passed although a TCP socket needs none
+// with MSG_TRUNC: other stacks than Linux's own write to it, and a null pointer
+// then ends the process.
+// Returns the bytes dropped; 0 at the end of the input, -1 with errno if there
+// is none yet or the connection has failed.
+inline ssize_t discard_input(int fd, std::size_t limit) {
+    constexpr std::size_t piece_size = std::size_t{16} << 10U;
+    std::array<char, piece_size> piece;
+    std::size_t dropped = 0;
+    while (dropped < limit) {
+        const auto count =
+            recv(fd, piece.data(), std::min(piece.size(), limit - dropped),
+                 MSG_TRUNC | MSG_DONTWAIT);
+        if (count <= 0)
+            return dropped > 0 ? static_cast<ssize_t>(dropped) : count;
+        dropped += static_cast<std::size_t>(count);
+    }
+    return static_cast<ssize_t>(dropped);
+}
+
 } // namespace skylark::io::internal
 
 #endif
--- a/test/io/lingering_connections.cpp
+++ b/test/io/lingering_connections.cpp
@@ -1,8 +1,14 @@
 // Bounds of the lingering close, and what counts as delivered.
 #include "io/lingering_connections.hpp"
 
+#include <array>
 #include <string>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "io/listener.hpp"
 #include "test/io/raw_caller.hpp"
 
@@ -87,3 +93,23 @@
     run_until([&] { return closing.delivered(); });
     EXPECT_EQ(closing.size(), 1U);
 }
+
+// Guards against a null pointer as the buffer of discarded input. Linux takes
+// it from a TCP socket only; a local socket shows how other stacks treat it.
+TEST_F(lingering_connections_test, discards_into_a_buffer_of_its_own) {
+    io::lingering_connections closing{m_loop, {seconds{3600}, 8}};
+    std::array<int, 2> ends{};
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0,
+                         ends.data()),
+              0);
+    closing.add(ends[0]);
+    const std::string input(std::size_t{40} << 10U, 'x');
+    ASSERT_EQ(write(ends[1], input.data(), input.size()),
+              static_cast<ssize_t>(input.size()));
+    int unread = 0;
+    run_until(
+        [&] { return ioctl(ends[0], SIOCINQ, &unread) == 0 && unread == 0; });
+    EXPECT_EQ(closing.size(), 1U);
+    close(ends[1]);
+    run_until([&] { return closing.size() == 0; });
+}
