--- a/src/io/response_parser.cpp
+++ b/src/io/response_parser.cpp
@@ -30,6 +30,7 @@
 
 constexpr int first_status = 100;
 constexpr int first_final_status = 200;
+constexpr int last_status = 599; // RFC 9110, section 15
 
 bool body_is_absent(int code) {
     return code < first_final_status || code == status::no_content ||
@@ -114,6 +115,7 @@
     if (result == incomplete)
         return parse_state::more;
     if (result < 0 || head.m_status < first_status ||
+        head.m_status > last_status ||
         head.m_status == status::switching_protocols)
         return parse_state::malformed;
     for (std::size_t i = 0; i < count; ++i) {
--- a/test/io/response_parser.cpp
+++ b/test/io/response_parser.cpp
@@ -143,12 +143,36 @@
     EXPECT_FALSE(read(both, "200", true).m_head.m_length);
 }
 
-// The client never offers an upgrade.
+// The client never offers an upgrade. RFC 9110, section 15, has 100 to 599 as
+// the valid statuses.
 TEST(response_parser, statuses_that_answer_no_request_are_malformed) {
-    for (const char* status : {"101", "000", "099"})
+    for (const char* status : {"101", "000", "099", "600", "999", "20", "2000",
+                               "0200", "-20", "+20", "2x0", "2 0", "", " 200"})
         EXPECT_EQ(read("", status).m_state, parse_state::malformed) << status;
 }
 
+TEST(response_parser, lines_of_another_protocol_are_malformed) {
+    for (const char* line :
+         {"ICY 200 OK", "HTTP/2.0 200 OK", "HTTP/1.x 200 OK", "HTTP 200 OK",
+          "http/1.1 200 OK", "HTTP/1.1  200 OK", "200 OK"}) {
+        io::response_parser parser;
+        io::response_head head;
+        std::size_t consumed = 0;
+        const std::string text =
+            std::string{line} + "\r\nContent-Length: 0\r\n\r\n";
+        EXPECT_EQ(parser.read_head(text, false, head, consumed),
+                  parse_state::malformed)
+            << line;
+    }
+}
+
+TEST(response_parser, the_first_and_last_final_statuses_are_valid) {
+    for (const char* status : {"200", "599"})
+        EXPECT_EQ(read("Content-Length: 0\r\n", status).m_state,
+                  parse_state::found)
+            << status;
+}
+
 TEST_P(closing_connection, is_not_kept) {
     const auto found = read(std::string{"Content-Length: 5\r\n"} + GetParam());
     ASSERT_EQ(found.m_state, parse_state::found);
