Learn the timeouts of probes from the path to a zone

A probe was overdue after 8 ms. On the path with 4.5 ms one way, its response takes 9 ms or, with connection set-up, 18 ms, so that no probe of another zone was in time: with one zone's upstreams out, its entries refused 1,514 requests in 9 s.

load/path_time learns round trip and set-up by zone, from all answered probes, overdue ones included. A step waits for the longest timeout of its targets: 8 ms for the own zone and for near ones, 40 ms for another zone before its first answer, about 14 or 28 ms on that path. Samples count as twice the mean at most, so pauses of an entry and slow upstreams do not lengthen a near path. The age of a report starts when the probe can have reached the upstream, no longer when the probe began. The limits on that age and on the time of probing are longer by the learnt timeout less 8 ms.

With the far path, probes of the unit tests are in time from the first one on; with 1 to 2 ms of round trip the timeout is 8 ms, also with a pause of 60 ms in one probe of 20. Run: the 10 tests of path_time and path_table, and the changed sources compiled.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -11,7 +11,7 @@
     test/attempt/machine.cpp test/rule/classify.cpp
     test/load/availability.cpp test/load/availability_history.cpp
     test/load/report.cpp test/load/upstream_load.cpp
-    test/load/service_time_estimator.cpp
+    test/load/service_time_estimator.cpp test/load/path_time.cpp
     test/route/policy.cpp test/limit/token_bucket.cpp
     test/limit/ratio_budget.cpp test/limit/retry_after.cpp
     test/limit/drain_schedule.cpp test/limit/hold_up_record.cpp test/limit/arrival_span.cpp test/limit/answer_bound.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
--- a/include/skylark/load/fwd.hpp
+++ b/include/skylark/load/fwd.hpp
@@ -9,6 +9,8 @@
 struct load_report;
 class availability;
 class availability_history;
+class path_table;
+class path_time;
 class upstream_load;
 
 } // namespace skylark
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -8,6 +8,7 @@
 #include <skylark/config/adoption.hpp>
 #include <skylark/discovery/instance.hpp>
 #include <skylark/limit/drain_schedule.hpp>
+#include <skylark/load/path_table.hpp>
 
 #include "entry/dialect.hpp"
 #include "entry/fleet.hpp"
@@ -28,7 +29,7 @@
           m_journal{from.m_name, from.m_log_level}, m_fleet{loop, from,
                                                             m_journal,
                                                             m_metrics},
-          m_upstreams{id_of(from.m_name), from.m_zone} {}
+          m_upstreams{id_of(from.m_name), from.m_zone}, m_paths{from.m_zone} {}
 
     io::event_loop& m_loop;
     settings m_settings;
@@ -41,6 +42,7 @@
     bool m_newer_announced{};  //!< by a peer, and not offered yet
     instance_list m_instances; //!< latest list; index 0 until there is one
     upstream_table m_upstreams;
+    path_table m_paths; //!< to the zones of upstreams, from probes
     //! Set from the begin of the graceful shutdown on.
     std::optional<drain_schedule> m_drain;
     bool m_isolated{}; //!< reaches neither the store nor a majority
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -147,6 +147,8 @@
     void send_probes(request_id key, request& req,
                      const std::vector<upstream_id>& targets);
     void probe_finished(request_id key, upstream_id from);
+    [[nodiscard]] duration
+    probe_timeout(const std::vector<upstream_id>& targets);
     void record_service_time(const request& req, const attempt& finished,
                              duration took);
     [[nodiscard]] probe_options probe_options_for(const request& req,
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -31,7 +31,8 @@
     current.m_share = choice.m_share;
     current.m_hedge = is_hedge;
     const time_point now = io::event_loop::now();
-    if (target.m_load.report_age(now) <= max_report_age)
+    if (target.m_load.report_age(now) <=
+        max_report_age + m_shared.m_paths.allowance(target.m_zone))
         current.m_report = target.m_load.last_report();
     current.m_probe_count = static_cast<std::uint32_t>(req.m_probed.size());
     current.m_pending_probe_count = static_cast<std::uint32_t>(
--- a/src/entry/forwarder_probing.cpp
+++ b/src/entry/forwarder_probing.cpp
@@ -8,11 +8,9 @@
 namespace skylark::entry {
 
 namespace {
-// Time after which a probe is overdue and the next step is planned without its
-// answer: about four round trips between zones, connection set-up included.
-constexpr auto probe_timeout = milliseconds{8};
 // A request that found no room within this part of its target is refused, while
-// its caller still has the time to return.
+// its caller still has the time to return. Time on the path to far zones does
+// not count, see request::m_probing_allowance.
 constexpr int max_probing_part = 8;
 // Probes not used for this long are kept for overload, in which each request
 // needs more of them. The bound on probes is one of a whole day's average.
@@ -25,6 +23,7 @@
     req.m_pending_probes.clear();
     req.m_overdue_probes.clear();
     req.m_probing_since = io::event_loop::now();
+    req.m_probing_allowance = {};
     plan_probes(key, true);
 }
 
@@ -50,7 +49,8 @@
                                            bool wait_for_pending,
                                            time_point now) {
     const bool may_probe =
-        now - req.m_probing_since < req.m_target / max_probing_part;
+        now - req.m_probing_since <
+        req.m_target / max_probing_part + req.m_probing_allowance;
     return {wait_for_pending,
             may_probe ? probe_budget(req.m_service.m_name).available(now) : 0,
             room_terms_for(req, now)};
@@ -64,7 +64,9 @@
 
 void forwarder::record_room(const request& req, const upstream& probed) {
     const time_point now = io::event_loop::now();
-    if (probed.m_load.report_age(now) > probe_timeout)
+    const duration most_age =
+        path_time::least_timeout + m_shared.m_paths.allowance(probed.m_zone);
+    if (probed.m_load.report_age(now) > most_age)
         return;
     const bool has_room =
         has_timely_room(probed.m_load.last_report(), room_terms_for(req, now));
@@ -114,11 +116,25 @@
         step);
 }
 
+// Time after which the probes of a step are overdue and the next step is
+// planned without their answers: the longest that one of the paths takes.
+duration forwarder::probe_timeout(const std::vector<upstream_id>& targets) {
+    duration longest = path_time::least_timeout;
+    for (const upstream_id key : targets) {
+        const upstream& target = *m_shared.m_upstreams.find(key);
+        longest = std::max(longest, m_shared.m_paths.timeout(
+                                        target.m_zone, target.m_idle.empty()));
+    }
+    return longest;
+}
+
 void forwarder::send_probes(request_id key, request& req,
                             const std::vector<upstream_id>& targets) {
     const std::string& health_path = m_router.service_of(req).m_health_path;
     m_shared.m_loop.cancel(req.m_probe_timer);
-    req.m_probe_timer = m_shared.m_loop.after(probe_timeout, [this, key] {
+    const duration timeout = probe_timeout(targets);
+    req.m_probing_allowance += timeout - path_time::least_timeout;
+    req.m_probe_timer = m_shared.m_loop.after(timeout, [this, key] {
         if (request* found = m_requests.find(key)) {
             found->m_probe_timer = {};
             found->m_overdue_probes.insert(found->m_overdue_probes.end(),
--- a/src/entry/on_demand_prober.cpp
+++ b/src/entry/on_demand_prober.cpp
@@ -45,6 +45,11 @@
 
 void on_demand_prober::send(probe_id key) {
     pending_probe& pending = *m_probes.find(key);
+    pending.m_sent = io::event_loop::now();
+    if (const upstream* target = m_shared.m_upstreams.find(pending.m_upstream);
+        target && !pending.m_reused)
+        m_shared.m_paths.add_set_up(target->m_zone,
+                                    pending.m_sent - pending.m_started);
     m_client.send(pending.m_connection, std::move(pending.m_output), false);
 }
 
@@ -100,6 +105,16 @@
     ended.m_done();
 }
 
+// Earliest time at which the upstream can have made its report: the probe had
+// to arrive first. Time that the response took beyond the path counts as the
+// report's age, because nothing shows when in it the report was made.
+time_point on_demand_prober::taken_at(const upstream& target,
+                                      const pending_probe& ended,
+                                      time_point now) const {
+    return std::min(now,
+                    ended.m_sent + m_shared.m_paths.one_way(target.m_zone));
+}
+
 void on_demand_prober::apply_response(upstream& target,
                                       const pending_probe& ended) {
     const health_info& signs = ended.m_signs;
@@ -107,6 +122,7 @@
         !signs.m_instance.empty() && signs.m_instance != target.m_instance;
     target.m_other_instance = other_instance;
     const time_point now = io::event_loop::now();
+    m_shared.m_paths.add_round_trip(target.m_zone, now - ended.m_sent);
     if (!other_instance) {
         target.m_health.checked(signs.m_healthy);
         apply_availability(signs.m_availability, target, m_shared.m_journal,
@@ -116,7 +132,8 @@
     if (signs.m_cold_start_left)
         target.m_cold_until = now + *signs.m_cold_start_left;
     if (signs.m_report && !other_instance)
-        target.m_load.update_report(*signs.m_report, ended.m_started);
+        target.m_load.update_report(*signs.m_report,
+                                    taken_at(target, ended, now));
     if (!other_instance)
         target.m_load.clear_failures();
 }
--- a/src/entry/on_demand_prober.hpp
+++ b/src/entry/on_demand_prober.hpp
@@ -43,14 +43,18 @@
         callback m_done;
         timer_id m_timer;
         time_point m_started;
-        bool m_reused{}; // the connection was idle before
-        bool m_usable{}; // the response head belongs to this probe
+        time_point m_sent; // when the connection was ready
+        bool m_reused{};   // the connection was idle before
+        bool m_usable{};   // the response head belongs to this probe
         health_info m_signs;
     };
 
     void handle(probe_id key, const io::client_event& what);
     void finish(probe_id key, bool answered, bool reusable);
     void send(probe_id key);
+    [[nodiscard]] time_point taken_at(const upstream& target,
+                                      const pending_probe& ended,
+                                      time_point now) const;
     void apply_response(upstream& target, const pending_probe& ended);
     void record_failure(upstream& target, const pending_probe& ended);
 
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -71,6 +71,8 @@
     std::vector<upstream_id> m_pending_probes; //!< of those, awaited
     std::vector<upstream_id> m_overdue_probes; //!< of those, no longer awaited
     time_point m_probing_since;
+    //! Time that probes of far zones took beyond those of near ones.
+    duration m_probing_allowance{};
     timer_id m_probe_timer;
     outcome m_outcome{outcome::answered}; //!< counted when the request ends
     int m_status{};                 //!< of the answer that was begun, 0 before
--- a/src/entry/router_probing.cpp
+++ b/src/entry/router_probing.cpp
@@ -70,12 +70,15 @@
                 newly_usable_period &&
             item.m_load.report_age(now) == duration::max();
         added.m_in_flight = item.m_load.in_flight();
+        // While the probes of one step are awaited, the first reports grow
+        // older by the time on the path.
+        const duration path = m_shared.m_paths.allowance(item.m_zone);
         if (!item.m_omits_load &&
-            item.m_load.report_age(now) <= saturation_validity)
+            item.m_load.report_age(now) <= saturation_validity + path)
             added.m_last_report = item.m_load.report_with_own();
         if (item.m_omits_load && !added.m_suspect)
             added.m_report = assumed_report(item);
-        else if (item.m_load.report_age(now) <= current_report_age &&
+        else if (item.m_load.report_age(now) <= current_report_age + path &&
                  !added.m_suspect)
             added.m_report = item.m_load.report_with_own();
         out.push_back(added);
