Fetch documents and lists from the own zone first

Entries chose the source of a document or upstream list without regard to zones, so two of three transfers crossed zones.

transfer_plan ranks sources of the own zone before others that have the same version. Another zone's source is used at once when none of the own zone has announced it, and after a transfer that stalled, failed or brought nothing. While own sources are only busy, it is used 100 ms after the first announcement.

The changed sources of the entry compile.

--- a/include/skylark/config/transfer_plan.hpp
+++ b/include/skylark/config/transfer_plan.hpp
@@ -4,7 +4,8 @@
  *
  *  Peers freeze, are cut off and have slow links, so no transfer blocks the
  *  next one: a source that sends nothing is overtaken by another one, and is
- *  still taken if it goes on. */
+ *  still taken if it goes on. Traffic between zones is billed, so sources in
+ * the own zone come first. */
 #ifndef SKYLARK_CONFIG_TRANSFER_PLAN_HPP
 #define SKYLARK_CONFIG_TRANSFER_PLAN_HPP
 
@@ -29,6 +30,9 @@
     //! Until a source that failed is asked again.
     duration m_failure_delay{milliseconds{500}};
     std::size_t m_most_transfers{3};
+    //! From the first announcement until another zone's source is used while
+    //! sources in the own zone are busy.
+    duration m_zone_patience{milliseconds{100}};
     //! From the first announcement until the store is asked.
     duration m_store_delay{milliseconds{750}};
     //! The same while a transfer makes progress; the transfer goes on.
@@ -43,6 +47,12 @@
     failed
 };
 
+/*! @brief Peer that has a version. */
+struct transfer_source {
+    address m_address;     //!< for transfers
+    bool m_own_zone{true}; //!< in the availability zone of this entry
+};
+
 /*! @brief Decides on the transfers of one kind of data to one entry. */
 class transfer_plan {
 public:
@@ -53,13 +63,13 @@
 
     /*! @brief A peer has a version that is newer than the one in force.
      *  @param which the version
-     *  @param by the peer's address for transfers
+     *  @param by the peer
      *  @param now current time */
-    void announced(const config_order& which, const address& by,
+    void announced(const config_order& which, const transfer_source& by,
                    time_point now);
 
     /*! @brief A busy source named others that should have the version. */
-    void referred(std::span<const address> holders);
+    void referred(std::span<const transfer_source> holders);
 
     /*! @brief A version is in force now. What is newer is still fetched. */
     void adopted(const config_order& in_force);
@@ -98,9 +108,11 @@
             m_last_input;        // last one; set during a transfer
         time_point m_not_before; // no transfer before
         unsigned m_transfers{};  // started so far
+        bool m_own_zone{};
     };
 
     [[nodiscard]] bool progressing(time_point now) const;
+    [[nodiscard]] bool waits_for_own_zone(time_point now) const;
 
     transfer_timing m_timing;
     std::uint64_t m_self;
@@ -109,6 +121,9 @@
     config_order m_wanted;
     time_point m_wanted_since;
     std::map<address, source> m_sources;
+    // Until a transfer of what is pending stalls or brings nothing: then the
+    // own zone may be cut off or behind.
+    bool m_prefers_own_zone{true};
 };
 
 } // namespace skylark
--- a/src/entry/configurator.hpp
+++ b/src/entry/configurator.hpp
@@ -58,6 +58,8 @@
     [[nodiscard]] bool is_turn(watch_schedule& of,
                                const peer_transfer& from_peers) const;
     [[nodiscard]] transfer_plan plan() const;
+    [[nodiscard]] std::uint64_t own_zone() const;
+    [[nodiscard]] bool in_own_zone(const address& of) const;
     [[nodiscard]] transfer_hooks document_hooks();
     [[nodiscard]] transfer_hooks list_hooks();
     [[nodiscard]] bool knows_all() const;
--- a/src/entry/configurator_peers.cpp
+++ b/src/entry/configurator_peers.cpp
@@ -1,4 +1,8 @@
 // Configuration and instance list from peers that have newer ones.
+#include <algorithm>
+
+#include <skylark/core/hash.hpp>
+
 #include "entry/configurator.hpp"
 #include "io/http_status.hpp"
 #include "peer/codec.hpp"
@@ -21,6 +25,8 @@
 void configurator::peer_mark(const member& peer) {
     const config_mark& theirs = peer.m_config;
     const address& from = peer.m_record.m_contact.m_control;
+    const transfer_source source{from,
+                                 peer.m_record.m_contact.m_zone == own_zone()};
     m_peer_knows |= theirs.m_revision.known() && theirs.m_instances.known();
     const time_point answered = io::event_loop::now() - theirs.m_confirmed_age;
     m_shared.m_config.confirmed(theirs.order(), answered);
@@ -30,10 +36,23 @@
     if (theirs.order() > m_shared.m_config.order() && !refused_before) {
         m_shared.m_newer_announced = true;
         m_delay.announced(from, io::event_loop::now());
-        m_documents.announced(theirs.order(), from);
+        m_documents.announced(theirs.order(), source);
     }
     if (theirs.m_instances > m_shared.m_instances.m_index)
-        m_lists.announced({0, theirs.m_instances}, from);
+        m_lists.announced({0, theirs.m_instances}, source);
+}
+
+std::uint64_t configurator::own_zone() const {
+    return hash(m_shared.m_settings.m_zone);
+}
+
+// A peer that is not known may be anywhere.
+bool configurator::in_own_zone(const address& of) const {
+    const auto& peers = m_shared.m_fleet.peers();
+    return std::any_of(peers.begin(), peers.end(), [&](const auto& item) {
+        const member_contact& contact = item.second.m_record.m_contact;
+        return contact.m_control == of && contact.m_zone == own_zone();
+    });
 }
 
 transfer_hooks configurator::document_hooks() {
@@ -41,6 +60,7 @@
             [this](const io::fetch_answer& answer) {
                 return take_peer_document(answer);
             },
+            [this](const address& of) { return in_own_zone(of); },
             [this](const address& from, std::string_view cause) {
                 note_failed_fetch("configuration", from, cause);
             }};
@@ -55,6 +75,7 @@
             return out;
         },
         [this](const io::fetch_answer& answer) { return take_changes(answer); },
+        [this](const address& of) { return in_own_zone(of); },
         [this](const address& from, std::string_view cause) {
             note_failed_fetch("instance list", from, cause);
         }};
--- a/src/entry/peer_transfer.cpp
+++ b/src/entry/peer_transfer.cpp
@@ -14,21 +14,23 @@
 constexpr auto check_period = milliseconds{50};
 constexpr auto piece_timeout = seconds{1};
 
-std::vector<address> holders_in(const io::fetch_answer& answer) {
-    std::vector<address> out;
+} // namespace
+
+std::vector<transfer_source>
+peer_transfer::holders_in(const io::fetch_answer& answer) const {
+    std::vector<transfer_source> out;
     std::string_view left = answer.header_value("Config-Holders");
     while (!left.empty()) {
         const auto end = std::min(left.find(','), left.size());
         if (const auto read = parse_address(left.substr(0, end), "holder"))
-            out.push_back(read.value());
+            out.push_back({read.value(), m_hooks.m_in_own_zone(read.value())});
         left.remove_prefix(std::min(end + 1, left.size()));
     }
     return out;
 }
 
-} // namespace
-
-void peer_transfer::announced(const config_order& which, const address& by) {
+void peer_transfer::announced(const config_order& which,
+                              const transfer_source& by) {
     m_plan.announced(which, by, io::event_loop::now());
     start_transfers();
 }
--- a/src/entry/peer_transfer.hpp
+++ b/src/entry/peer_transfer.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string_view>
+#include <vector>
 
 #include <skylark/config/transfer_plan.hpp>
 
@@ -20,6 +21,8 @@
     std::function<io::fetch_request()> m_request;
     //! Takes an answer; may call adopted() and clear().
     std::function<transfer_end(const io::fetch_answer&)> m_take;
+    //! Whether a peer, by its address for transfers, is in the own zone.
+    std::function<bool(const address&)> m_in_own_zone;
     //! A transfer brought nothing usable.
     std::function<void(const address&, std::string_view)> m_failed;
 };
@@ -37,7 +40,7 @@
                                                                   hooks)} {}
 
     /*! @brief See transfer_plan::announced. */
-    void announced(const config_order& which, const address& by);
+    void announced(const config_order& which, const transfer_source& by);
 
     /*! @brief A version is in force now; see transfer_plan::adopted. */
     void adopted(const config_order& in_force);
@@ -52,6 +55,8 @@
     void start_transfers();
     void begin(const address& from);
     void end(const address& from, const io::fetch_result& result);
+    [[nodiscard]] std::vector<transfer_source>
+    holders_in(const io::fetch_answer& answer) const;
 
     io::event_loop& m_loop;
     io::fetcher m_fetcher;
--- a/test/config/distribution.cpp
+++ b/test/config/distribution.cpp
@@ -11,6 +11,9 @@
 
 constexpr double mbit = 1e6 / 8; // bytes
 const std::vector<double> mixed_links{10 * mbit, 200 * mbit, 50 * mbit};
+// Four, so that each of three zones has all of them.
+const std::vector<double> links_of_zones{10 * mbit, 10 * mbit, 200 * mbit,
+                                         50 * mbit};
 
 // What the tightest bound of the users leaves after the watch of the store and
 // the announcement, and before the store is asked.
@@ -56,3 +59,28 @@
         EXPECT_EQ(subject.without_version(), 0U) << frozen;
     }
 }
+
+// Each transfer between zones is billed; without a preference two of three of
+// them are.
+TEST(distribution, most_transfers_stay_in_a_zone_that_has_the_version) {
+    for (const std::size_t count : {14U, 117U, 313U, 1000U}) {
+        fake_transfers subject{
+            {count, 3, packed_bytes(1400), links_of_zones, 3}};
+        subject.run(time_left);
+        EXPECT_TRUE(subject.last_delivery()) << count;
+        EXPECT_LE(subject.between_zones(), count / 3) << count;
+    }
+}
+
+TEST(distribution, zones_without_the_version_do_not_wait_for_it) {
+    fake_transfers subject{{117, 1, packed_bytes(1400), links_of_zones, 3}};
+    subject.run(time_left);
+    EXPECT_TRUE(subject.last_delivery());
+}
+
+TEST(distribution, frozen_sources_of_one_zone_do_not_hold_it_up) {
+    fake_transfers subject{{117, 3, packed_bytes(1400), links_of_zones, 3}};
+    subject.freeze(0);
+    subject.run(time_left);
+    EXPECT_EQ(subject.without_version(), 0U);
+}
--- a/test/config/fake_transfers.hpp
+++ b/test/config/fake_transfers.hpp
@@ -24,6 +24,7 @@
         std::size_t m_bytes{}; // of the document as it is passed on
         //! Link speeds in bytes a second, dealt out in turn.
         std::vector<double> m_speeds;
+        std::size_t m_zones{1}; //!< the entries are dealt out in turn
     };
 
     explicit fake_transfers(const fleet_shape& shape) : m_shape{shape} {
@@ -34,7 +35,7 @@
         }
         for (std::size_t i = shape.m_holders; i < shape.m_count; ++i)
             for (std::size_t from = 0; from < shape.m_holders; ++from)
-                m_entries[i].m_plan.announced(version, where(from), m_now);
+                m_entries[i].m_plan.announced(version, source(from, i), m_now);
     }
 
     /*! @brief An entry sends and receives nothing from now on. */
@@ -74,6 +75,8 @@
 
     [[nodiscard]] std::size_t most_uploads() const { return m_most_uploads; }
     [[nodiscard]] std::size_t requests() const { return m_requests; }
+    /*! @brief Whole transfers from one zone to another. */
+    [[nodiscard]] std::size_t between_zones() const { return m_between_zones; }
 
 private:
     static constexpr config_order version{2, {}};
@@ -103,6 +106,14 @@
         return {static_cast<std::uint32_t>(index + 1), 1};
     }
 
+    [[nodiscard]] bool same_zone(std::size_t left, std::size_t right) const {
+        return left % m_shape.m_zones == right % m_shape.m_zones;
+    }
+
+    [[nodiscard]] transfer_source source(std::size_t of, std::size_t to) const {
+        return {where(of), same_zone(of, to)};
+    }
+
     void start_transfer(std::size_t index) {
         entry& item = m_entries[index];
         item.m_was_overdue |= item.m_plan.overdue(m_now);
@@ -165,11 +176,15 @@
         entry& from = m_entries[of.m_from];
         entry& to = m_entries[of.m_to];
         if (of.m_refused) {
-            to.m_plan.referred(from.m_uploads.holders());
+            std::vector<transfer_source> holders;
+            for (const address& holder : from.m_uploads.holders())
+                holders.push_back(source(holder.m_ip - 1, of.m_to));
+            to.m_plan.referred(holders);
             to.m_plan.ended(where(of.m_from), transfer_end::busy, m_now);
             return;
         }
         from.m_uploads.ended(key, true);
+        m_between_zones += same_zone(of.m_from, of.m_to) ? 0 : 1;
         if (!to.m_has)
             to.m_delivered = m_now;
         to.m_has = true;
@@ -184,6 +199,7 @@
     std::uint64_t m_last_transfer{};
     std::size_t m_most_uploads{};
     std::size_t m_requests{};
+    std::size_t m_between_zones{};
 };
 
 } // namespace skylark::test
--- a/test/config/transfer_plan.cpp
+++ b/test/config/transfer_plan.cpp
@@ -18,7 +18,10 @@
 class transfer_plan_test : public testing::Test {
 protected:
     void announce(std::uint64_t version, const address& by) {
-        m_plan.announced({version, {}}, by, m_now);
+        m_plan.announced({version, {}}, {by}, m_now);
+    }
+    void announce_elsewhere(std::uint64_t version, const address& by) {
+        m_plan.announced({version, {}}, {by, false}, m_now);
     }
     void pass(duration time) { m_now += time; }
 
@@ -75,7 +78,8 @@
 TEST_F(transfer_plan_test, a_busy_source_refers_to_holders) {
     announce(8, first);
     ASSERT_EQ(m_plan.next(m_now), first);
-    m_plan.referred(std::array{second, third});
+    m_plan.referred(
+        std::array{transfer_source{second}, transfer_source{third}});
     m_plan.ended(first, transfer_end::busy, m_now);
     const auto next = m_plan.next(m_now);
     ASSERT_TRUE(next);
@@ -86,9 +90,10 @@
     std::set<address> chosen;
     for (std::uint64_t self = 1; self <= 40; ++self) {
         transfer_plan subject{m_timing, self};
-        subject.announced({8, {}}, first, m_now);
+        subject.announced({8, {}}, {first}, m_now);
         subject.next(m_now);
-        subject.referred(std::array{second, third});
+        subject.referred(
+            std::array{transfer_source{second}, transfer_source{third}});
         subject.ended(first, transfer_end::busy, m_now);
         chosen.insert(subject.next(m_now).value_or(first));
     }
@@ -132,3 +137,70 @@
     m_plan.input_received(first, m_now);
     EXPECT_TRUE(m_plan.overdue(m_now));
 }
+
+// Traffic between zones is billed.
+TEST_F(transfer_plan_test, a_source_in_the_own_zone_comes_first) {
+    for (std::uint32_t i = 10; i < 20; ++i)
+        announce_elsewhere(8, {i, 1});
+    announce(8, first);
+    EXPECT_EQ(m_plan.next(m_now), first);
+}
+
+TEST_F(transfer_plan_test, another_zone_delivers_at_once_what_only_it_has) {
+    announce_elsewhere(8, first);
+    EXPECT_EQ(m_plan.next(m_now), first);
+}
+
+TEST_F(transfer_plan_test, a_newer_version_of_another_zone_comes_first) {
+    announce(8, first);
+    announce_elsewhere(9, second);
+    EXPECT_EQ(m_plan.next(m_now), second);
+}
+
+// A busy source of the own zone names others there, or has time soon.
+TEST_F(transfer_plan_test, another_zone_is_no_way_around_a_busy_source) {
+    announce(8, first);
+    announce_elsewhere(8, second);
+    ASSERT_EQ(m_plan.next(m_now), first);
+    m_plan.ended(first, transfer_end::busy, m_now);
+    EXPECT_EQ(m_plan.next(m_now), std::nullopt);
+    m_plan.referred(std::array{transfer_source{third}});
+    EXPECT_EQ(m_plan.next(m_now), third);
+    m_plan.ended(third, transfer_end::busy, m_now);
+    pass(m_timing.m_zone_patience);
+    EXPECT_TRUE(m_plan.next(m_now));
+}
+
+TEST_F(transfer_plan_test, sources_that_stay_busy_do_not_hold_a_version_up) {
+    announce(8, first);
+    announce_elsewhere(8, second);
+    std::optional<address> from;
+    for (from = m_plan.next(m_now); from != second; from = m_plan.next(m_now)) {
+        ASSERT_LE(m_now - start, m_timing.m_zone_patience);
+        if (from)
+            m_plan.ended(*from, transfer_end::busy, m_now);
+        pass(milliseconds{50});
+    }
+}
+
+// The own zone's sources may all be frozen or cut off, so one stall is enough.
+TEST_F(transfer_plan_test, another_zone_delivers_after_a_stall) {
+    announce(8, first);
+    announce_elsewhere(8, second);
+    ASSERT_EQ(m_plan.next(m_now), first);
+    EXPECT_EQ(m_plan.next(m_now), std::nullopt);
+    pass(m_timing.m_stall_limit + milliseconds{1});
+    EXPECT_EQ(m_plan.next(m_now), second);
+}
+
+TEST_F(transfer_plan_test, another_zone_delivers_after_a_failure) {
+    for (const auto how : {transfer_end::failed, transfer_end::unchanged}) {
+        m_plan.clear();
+        announce(8, first);
+        announce_elsewhere(8, second);
+        ASSERT_EQ(m_plan.next(m_now), first);
+        m_plan.ended(first, how, m_now);
+        EXPECT_EQ(m_plan.next(m_now), second);
+        m_plan.ended(second, transfer_end::delivered, m_now);
+    }
+}
