Keep the name of a request's team

Rate limits need the team of a request that has been admitted. The name is empty until requests are authenticated.

--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -133,8 +133,9 @@
     // Selects the service by the rule's split, if it has one; advances the
     // split.
     const std::string& select_service(const rule& matched);
+    // whose: team of the request; nullptr if it has none.
     void admit(exchange_id key, const io::request_view& from,
-               const rule& matched, const service& target);
+               const rule& matched, const service& target, const team* whose);
     // How long a request waited for a pause of the process to end.
     [[nodiscard]] arrival_span waited_for_process(exchange_id key);
     ratio_budget& retry_budget(const std::string& service);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -57,7 +57,7 @@
                           "service " + name + " has no usable upstream",
                           matched->m_class, retry_after_without(name));
     else // check() has refused rules of services that are not declared
-        admit(key, from, *matched, *config.find_service(name));
+        admit(key, from, *matched, *config.find_service(name), nullptr);
 }
 
 const std::string& forwarder::select_service(const rule& matched) {
@@ -90,7 +90,8 @@
 }
 
 void forwarder::admit(exchange_id key, const io::request_view& from,
-                      const rule& matched, const service& target) {
+                      const rule& matched, const service& target,
+                      const team* whose) {
     const bool can_serve = m_router.can_serve(target, matched.m_class);
     if (!can_serve && m_shared.m_drain) {
         refuse_leaving(key, from, matched.m_class);
@@ -140,6 +141,8 @@
     request& req = *m_requests.find(admitted);
     req.m_shortened = allowed - time_left;
     req.m_rank = matched.m_rank;
+    if (whose)
+        req.m_team = whose->m_name;
     req.m_target =
         matched.m_target > duration{0} ? matched.m_target : time_left + waited;
     req.m_target_time = now + req.m_target - waited;
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -64,6 +64,7 @@
     time_point m_target_time; //!< an answer by then has full value
     duration m_target{};      //!< the same, from the caller's first request
     std::uint32_t m_rank{};   //!< order within its class
+    std::string m_team;       //!< name of its team; empty: none
     duration m_shortened{};   //!< taken off its time for a pause
 
     // Probes that precede an attempt.
