Connect rate limits to the forwarder and the fleet's socket

A request of a team with a limit joins its queue once it has a token, and gets 429 with Retry-After otherwise. While it waits it counts as in progress, its deadline runs on, and it ends in a stop like a queued one. Messages are datagrams of their own; a heartbeat decoder finds no sender in them.

Built skylark-entry. 31 tests of the module, the codecs and of two entries on their sockets pass.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -13,14 +13,16 @@
 target_include_directories(skylark_store PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(skylark_store PUBLIC skylark_io)
 add_library(skylark_peer STATIC src/peer/codec.cpp src/peer/instance_codec.cpp
-    src/peer/gzip.cpp)
+    src/peer/gzip.cpp src/peer/allowance_codec.cpp)
 target_link_libraries(skylark_peer PUBLIC skylark_decide skylark_wire PRIVATE z)
 
 # The entry as a library, so that tests can use its parts.
 add_library(skylark_entry STATIC
     src/entry/settings.cpp src/entry/journal.cpp src/entry/log_line.cpp src/entry/log_sink.cpp
     src/entry/forwarder_log.cpp src/entry/metrics.cpp
-    src/entry/fleet.cpp src/entry/upstream_table.cpp src/entry/router.cpp
+    src/entry/fleet.cpp src/entry/fleet_tokens.cpp
+    src/entry/allowance_service.cpp
+    src/entry/forwarder_allowance.cpp src/entry/upstream_table.cpp src/entry/router.cpp
     src/entry/router_probing.cpp
     src/entry/request_head.cpp src/entry/connection_pool.cpp
     src/entry/availability_info.cpp
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -10,6 +10,8 @@
     test/member/watchers.cpp test/member/listing_policy.cpp
     test/allowance/paced_share.cpp test/allowance/lender.cpp
     test/allowance/client.cpp test/allowance/fleet.cpp
+    test/allowance/alternatives.cpp
+    test/peer/allowance_codec.cpp test/platform/allowances.cpp
     test/attempt/machine.cpp test/rule/classify.cpp
     test/load/availability.cpp test/load/availability_history.cpp
     test/load/report.cpp test/load/upstream_load.cpp
--- a/include/skylark/allowance/lender.hpp
+++ b/include/skylark/allowance/lender.hpp
@@ -68,6 +68,7 @@
         team_limit m_limit;
         lending_state m_state{lending_state::idle};
         double m_tokens{};
+        bool m_vouched{}; // taken over from a lender that knew all members
         time_point m_refilled;
         // Tokens that may be held ahead. Invariant: with m_tokens they do not
         // exceed the capacity, so that the burst is not lent twice.
--- a/include/skylark/allowance/message.hpp
+++ b/include/skylark/allowance/message.hpp
@@ -35,9 +35,12 @@
     bool m_owner_silent{};      //!< question: the owner did not answer
     bool m_alone{};             //!< question: the sender uses its own share
     bool m_yielded{};           //!< yield reply: its sender lends no more
-    entry_id m_owner;           //!< grant: entry to ask instead; or none
-    duration m_room_in{};       //!< grant: when a caller should return
-    duration m_quiet{};         //!< grant: ask no more for this long
+    //! Yield reply: its sender lent until now, and knew all members or had it
+    //! from one that did.
+    bool m_vouched{};
+    entry_id m_owner;     //!< grant: entry to ask instead; or none
+    duration m_room_in{}; //!< grant: when a caller should return
+    duration m_quiet{};   //!< grant: ask no more for this long
 };
 
 /*! @brief A message to send; the receiver may be this entry itself. */
--- a/src/allowance/lender.cpp
+++ b/src/allowance/lender.cpp
@@ -12,6 +12,8 @@
 // lender.
 constexpr double interim_rate = 0.08;
 constexpr duration token_life = seconds{1};
+// While all entries start, several that know a part of the others lend at once.
+constexpr double doubtful = 2.0;
 // An entry that asks less often than this is not counted among the askers.
 constexpr duration asker_life = seconds{2};
 // Part of the bucket that is lent ahead of demand.
@@ -66,7 +68,8 @@
     for (const auto& [who, item] : of.m_askers)
         if (item.m_alone_until > now && m_view.is_member(who))
             members -= 1.0;
-    return std::clamp(members / m_view.size(), 0.0, 1.0);
+    const double doubt = m_view.m_settled || of.m_vouched ? 1.0 : doubtful;
+    return std::clamp(members / m_view.size() / doubt, 0.0, 1.0);
 }
 
 void allowance_lender::refill(bucket& of, time_point now) const {
@@ -92,6 +95,7 @@
 void allowance_lender::begin(bucket& of, lending_state state, double tokens,
                              time_point now) const {
     of.m_state = state;
+    of.m_vouched = false;
     of.m_tokens = tokens;
     of.m_refilled = now;
     of.m_ahead.clear();
--- a/src/allowance/lender_turns.cpp
+++ b/src/allowance/lender_turns.cpp
@@ -110,8 +110,10 @@
     out.m_from = m_view.m_self;
     out.m_yielded = true;
     refill(of, now);
-    if (of.m_state == lending_state::active)
+    if (of.m_state == lending_state::active) {
         out.m_count = static_cast<std::uint32_t>(of.m_tokens);
+        out.m_vouched = m_view.m_settled || of.m_vouched;
+    }
     of.m_state = lending_state::idle;
     of.m_tokens = 0.0;
     return out;
@@ -140,9 +142,11 @@
 // say that they do not lend.
 void allowance_lender::yielded(bucket& of, const allowance_message& reply,
                                time_point now) const {
-    const bool was_lender = reply.m_yielded && reply.m_count > 0;
+    const bool was_lender =
+        reply.m_yielded && (reply.m_vouched || reply.m_count > 0);
     if (of.m_state == lending_state::active) {
         of.m_tokens += reply.m_yielded ? reply.m_count : 0;
+        of.m_vouched = of.m_vouched || reply.m_vouched;
         refill(of, now);
         return;
     }
@@ -160,6 +164,7 @@
     const double left =
         of.m_state == lending_state::interim ? 0.0 : reply.m_count;
     begin(of, lending_state::active, left, now);
+    of.m_vouched = reply.m_vouched;
     refill(of, now);
 }
 
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -9,6 +9,7 @@
 #include <skylark/discovery/instance.hpp>
 #include <skylark/limit/drain_schedule.hpp>
 
+#include "entry/allowance_service.hpp"
 #include "entry/dialect.hpp"
 #include "entry/fleet.hpp"
 #include "entry/journal.hpp"
@@ -28,6 +29,8 @@
           m_journal{from.m_name, from.m_log_level}, m_fleet{loop, from,
                                                             m_journal,
                                                             m_metrics},
+          m_allowances{loop, m_fleet, m_journal, m_metrics,
+                       id_of(from.m_name).value()},
           m_upstreams{id_of(from.m_name), from.m_zone} {}
 
     io::event_loop& m_loop;
@@ -36,6 +39,7 @@
     metrics m_metrics;
     journal m_journal;
     fleet m_fleet;
+    allowance_service m_allowances;
     config_adoption m_config;
     packed_document m_packed;  //!< of m_config, for peers
     bool m_newer_announced{};  //!< by a peer, and not offered yet
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -127,6 +127,8 @@
 }
 
 void fleet::receive(std::span<const std::uint8_t> bytes) {
+    if (receive_tokens(bytes))
+        return;
     const auto message = peer::decode(bytes);
     if (!message) {
         m_counts.count(counter::bad_datagrams);
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include <skylark/allowance/message.hpp>
 #include <skylark/member/roster.hpp>
 #include <skylark/member/table.hpp>
 #include <skylark/share/table.hpp>
@@ -34,6 +35,8 @@
     std::function<void()> m_changed;
     //! A peer's configuration state was heard.
     std::function<void(const member&)> m_peer_mark;
+    //! A message about tokens of rate limits.
+    std::function<void(const allowance_message&)> m_tokens;
 };
 
 /*! @brief Membership by agreement, with the shares that rest on it. */
@@ -105,6 +108,14 @@
         return of && of->cut_off(limit, io::event_loop::now());
     }
 
+    /*! @brief Sends a message about tokens to a peer; drops it if the peer is
+     *  not known. */
+    void send_tokens(const outgoing_allowance& item);
+
+    /*! @brief Members that may lend tokens: live and not shutting down, this
+     *  entry included. */
+    [[nodiscard]] std::vector<entry_id> live_members(time_point now) const;
+
     [[nodiscard]] const std::map<entry_id, member>& peers() const;
     [[nodiscard]] const member_record& self_record() const;
     [[nodiscard]] member_state state() const;
@@ -118,6 +129,8 @@
     std::vector<outgoing_heartbeat> round(time_point now);
     void send(outgoing_heartbeat item);
     void receive(std::span<const std::uint8_t> bytes);
+    // Handles a datagram about tokens; false if it is not one.
+    bool receive_tokens(std::span<const std::uint8_t> bytes);
     void follow_view();
     void note_changes();
 
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -50,6 +50,9 @@
     /*! @brief Dispatches queued requests for which an upstream is available. */
     void dispatch_queued();
 
+    /*! @brief Handles the decision on a request that waited for a token. */
+    void token_decided(const allowance_decision& decided);
+
     /*! @brief Handles a pause of the process: ends requests whose deadline
      *  passed meanwhile, except those that are being answered. */
     void process_paused();
@@ -136,6 +139,13 @@
     // whose: team of the request; nullptr if it has none.
     void admit(exchange_id key, const io::request_view& from,
                const rule& matched, const service& target, const team* whose);
+    // Takes a token of the request's team, if it has a limit, and enqueues the
+    // request, lets it wait or refuses it.
+    void request_token(request_id key);
+    void enqueue(request_id key);
+    // Gives back the token of a request that has ended.
+    void release_token(const std::string& team, request_id key,
+                       token_state state);
     // How long a request waited for a pause of the process to end.
     [[nodiscard]] arrival_span waited_for_process(exchange_id key);
     ratio_budget& retry_budget(const std::string& service);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -154,17 +154,7 @@
         if (request* found = m_requests.find(admitted))
             apply(admitted, found->m_machine.expired());
     });
-    retry_budget(target.m_name).deposit(bounds.m_retry_percent);
-    if (matched.m_idempotent) {
-        m_hedge_budget.deposit(m_hedge_percent[target.m_name]);
-        if (matched.m_class != request_class::bulk &&
-            bounds.m_hedge_percent > 0)
-            req.m_hedge_timer = m_shared.m_loop.after(
-                bounds.m_hedge_after, [this, admitted] { hedge(admitted); });
-    }
-    req.m_queued = true;
-    queues.push(matched.m_class, admitted);
-    dispatch_service(target.m_name);
+    request_token(admitted);
 }
 
 std::size_t forwarder::queued() const {
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -171,7 +171,10 @@
     m_shared.m_metrics.finished(req.m_class, how, end - req.m_arrived);
     log_end(req, how, end - req.m_arrived);
     const std::string service = req.m_service.m_name;
+    const std::string team = req.m_team;
+    const token_state token = req.m_token;
     m_requests.erase(key);
+    release_token(team, key, token);
     dispatch_service(service);
 }
 
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -78,6 +78,8 @@
     }
     current.m_sent = true;
     current.m_sent_at = now;
+    if (req.m_token == token_state::held)
+        req.m_token = token_state::spent;
     log_send(req, current, target, now);
     m_client.send(current.m_connection, std::move(head),
                   m_callers.body(req.m_exchange), req.m_head_only);
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view leaving_reason = "this entry is shutting down";
+constexpr std::string_view limit_reason = "the team is over its rate limit";
 
 std::string reason_of(const refuse& why) {
     const auto* proof = std::get_if<not_run>(&why.m_verdict);
@@ -120,22 +121,28 @@
 
 void forwarder::refuse_caller(request& req, const refuse& why) {
     const bool ran = !std::holds_alternative<not_run>(why.m_verdict);
-    const int status = status_of(why);
+    const int status =
+        req.m_over_limit ? io::status::too_many_requests : status_of(why);
     const bool leaving = !ran && req.m_withdrawn;
-    const std::string reason =
-        leaving ? std::string{leaving_reason} : reason_of(why);
+    const std::string reason = req.m_over_limit ? std::string{limit_reason}
+                               : leaving        ? std::string{leaving_reason}
+                                                : reason_of(why);
     req.m_outcome = ran ? outcome::unknown : outcome::not_run;
     req.m_status = status;
     m_services[req.m_service.m_name].m_last_refusal = io::event_loop::now();
-    m_shared.m_journal.note(event_kind::request, req.m_rule,
-                            std::string{verdict_text(why.m_verdict)} + ": " +
-                                reason);
+    // Requests over a limit come by the thousand and are counted; as events
+    // they would push all others out.
+    if (!req.m_over_limit)
+        m_shared.m_journal.note(event_kind::request, req.m_rule,
+                                std::string{verdict_text(why.m_verdict)} +
+                                    ": " + reason);
     refusal load = refusal_of(req, why);
     const auto other =
         leaving ? other_entry(m_shared, m_router.random()) : std::nullopt;
     if (other)
         load.m_cause = refusal_cause::entry_leaving;
-    const duration delay = retry_after(load, m_router.random());
+    const duration delay =
+        req.m_over_limit.value_or(retry_after(load, m_router.random()));
     if (req.m_cut)
         m_shared.m_metrics.count(counter::answered_instead);
     log_refusal(req, status, reason, load, delay);
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -25,7 +26,7 @@
                               "abandoned"};
 
 // In the order of the enumerations.
-constexpr std::array<description, 21> counters{{
+constexpr std::array<description, 22> counters{{
     {"skylark_retries_total", "attempts after a failed one"},
     {"skylark_hedges_total", "second attempts beside a slow one"},
     {"skylark_hedges_won_total", "hedges that answered first"},
@@ -50,6 +51,7 @@
      "own answers to requests that upstreams may have been working on"},
     {"skylark_answers_skipped_total",
      "upstream responses that named another request"},
+    {"skylark_allowance_messages_total", "messages sent about tokens"},
 }};
 
 constexpr std::array<description, 10> gauges{{
@@ -65,6 +67,14 @@
     {"skylark_connections", "connections to upstreams"},
 }};
 
+// Gauges, as a team that is not shown any more takes its series with it.
+constexpr std::array<description, 4> team_gauges{{
+    {"skylark_team_granted", "requests of a team that got a token"},
+    {"skylark_team_refused", "requests of a team over its rate limit"},
+    {"skylark_team_asked", "questions for tokens of a team"},
+    {"skylark_team_waiting", "requests of a team that wait for a token"},
+}};
+
 } // namespace
 
 struct metrics::store {
@@ -74,6 +84,9 @@
     prometheus::Histogram* m_config_delay{};
     std::vector<prometheus::Counter*> m_counters;
     std::vector<prometheus::Gauge*> m_gauges;
+    // Of the teams that are shown.
+    std::array<prometheus::Family<prometheus::Gauge>*, 4> m_team_families{};
+    std::vector<std::array<prometheus::Gauge*, 4>> m_teams;
 };
 
 metrics::metrics() : m_store{std::make_unique<store>()} {
@@ -103,6 +116,11 @@
              .Help("from a configuration's announcement to its adoption")
              .Register(registry)
              .Add({}, delay_edges);
+    for (std::size_t i = 0; i < team_gauges.size(); ++i)
+        m_store->m_team_families[i] = &prometheus::BuildGauge()
+                                           .Name(team_gauges[i].m_name)
+                                           .Help(team_gauges[i].m_help)
+                                           .Register(registry);
     for (const auto& item : counters)
         m_store->m_counters.push_back(&prometheus::BuildCounter()
                                            .Name(item.m_name)
@@ -133,6 +151,23 @@
     m_store->m_config_delay->Observe(seconds_taken.count());
 }
 
+void metrics::show(std::span<const team_figures> teams) {
+    auto& families = m_store->m_team_families;
+    for (const auto& series : m_store->m_teams)
+        for (std::size_t i = 0; i < families.size(); ++i)
+            families[i]->Remove(series[i]);
+    m_store->m_teams.clear();
+    for (const team_figures& item : teams) {
+        const std::array values{item.m_granted, item.m_refused, item.m_asked,
+                                std::uint64_t{item.m_waiting}};
+        auto& series = m_store->m_teams.emplace_back();
+        for (std::size_t i = 0; i < families.size(); ++i) {
+            series[i] = &families[i]->Add({{"team", item.m_name}});
+            series[i]->Set(static_cast<double>(values[i]));
+        }
+    }
+}
+
 void metrics::count(counter which, std::uint64_t by) {
     m_store->m_counters[static_cast<std::size_t>(which)]->Increment(
         static_cast<double>(by));
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 
 #include <skylark/config/rule.hpp>
@@ -42,7 +43,8 @@
     discarded,
     config_fetch_failures,
     answered_instead,
-    answers_skipped
+    answers_skipped,
+    allowance_messages
 };
 
 /*! @brief Values that are set anew. */
@@ -59,6 +61,15 @@
     connections
 };
 
+/*! @brief What happened to the requests of a team that has a rate limit. */
+struct team_figures {
+    std::string m_name;
+    std::uint64_t m_granted{};
+    std::uint64_t m_refused{};
+    std::uint64_t m_asked{}; //!< questions for tokens
+    std::size_t m_waiting{};
+};
+
 /*! @brief All metrics of the process. */
 class metrics {
 public:
@@ -77,6 +88,9 @@
      *  @param delay since a peer announced it first */
     void adopted(duration delay);
 
+    /*! @brief Replaces the teams that are shown, with their figures. */
+    void show(std::span<const team_figures> teams);
+
     void count(counter which, std::uint64_t by = 1);
     void set(gauge which, std::int64_t value);
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -68,7 +68,13 @@
     hooks.m_peer_mark = [this](const member& peer) {
         m_configurator.peer_mark(peer);
     };
+    hooks.m_tokens = [this](const allowance_message& message) {
+        m_shared.m_allowances.received(message);
+    };
     BOOST_OUTCOME_TRYV(m_shared.m_fleet.start(std::move(hooks)));
+    m_shared.m_allowances.start([this](const allowance_decision& decided) {
+        m_forwarder.token_decided(decided);
+    });
     m_configurator.start();
     prepare_place();
     // Without shares nobody owns a probe; upstreams are asked before a send.
@@ -140,6 +146,7 @@
         m_callers.set_limits({bounds.m_body_bytes, bounds.m_idle,
                               bounds.m_head_bytes,
                               m_shared.m_settings.m_input_bytes});
+        m_shared.m_allowances.configure(m_shared.m_config.current());
     }
     m_forwarder.upstreams_removed(m_shared.m_upstreams.adopt(
         m_shared.m_config.current(), m_shared.m_instances));
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -37,6 +37,14 @@
     std::uint32_t m_pending_probe_count{}; //!< of those, unanswered
 };
 
+/*! @brief What a request has of its team's rate limit. */
+enum class token_state : std::uint8_t {
+    none,    //!< not needed, refused, or given back
+    awaited, //!< asked for; the request is in no queue
+    held,    //!< granted, and the request was not sent yet
+    spent    //!< the request was sent
+};
+
 /*! @brief One request of a caller. */
 struct request {
     exchange_id m_exchange; //!< invalid after the caller disconnected
@@ -60,6 +68,9 @@
     std::optional<answer_bound> m_answer_bound; //!< of the answer in progress
     timer_id m_hedge_timer;
     bool m_queued{};
+    token_state m_token{token_state::none};
+    //! When the caller should return; set if its team is over its limit.
+    std::optional<duration> m_over_limit;
     std::string m_name;       //!< given by the caller; may be empty
     time_point m_target_time; //!< an answer by then has full value
     duration m_target{};      //!< the same, from the caller's first request
--- a/src/entry/request_stage.hpp
+++ b/src/entry/request_stage.hpp
@@ -12,7 +12,7 @@
 
 /*! @brief How far a request has come. */
 enum class request_stage : std::uint8_t {
-    queued,     //!< waits in the admission queue
+    queued,     //!< waits in the admission queue, or for a token
     probing,    //!< waits for load reports
     connecting, //!< an attempt has begun, no byte was sent
     sent,       //!< passed on to an upstream, no answer yet
@@ -42,7 +42,8 @@
     }
     if (connecting)
         return request_stage::connecting;
-    return of.m_queued ? request_stage::queued : request_stage::probing;
+    const bool waits = of.m_queued || of.m_token == token_state::awaited;
+    return waits ? request_stage::queued : request_stage::probing;
 }
 
 /*! @brief Number of requests by stage. */
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2225,4 +2225,376 @@
   out << ")";
 }
 
+
+allowance::~allowance() noexcept {
+}
+
+
+void allowance::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void allowance::__set_team(const int64_t val) {
+  this->team = val;
+}
+
+void allowance::__set_sender(const int64_t val) {
+  this->sender = val;
+}
+
+void allowance::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void allowance::__set_count(const int32_t val) {
+  this->count = val;
+__isset.count = true;
+}
+
+void allowance::__set_ahead(const int32_t val) {
+  this->ahead = val;
+__isset.ahead = true;
+}
+
+void allowance::__set_returned(const int32_t val) {
+  this->returned = val;
+__isset.returned = true;
+}
+
+void allowance::__set_owner_silent(const bool val) {
+  this->owner_silent = val;
+__isset.owner_silent = true;
+}
+
+void allowance::__set_alone(const bool val) {
+  this->alone = val;
+__isset.alone = true;
+}
+
+void allowance::__set_yielded(const bool val) {
+  this->yielded = val;
+__isset.yielded = true;
+}
+
+void allowance::__set_owner(const int64_t val) {
+  this->owner = val;
+__isset.owner = true;
+}
+
+void allowance::__set_room_in_us(const int64_t val) {
+  this->room_in_us = val;
+__isset.room_in_us = true;
+}
+
+void allowance::__set_quiet_us(const int64_t val) {
+  this->quiet_us = val;
+__isset.quiet_us = true;
+}
+
+void allowance::__set_vouched(const bool val) {
+  this->vouched = val;
+__isset.vouched = true;
+}
+std::ostream& operator<<(std::ostream& out, const allowance& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t allowance::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 101:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 102:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 103:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 104:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 105:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 106:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ahead);
+          this->__isset.ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 107:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 108:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->owner_silent);
+          this->__isset.owner_silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 109:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->alone);
+          this->__isset.alone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 110:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->yielded);
+          this->__isset.yielded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 111:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 112:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->room_in_us);
+          this->__isset.room_in_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 113:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->quiet_us);
+          this->__isset.quiet_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 114:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->vouched);
+          this->__isset.vouched = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t allowance::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("allowance");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 101);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_I64, 102);
+  xfer += oprot->writeI64(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_I64, 103);
+  xfer += oprot->writeI64(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 104);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.count) {
+    xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 105);
+    xfer += oprot->writeI32(this->count);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ahead) {
+    xfer += oprot->writeFieldBegin("ahead", ::apache::thrift::protocol::T_I32, 106);
+    xfer += oprot->writeI32(this->ahead);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.returned) {
+    xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I32, 107);
+    xfer += oprot->writeI32(this->returned);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.owner_silent) {
+    xfer += oprot->writeFieldBegin("owner_silent", ::apache::thrift::protocol::T_BOOL, 108);
+    xfer += oprot->writeBool(this->owner_silent);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.alone) {
+    xfer += oprot->writeFieldBegin("alone", ::apache::thrift::protocol::T_BOOL, 109);
+    xfer += oprot->writeBool(this->alone);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielded) {
+    xfer += oprot->writeFieldBegin("yielded", ::apache::thrift::protocol::T_BOOL, 110);
+    xfer += oprot->writeBool(this->yielded);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.owner) {
+    xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_I64, 111);
+    xfer += oprot->writeI64(this->owner);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.room_in_us) {
+    xfer += oprot->writeFieldBegin("room_in_us", ::apache::thrift::protocol::T_I64, 112);
+    xfer += oprot->writeI64(this->room_in_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quiet_us) {
+    xfer += oprot->writeFieldBegin("quiet_us", ::apache::thrift::protocol::T_I64, 113);
+    xfer += oprot->writeI64(this->quiet_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.vouched) {
+    xfer += oprot->writeFieldBegin("vouched", ::apache::thrift::protocol::T_BOOL, 114);
+    xfer += oprot->writeBool(this->vouched);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(allowance &a, allowance &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.team, b.team);
+  swap(a.sender, b.sender);
+  swap(a.sequence, b.sequence);
+  swap(a.count, b.count);
+  swap(a.ahead, b.ahead);
+  swap(a.returned, b.returned);
+  swap(a.owner_silent, b.owner_silent);
+  swap(a.alone, b.alone);
+  swap(a.yielded, b.yielded);
+  swap(a.owner, b.owner);
+  swap(a.room_in_us, b.room_in_us);
+  swap(a.quiet_us, b.quiet_us);
+  swap(a.vouched, b.vouched);
+  swap(a.__isset, b.__isset);
+}
+
+allowance::allowance(const allowance& other54) noexcept {
+  kind = other54.kind;
+  team = other54.team;
+  sender = other54.sender;
+  sequence = other54.sequence;
+  count = other54.count;
+  ahead = other54.ahead;
+  returned = other54.returned;
+  owner_silent = other54.owner_silent;
+  alone = other54.alone;
+  yielded = other54.yielded;
+  owner = other54.owner;
+  room_in_us = other54.room_in_us;
+  quiet_us = other54.quiet_us;
+  vouched = other54.vouched;
+  __isset = other54.__isset;
+}
+allowance& allowance::operator=(const allowance& other55) noexcept {
+  kind = other55.kind;
+  team = other55.team;
+  sender = other55.sender;
+  sequence = other55.sequence;
+  count = other55.count;
+  ahead = other55.ahead;
+  returned = other55.returned;
+  owner_silent = other55.owner_silent;
+  alone = other55.alone;
+  yielded = other55.yielded;
+  owner = other55.owner;
+  room_in_us = other55.room_in_us;
+  quiet_us = other55.quiet_us;
+  vouched = other55.vouched;
+  __isset = other55.__isset;
+  return *this;
+}
+void allowance::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "allowance(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "team=" << to_string(team);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "count="; (__isset.count ? (out << to_string(count)) : (out << "<null>"));
+  out << ", " << "ahead="; (__isset.ahead ? (out << to_string(ahead)) : (out << "<null>"));
+  out << ", " << "returned="; (__isset.returned ? (out << to_string(returned)) : (out << "<null>"));
+  out << ", " << "owner_silent="; (__isset.owner_silent ? (out << to_string(owner_silent)) : (out << "<null>"));
+  out << ", " << "alone="; (__isset.alone ? (out << to_string(alone)) : (out << "<null>"));
+  out << ", " << "yielded="; (__isset.yielded ? (out << to_string(yielded)) : (out << "<null>"));
+  out << ", " << "owner="; (__isset.owner ? (out << to_string(owner)) : (out << "<null>"));
+  out << ", " << "room_in_us="; (__isset.room_in_us ? (out << to_string(room_in_us)) : (out << "<null>"));
+  out << ", " << "quiet_us="; (__isset.quiet_us ? (out << to_string(quiet_us)) : (out << "<null>"));
+  out << ", " << "vouched="; (__isset.vouched ? (out << to_string(vouched)) : (out << "<null>"));
+  out << ")";
+}
+
 }}} // namespace
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -39,6 +39,8 @@
 
 class heartbeat;
 
+class allowance;
+
 typedef struct _contact__isset {
   _contact__isset() : peer_ip(false), peer_port(false), callers_port(false), control_port(false), zone(false), callers_ip(false), control_ip(false), capacity(false) {}
   bool peer_ip :1;
@@ -863,6 +865,160 @@
 
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj);
 
+typedef struct _allowance__isset {
+  _allowance__isset() : kind(false), team(false), sender(false), sequence(false), count(false), ahead(false), returned(false), owner_silent(false), alone(false), yielded(false), owner(false), room_in_us(false), quiet_us(false), vouched(false) {}
+  bool kind :1;
+  bool team :1;
+  bool sender :1;
+  bool sequence :1;
+  bool count :1;
+  bool ahead :1;
+  bool returned :1;
+  bool owner_silent :1;
+  bool alone :1;
+  bool yielded :1;
+  bool owner :1;
+  bool room_in_us :1;
+  bool quiet_us :1;
+  bool vouched :1;
+} _allowance__isset;
+
+class allowance : public virtual ::apache::thrift::TBase {
+ public:
+
+  allowance(const allowance&) noexcept;
+  allowance& operator=(const allowance&) noexcept;
+  allowance() noexcept
+            : kind(0),
+              team(0),
+              sender(0),
+              sequence(0),
+              count(0),
+              ahead(0),
+              returned(0),
+              owner_silent(0),
+              alone(0),
+              yielded(0),
+              owner(0),
+              room_in_us(0),
+              quiet_us(0),
+              vouched(0) {
+  }
+
+  virtual ~allowance() noexcept;
+  int32_t kind;
+  int64_t team;
+  int64_t sender;
+  int64_t sequence;
+  int32_t count;
+  int32_t ahead;
+  int32_t returned;
+  bool owner_silent;
+  bool alone;
+  bool yielded;
+  int64_t owner;
+  int64_t room_in_us;
+  int64_t quiet_us;
+  bool vouched;
+
+  _allowance__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_team(const int64_t val);
+
+  void __set_sender(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_count(const int32_t val);
+
+  void __set_ahead(const int32_t val);
+
+  void __set_returned(const int32_t val);
+
+  void __set_owner_silent(const bool val);
+
+  void __set_alone(const bool val);
+
+  void __set_yielded(const bool val);
+
+  void __set_owner(const int64_t val);
+
+  void __set_room_in_us(const int64_t val);
+
+  void __set_quiet_us(const int64_t val);
+
+  void __set_vouched(const bool val);
+
+  bool operator == (const allowance & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(team == rhs.team))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (__isset.count != rhs.__isset.count)
+      return false;
+    else if (__isset.count && !(count == rhs.count))
+      return false;
+    if (__isset.ahead != rhs.__isset.ahead)
+      return false;
+    else if (__isset.ahead && !(ahead == rhs.ahead))
+      return false;
+    if (__isset.returned != rhs.__isset.returned)
+      return false;
+    else if (__isset.returned && !(returned == rhs.returned))
+      return false;
+    if (__isset.owner_silent != rhs.__isset.owner_silent)
+      return false;
+    else if (__isset.owner_silent && !(owner_silent == rhs.owner_silent))
+      return false;
+    if (__isset.alone != rhs.__isset.alone)
+      return false;
+    else if (__isset.alone && !(alone == rhs.alone))
+      return false;
+    if (__isset.yielded != rhs.__isset.yielded)
+      return false;
+    else if (__isset.yielded && !(yielded == rhs.yielded))
+      return false;
+    if (__isset.owner != rhs.__isset.owner)
+      return false;
+    else if (__isset.owner && !(owner == rhs.owner))
+      return false;
+    if (__isset.room_in_us != rhs.__isset.room_in_us)
+      return false;
+    else if (__isset.room_in_us && !(room_in_us == rhs.room_in_us))
+      return false;
+    if (__isset.quiet_us != rhs.__isset.quiet_us)
+      return false;
+    else if (__isset.quiet_us && !(quiet_us == rhs.quiet_us))
+      return false;
+    if (__isset.vouched != rhs.__isset.vouched)
+      return false;
+    else if (__isset.vouched && !(vouched == rhs.vouched))
+      return false;
+    return true;
+  }
+  bool operator != (const allowance &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const allowance & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(allowance &a, allowance &b);
+
+std::ostream& operator<<(std::ostream& out, const allowance& obj);
+
 }}} // namespace
 
 #endif
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -99,3 +99,23 @@
     20: i64 config_version
     21: i64 instances_era
 }
+
+// Tokens of rate limits. The first byte tells such a datagram from a heartbeat,
+// whose first field is a structure. The fields have numbers of their own, so a
+// decoder of heartbeats finds no sender and takes it for a bad datagram.
+struct allowance {
+    101: i32 kind
+    102: i64 team
+    103: i64 sender
+    104: i64 sequence
+    105: optional i32 count
+    106: optional i32 ahead
+    107: optional i32 returned
+    108: optional bool owner_silent
+    109: optional bool alone
+    110: optional bool yielded
+    111: optional i64 owner
+    112: optional i64 room_in_us
+    113: optional i64 quiet_us
+    114: optional bool vouched
+}
