--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -11,6 +11,7 @@
 #include <skylark/load/path_table.hpp>
 #include <skylark/team/directory.hpp>
 
+#include "entry/allowance_service.hpp"
 #include "entry/dialect.hpp"
 #include "entry/fleet.hpp"
 #include "entry/journal.hpp"
@@ -30,6 +31,8 @@
           m_journal{from.m_name, from.m_log_level}, m_fleet{loop, from,
                                                             m_journal,
                                                             m_metrics},
+          m_allowances{loop, m_fleet, m_journal, m_metrics,
+                       id_of(from.m_name).value()},
           m_upstreams{id_of(from.m_name), from.m_zone}, m_paths{from.m_zone} {}
 
     io::event_loop& m_loop;
@@ -38,6 +41,7 @@
     metrics m_metrics;
     journal m_journal;
     fleet m_fleet;
+    allowance_service m_allowances;
     config_adoption m_config;
     team_directory m_teams;    //!< of m_config
     packed_document m_packed;  //!< of m_config, for peers
