--- a/include/skylark/config/rollout_order.hpp
+++ b/include/skylark/config/rollout_order.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <skylark/core/time.hpp>
 
@@ -19,6 +20,29 @@
     rolled_back //!< the target version gets no requests any more
 };
 
+/*! @brief Name of a stage in documents, records, logs and commands. */
+constexpr std::string_view name_of(rollout_stage value) {
+    switch (value) {
+    case rollout_stage::ordered:
+        return "ordered";
+    case rollout_stage::canary:
+        return "canary";
+    case rollout_stage::promoted:
+        return "promoted";
+    case rollout_stage::completed:
+        return "completed";
+    case rollout_stage::rolled_back:
+        break;
+    }
+    return "rolled_back";
+}
+
+/*! @brief Whether a stage is the last one of its order. */
+constexpr bool is_final(rollout_stage value) {
+    return value == rollout_stage::completed ||
+           value == rollout_stage::rolled_back;
+}
+
 /*! @brief One order of the operators, with what entries recorded of it. */
 struct rollout_order {
     std::string m_service;
