--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -50,7 +50,8 @@
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
     test/route/room.cpp
     test/rollout/exposure.cpp test/rollout/judge.cpp test/rollout/plan.cpp
-    test/rollout/fleet.cpp
+    test/rollout/fleet.cpp test/platform/rollout_records.cpp
+    test/store/rollout_writer.cpp
     test/standin/overload.cpp test/standin/kv_store.cpp
     standin/kv_store.cpp standin/kv_restore.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -102,6 +102,24 @@
     return from.get<std::string>();
 }
 
+static constexpr std::array rollout_stages{
+    rollout_stage::ordered, rollout_stage::canary, rollout_stage::promoted,
+    rollout_stage::completed, rollout_stage::rolled_back};
+
+static parsed<rollout_order> read_rollout(const json& from,
+                                          const std::string& place) {
+    json_reader reader{from, place};
+    rollout_order out;
+    reader.read("service", out.m_service);
+    reader.read("target_version", out.m_target_version);
+    reader.read_ms("duration_ms", out.m_duration);
+    reader.read("revision", out.m_revision);
+    reader.read_enum<rollout_stage>("stage", out.m_stage, rollout_stages);
+    reader.read("status_revision", out.m_status_revision);
+    reader.read("seen_ms", out.m_seen_ms);
+    return finish(reader, std::move(out));
+}
+
 static parsed<document> read_document(const json& from) {
     json_reader reader{from, "document"};
     document out;
@@ -115,6 +133,7 @@
         BOOST_OUTCOME_TRY(bounds, read_limits(*child, "document/limits"));
         out.m_limits = bounds;
     }
+    reader.read_list("rollouts", out.m_rollouts, read_rollout);
     return finish(reader, std::move(out));
 }
 
@@ -139,6 +158,16 @@
     return {{"service", from.m_service}, {"weight", from.m_weight}};
 }
 
+static json write(const rollout_order& from) {
+    return {{"service", from.m_service},
+            {"target_version", from.m_target_version},
+            {"duration_ms", to_ms(from.m_duration)},
+            {"revision", from.m_revision},
+            {"stage", name_of(from.m_stage)},
+            {"status_revision", from.m_status_revision},
+            {"seen_ms", from.m_seen_ms}};
+}
+
 static json write(const rule& from);
 
 template <class Items>
@@ -205,20 +234,21 @@
 }
 
 std::string format_document(const document& subject) {
-    const nlohmann::json tree{
-        {"change_id", subject.m_change_id},
-        {"version", subject.m_version},
-        {"recent_changes", subject.m_recent_changes},
-        {"zones", internal::write_list(subject.m_zones)},
-        {"services", internal::write_list(subject.m_services)},
-        {"rules", internal::write_list(subject.m_rules)},
-        {"limits", internal::write(subject.m_limits)}};
+    nlohmann::json tree{{"change_id", subject.m_change_id},
+                        {"version", subject.m_version},
+                        {"recent_changes", subject.m_recent_changes},
+                        {"zones", internal::write_list(subject.m_zones)},
+                        {"services", internal::write_list(subject.m_services)},
+                        {"rules", internal::write_list(subject.m_rules)},
+                        {"limits", internal::write(subject.m_limits)}};
+    if (!subject.m_rollouts.empty())
+        tree["rollouts"] = internal::write_list(subject.m_rollouts);
     constexpr int indent = 2;
     return json_text(tree, indent);
 }
 
 std::string format_compact_document(const document& subject) {
-    const nlohmann::json tree{
+    nlohmann::json tree{
         {"change_id", subject.m_change_id},
         {"version", subject.m_version},
         {"recent_changes", subject.m_recent_changes},
@@ -226,6 +256,8 @@
         {"services", internal::write_compact(subject.m_services)},
         {"rules", internal::write_compact(subject.m_rules)},
         {"limits", internal::write(subject.m_limits)}};
+    if (!subject.m_rollouts.empty())
+        tree["rollouts"] = internal::write_compact(subject.m_rollouts);
     return json_text(tree);
 }
 
--- a/src/store/mirror_client.cpp
+++ b/src/store/mirror_client.cpp
@@ -219,6 +219,7 @@
 void mirror_client::begin_era(std::uint64_t era) {
     m_mirror.begin_era(era);
     m_document.reset();
+    m_rollout_revision = 0;
     m_decoded.clear();
     m_list = {};
     m_listed = false;
@@ -254,8 +255,7 @@
         reads.erase(split, reads.end());
         return out;
     };
-    const auto documents = extract(
-        m_document_reads, m_mirror.last_changed(platform::operator_prefix));
+    const auto documents = extract(m_document_reads, document_position());
     const auto lists = extract(m_list_reads, list_version());
     for (const auto& item : documents)
         item.m_done(document_value());
--- a/src/store/mirror_client.hpp
+++ b/src/store/mirror_client.hpp
@@ -97,6 +97,9 @@
     [[nodiscard]] bool idle() const;
     [[nodiscard]] duration next_wait(time_point now) const;
     [[nodiscard]] stored_value document_value();
+    [[nodiscard]] store_position document_position();
+    void add_rollouts(document& to);
+    void add_rollout(document& to, std::string_view service);
     [[nodiscard]] instance_list instance_value();
     const std::optional<instance>& decode(const record& from);
     void add_entries();
@@ -124,6 +127,9 @@
     // Invariant: corresponds to the list version m_list.m_index.
     instance_list m_list;
     std::optional<stored_value> m_document;
+    // Invariant: never falls within an era. Newest revision of a record of a
+    // roll-out that was seen.
+    std::uint64_t m_rollout_revision{};
     // Decoded records by key. An instance's cold start is relative to the time
     // of decoding, so a record is decoded once per revision.
     struct decoded_record {
--- a/src/store/mirror_values.cpp
+++ b/src/store/mirror_values.cpp
@@ -1,6 +1,8 @@
 // mirror_client: composes document and instance list from the records.
 #include <algorithm>
+#include <utility>
 
+#include "platform/rollout_records.hpp"
 #include "store/mirror_client.hpp"
 
 namespace skylark::store {
@@ -10,9 +12,69 @@
 constexpr std::string_view entry_segment = "skylark/";
 } // namespace
 
+// The first segments of the records of roll-outs are shared with keys that
+// change more often, so the records themselves are looked at.
+store_position mirror_client::document_position() {
+    const auto& records = m_mirror.all();
+    for (const auto prefix :
+         {platform::rollout_status_prefix, platform::rollout_record_prefix})
+        for (auto it = records.lower_bound(prefix);
+             it != records.end() && it->first.starts_with(prefix); ++it)
+            m_rollout_revision =
+                std::max(m_rollout_revision,
+                         std::min(it->second.m_revision, m_mirror.revision()));
+    store_position out = m_mirror.last_changed(platform::operator_prefix);
+    out.m_revision = std::max(out.m_revision, m_rollout_revision);
+    return out;
+}
+
+// A version that was rolled back stays excluded when its order is removed, as
+// its upstreams are stopped later.
+void mirror_client::add_rollout(document& to, std::string_view service) {
+    const auto find = [&](std::string_view prefix) -> const record* {
+        const auto found =
+            m_mirror.all().find(std::string{prefix} + std::string{service});
+        return found == m_mirror.all().end() ? nullptr : &found->second;
+    };
+    const auto tell = [&](const record& of, const input_error& why) {
+        if (std::exchange(m_decoded[of.m_key].m_revision, of.m_revision) !=
+            of.m_revision)
+            m_on_invalid(why);
+    };
+    std::optional<rollout_order> order;
+    if (const record* found = find(platform::rollout_order_prefix)) {
+        auto read = platform::read_rollout_order(service, found->m_value,
+                                                 found->m_revision);
+        if (read)
+            order = std::move(read).value();
+        else
+            tell(*found, read.error());
+    }
+    if (const record* found = find(platform::rollout_record_prefix)) {
+        const auto read =
+            platform::read_rollout_record(service, found->m_value);
+        if (!read)
+            tell(*found, read.error());
+        else if (order)
+            order = platform::with_record(*order, read.value());
+        else if (read.value().m_stage == rollout_stage::rolled_back)
+            order = read.value();
+    }
+    if (!order)
+        return;
+    if (const record* found = find(platform::rollout_status_prefix))
+        order->m_status_revision = found->m_revision;
+    to.m_rollouts.push_back(std::move(*order));
+}
+
+void mirror_client::add_rollouts(document& to) {
+    const std::vector<service> services = to.m_services;
+    for (const service& item : services)
+        add_rollout(to, item.m_name);
+}
+
 stored_value mirror_client::document_value() {
-    const store_position position =
-        m_mirror.last_changed(platform::operator_prefix);
+    const store_position position = document_position();
     if (m_document && m_document->m_position == position)
         return *m_document;
     const auto& records = m_mirror.all();
@@ -24,8 +86,10 @@
     for (auto it = records.lower_bound(prefix);
          it != records.end() && it->first.starts_with(prefix); ++it)
         drained.push_back(it->first.substr(prefix.size()));
-    const auto read =
+    auto read =
         platform::read_configuration(found->second.m_value, m_terms, drained);
+    if (read)
+        add_rollouts(read.value());
     // Invalid text is passed on unchanged: the reader rejects it and logs why.
     m_document =
         stored_value{position, read ? format_compact_document(read.value())
