--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -9,10 +9,12 @@
     src/store/consul_protocol.cpp src/store/polling_client.cpp
     src/store/mirror.cpp src/store/mirror_client.cpp src/store/mirror_values.cpp
     src/store/lease_holder.cpp
-    src/store/base64.cpp platform/kv_protocol.cpp platform/records.cpp)
+    src/store/base64.cpp platform/kv_protocol.cpp platform/records.cpp
+    platform/rollout_records.cpp src/store/rollout_writer.cpp)
 target_include_directories(skylark_store PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(skylark_store PUBLIC skylark_io)
-add_library(skylark_peer STATIC src/peer/codec.cpp src/peer/instance_codec.cpp
+add_library(skylark_peer STATIC src/peer/codec.cpp src/peer/exposure_codec.cpp
+    src/peer/instance_codec.cpp
     src/peer/gzip.cpp)
 target_link_libraries(skylark_peer PUBLIC skylark_decide skylark_wire PRIVATE z)
 
@@ -22,6 +24,8 @@
     src/entry/forwarder_log.cpp src/entry/metrics.cpp
     src/entry/fleet.cpp src/entry/upstream_table.cpp src/entry/router.cpp
     src/entry/router_probing.cpp
+    src/entry/rollouts.cpp src/entry/rollout_counts.cpp
+    src/entry/rollout_coordinator.cpp
     src/entry/request_head.cpp src/entry/connection_pool.cpp
     src/entry/availability_info.cpp
     src/entry/native_dialect.cpp platform/dialect.cpp src/entry/on_demand_prober.cpp
--- a/include/skylark/member/heartbeat.hpp
+++ b/include/skylark/member/heartbeat.hpp
@@ -11,6 +11,7 @@
 #include <skylark/core/id.hpp>
 #include <skylark/core/time.hpp>
 #include <skylark/load/report.hpp>
+#include <skylark/rollout/exposure.hpp>
 
 namespace skylark {
 
@@ -80,6 +81,7 @@
     std::uint32_t m_requests{}; //!< in progress at the member
     bool m_store_lost{};        //!< see config_mark
     std::uint64_t m_version{};  //!< see config_mark
+    std::vector<exposure> m_exposures{}; //!< of the member, see heartbeat
 };
 
 /*! @brief An upstream's load report, forwarded by a peer. */
@@ -121,6 +123,11 @@
     std::vector<load_digest> m_loads;
     subscription m_wants{};
     std::vector<member_report> m_reports; //!< for subscribers
+    //! Of the sender, one for each order in progress.
+    std::vector<exposure> m_exposures;
+    //! Sums over all entries as the sender knows them, for subscribers to the
+    //! fleet.
+    std::vector<exposure> m_exposure_sums;
 };
 
 } // namespace skylark
--- a/include/skylark/member/peer.hpp
+++ b/include/skylark/member/peer.hpp
@@ -30,6 +30,7 @@
 struct outgoing_heartbeat {
     std::vector<address> m_to; //!< all receive the same message
     heartbeat m_message;
+    subscription m_scope{}; //!< of the reports in it
 };
 
 } // namespace skylark
--- a/include/skylark/member/roster.hpp
+++ b/include/skylark/member/roster.hpp
@@ -107,6 +107,12 @@
     [[nodiscard]] std::vector<entry_id>
     watchers_of(std::uint64_t zone, std::size_t count, time_point now) const;
 
+    /*! @brief Whether this entry is the first live member by capacity and
+     *  rendezvous score, those that the store does not answer coming last. The
+     *  first member is a relay of its zone. Others may consider themselves
+     *  first too. */
+    [[nodiscard]] bool is_first(time_point now) const;
+
     /*! @brief Whether this entry considers itself a relay of its zone. */
     [[nodiscard]] bool is_relay() const { return m_is_relay; }
 
--- a/src/member/roster_round.cpp
+++ b/src/member/roster_round.cpp
@@ -35,6 +35,21 @@
     return ranked(zone, count, ranked_role::watch, now);
 }
 
+bool roster::is_first(time_point now) const {
+    const auto rank = [](bool store_lost, const member_record& of) {
+        return std::tuple{store_lost, ~of.m_contact.m_capacity,
+                          ~relay_score(of.m_name.m_id)};
+    };
+    const auto own = rank(m_store_lost, m_self);
+    return m_state != member_state::leaving &&
+           std::none_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
+               const member& peer = item.second;
+               return live(peer, now) &&
+                      peer.m_state != member_state::leaving &&
+                      rank(peer.m_config.m_store_lost, peer.m_record) < own;
+           });
+}
+
 std::vector<entry_id> roster::ranked(std::uint64_t zone, std::size_t count,
                                      ranked_role wanted, time_point now) const {
     // Relaying takes processor time, so members of higher capacity come first
@@ -272,7 +287,8 @@
     std::vector<outgoing_heartbeat> out;
     out.reserve(groups.size());
     for (auto& [group, to] : groups)
-        out.push_back({std::move(to), message_for(group, mark, now)});
+        out.push_back(
+            {std::move(to), message_for(group, mark, now), group.m_reports});
     return out;
 }
 
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "peer/compact.hpp"
+#include "peer/exposure_codec.hpp"
 #include "peer/gen/peer_types.h"
 
 namespace skylark::peer {
@@ -121,6 +122,9 @@
     out.era = to_wire(from.m_revision.m_era);
     out.version = to_wire(from.m_version);
     out.requests = static_cast<std::int32_t>(from.m_requests);
+    // An empty list is left out, so that without a roll-out no byte is sent.
+    if (!from.m_exposures.empty())
+        out.__set_exposures(to_wire(from.m_exposures));
     return out;
 }
 
@@ -134,6 +138,7 @@
     out.m_revision = {from_wire(from.revision), from_wire(from.era)};
     out.m_version = from_wire(from.version);
     out.m_requests = static_cast<std::uint32_t>(from.requests);
+    out.m_exposures = from_wire(from.exposures);
     return out;
 }
 
@@ -173,6 +178,10 @@
     out.wants = static_cast<std::int32_t>(from.m_wants);
     for (const member_report& item : from.m_reports)
         out.reports.push_back(to_wire(item));
+    if (!from.m_exposures.empty())
+        out.__set_exposures(to_wire(from.m_exposures));
+    if (!from.m_exposure_sums.empty())
+        out.__set_exposure_sums(to_wire(from.m_exposure_sums));
     return out;
 }
 
@@ -203,6 +212,8 @@
     out.m_wants = subscription_from_wire(from.wants);
     for (const wire::member_report& item : from.reports)
         out.m_reports.push_back(from_wire(item));
+    out.m_exposures = from_wire(from.exposures);
+    out.m_exposure_sums = from_wire(from.exposure_sums);
     return out;
 }
 
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -722,6 +722,602 @@
 }
 
 
+version_counts::~version_counts() noexcept {
+}
+
+
+void version_counts::__set_responses(const int64_t val) {
+  this->responses = val;
+}
+
+void version_counts::__set_failures(const int64_t val) {
+  this->failures = val;
+}
+
+void version_counts::__set_slow(const int64_t val) {
+  this->slow = val;
+}
+
+void version_counts::__set_timed(const int64_t val) {
+  this->timed = val;
+}
+
+void version_counts::__set_time_us(const int64_t val) {
+  this->time_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const version_counts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t version_counts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->responses);
+          this->__isset.responses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slow);
+          this->__isset.slow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timed);
+          this->__isset.timed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->time_us);
+          this->__isset.time_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t version_counts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("version_counts");
+
+  xfer += oprot->writeFieldBegin("responses", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->responses);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->slow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timed", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->timed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("time_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->time_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(version_counts &a, version_counts &b) {
+  using ::std::swap;
+  swap(a.responses, b.responses);
+  swap(a.failures, b.failures);
+  swap(a.slow, b.slow);
+  swap(a.timed, b.timed);
+  swap(a.time_us, b.time_us);
+  swap(a.__isset, b.__isset);
+}
+
+version_counts::version_counts(const version_counts& other8) noexcept {
+  responses = other8.responses;
+  failures = other8.failures;
+  slow = other8.slow;
+  timed = other8.timed;
+  time_us = other8.time_us;
+  __isset = other8.__isset;
+}
+version_counts& version_counts::operator=(const version_counts& other9) noexcept {
+  responses = other9.responses;
+  failures = other9.failures;
+  slow = other9.slow;
+  timed = other9.timed;
+  time_us = other9.time_us;
+  __isset = other9.__isset;
+  return *this;
+}
+void version_counts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "version_counts(";
+  out << "responses=" << to_string(responses);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "slow=" << to_string(slow);
+  out << ", " << "timed=" << to_string(timed);
+  out << ", " << "time_us=" << to_string(time_us);
+  out << ")";
+}
+
+
+route_exposure::~route_exposure() noexcept {
+}
+
+
+void route_exposure::__set_route(const int32_t val) {
+  this->route = val;
+}
+
+void route_exposure::__set_target(const version_counts& val) {
+  this->target = val;
+}
+
+void route_exposure::__set_earlier(const version_counts& val) {
+  this->earlier = val;
+}
+std::ostream& operator<<(std::ostream& out, const route_exposure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t route_exposure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target.read(iprot);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->earlier.read(iprot);
+          this->__isset.earlier = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t route_exposure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("route_exposure");
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->target.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("earlier", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->earlier.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(route_exposure &a, route_exposure &b) {
+  using ::std::swap;
+  swap(a.route, b.route);
+  swap(a.target, b.target);
+  swap(a.earlier, b.earlier);
+  swap(a.__isset, b.__isset);
+}
+
+route_exposure::route_exposure(const route_exposure& other10) noexcept {
+  route = other10.route;
+  target = other10.target;
+  earlier = other10.earlier;
+  __isset = other10.__isset;
+}
+route_exposure& route_exposure::operator=(const route_exposure& other11) noexcept {
+  route = other11.route;
+  target = other11.target;
+  earlier = other11.earlier;
+  __isset = other11.__isset;
+  return *this;
+}
+void route_exposure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "route_exposure(";
+  out << "route=" << to_string(route);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "earlier=" << to_string(earlier);
+  out << ")";
+}
+
+
+exposure::~exposure() noexcept {
+}
+
+
+void exposure::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void exposure::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void exposure::__set_elapsed_us(const int64_t val) {
+  this->elapsed_us = val;
+}
+
+void exposure::__set_bad(const bool val) {
+  this->bad = val;
+}
+
+void exposure::__set_earlier_closed(const bool val) {
+  this->earlier_closed = val;
+}
+
+void exposure::__set_earlier_in_progress(const int64_t val) {
+  this->earlier_in_progress = val;
+}
+
+void exposure::__set_requests(const int64_t val) {
+  this->requests = val;
+}
+
+void exposure::__set_target_requests(const int64_t val) {
+  this->target_requests = val;
+}
+
+void exposure::__set_bad_upstreams(const int64_t val) {
+  this->bad_upstreams = val;
+}
+
+void exposure::__set_routes(const std::vector<route_exposure> & val) {
+  this->routes = val;
+}
+std::ostream& operator<<(std::ostream& out, const exposure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t exposure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->elapsed_us);
+          this->__isset.elapsed_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->bad);
+          this->__isset.bad = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->earlier_closed);
+          this->__isset.earlier_closed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->earlier_in_progress);
+          this->__isset.earlier_in_progress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target_requests);
+          this->__isset.target_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bad_upstreams);
+          this->__isset.bad_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->routes.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += this->routes[_i16].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t exposure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("exposure");
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("elapsed_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->elapsed_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->bad);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("earlier_closed", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->earlier_closed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("earlier_in_progress", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->earlier_in_progress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_requests", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->target_requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bad_upstreams", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->bad_upstreams);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<route_exposure> ::const_iterator _iter17;
+    for (_iter17 = this->routes.begin(); _iter17 != this->routes.end(); ++_iter17)
+    {
+      xfer += (*_iter17).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(exposure &a, exposure &b) {
+  using ::std::swap;
+  swap(a.order, b.order);
+  swap(a.sequence, b.sequence);
+  swap(a.elapsed_us, b.elapsed_us);
+  swap(a.bad, b.bad);
+  swap(a.earlier_closed, b.earlier_closed);
+  swap(a.earlier_in_progress, b.earlier_in_progress);
+  swap(a.requests, b.requests);
+  swap(a.target_requests, b.target_requests);
+  swap(a.bad_upstreams, b.bad_upstreams);
+  swap(a.routes, b.routes);
+  swap(a.__isset, b.__isset);
+}
+
+exposure::exposure(const exposure& other18) {
+  order = other18.order;
+  sequence = other18.sequence;
+  elapsed_us = other18.elapsed_us;
+  bad = other18.bad;
+  earlier_closed = other18.earlier_closed;
+  earlier_in_progress = other18.earlier_in_progress;
+  requests = other18.requests;
+  target_requests = other18.target_requests;
+  bad_upstreams = other18.bad_upstreams;
+  routes = other18.routes;
+  __isset = other18.__isset;
+}
+exposure& exposure::operator=(const exposure& other19) {
+  order = other19.order;
+  sequence = other19.sequence;
+  elapsed_us = other19.elapsed_us;
+  bad = other19.bad;
+  earlier_closed = other19.earlier_closed;
+  earlier_in_progress = other19.earlier_in_progress;
+  requests = other19.requests;
+  target_requests = other19.target_requests;
+  bad_upstreams = other19.bad_upstreams;
+  routes = other19.routes;
+  __isset = other19.__isset;
+  return *this;
+}
+void exposure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "exposure(";
+  out << "order=" << to_string(order);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "elapsed_us=" << to_string(elapsed_us);
+  out << ", " << "bad=" << to_string(bad);
+  out << ", " << "earlier_closed=" << to_string(earlier_closed);
+  out << ", " << "earlier_in_progress=" << to_string(earlier_in_progress);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "target_requests=" << to_string(target_requests);
+  out << ", " << "bad_upstreams=" << to_string(bad_upstreams);
+  out << ", " << "routes=" << to_string(routes);
+  out << ")";
+}
+
+
 member_report::~member_report() noexcept {
 }
 
@@ -765,6 +1361,11 @@
 void member_report::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void member_report::__set_exposures(const std::vector<exposure> & val) {
+  this->exposures = val;
+__isset.exposures = true;
+}
 std::ostream& operator<<(std::ostream& out, const member_report& obj)
 {
   obj.printTo(out);
@@ -873,6 +1474,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->exposures.clear();
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->exposures.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
+            {
+              xfer += this->exposures[_i24].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.exposures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -930,6 +1551,19 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.exposures) {
+    xfer += oprot->writeFieldBegin("exposures", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->exposures.size()));
+      std::vector<exposure> ::const_iterator _iter25;
+      for (_iter25 = this->exposures.begin(); _iter25 != this->exposures.end(); ++_iter25)
+      {
+        xfer += (*_iter25).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -947,34 +1581,37 @@
   swap(a.store_lost, b.store_lost);
   swap(a.era, b.era);
   swap(a.version, b.version);
+  swap(a.exposures, b.exposures);
   swap(a.__isset, b.__isset);
 }
 
-member_report::member_report(const member_report& other8) noexcept {
-  id = other8.id;
-  incarnation = other8.incarnation;
-  age_us = other8.age_us;
-  state = other8.state;
-  revision = other8.revision;
-  requests = other8.requests;
-  missed = other8.missed;
-  store_lost = other8.store_lost;
-  era = other8.era;
-  version = other8.version;
-  __isset = other8.__isset;
+member_report::member_report(const member_report& other26) {
+  id = other26.id;
+  incarnation = other26.incarnation;
+  age_us = other26.age_us;
+  state = other26.state;
+  revision = other26.revision;
+  requests = other26.requests;
+  missed = other26.missed;
+  store_lost = other26.store_lost;
+  era = other26.era;
+  version = other26.version;
+  exposures = other26.exposures;
+  __isset = other26.__isset;
 }
-member_report& member_report::operator=(const member_report& other9) noexcept {
-  id = other9.id;
-  incarnation = other9.incarnation;
-  age_us = other9.age_us;
-  state = other9.state;
-  revision = other9.revision;
-  requests = other9.requests;
-  missed = other9.missed;
-  store_lost = other9.store_lost;
-  era = other9.era;
-  version = other9.version;
-  __isset = other9.__isset;
+member_report& member_report::operator=(const member_report& other27) {
+  id = other27.id;
+  incarnation = other27.incarnation;
+  age_us = other27.age_us;
+  state = other27.state;
+  revision = other27.revision;
+  requests = other27.requests;
+  missed = other27.missed;
+  store_lost = other27.store_lost;
+  era = other27.era;
+  version = other27.version;
+  exposures = other27.exposures;
+  __isset = other27.__isset;
   return *this;
 }
 void member_report::printTo(std::ostream& out) const {
@@ -990,6 +1627,7 @@
   out << ", " << "store_lost=" << to_string(store_lost);
   out << ", " << "era=" << to_string(era);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "exposures="; (__isset.exposures ? (out << to_string(exposures)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1260,35 +1898,35 @@
   swap(a.__isset, b.__isset);
 }
 
-instance::instance(const instance& other10) {
-  id = other10.id;
-  role = other10.role;
-  ip = other10.ip;
-  port = other10.port;
-  serves = other10.serves;
-  zone = other10.zone;
-  leaving = other10.leaving;
-  incarnation = other10.incarnation;
-  cold_us = other10.cold_us;
-  gone_in_us = other10.gone_in_us;
-  sequence = other10.sequence;
-  version = other10.version;
-  __isset = other10.__isset;
-}
-instance& instance::operator=(const instance& other11) {
-  id = other11.id;
-  role = other11.role;
-  ip = other11.ip;
-  port = other11.port;
-  serves = other11.serves;
-  zone = other11.zone;
-  leaving = other11.leaving;
-  incarnation = other11.incarnation;
-  cold_us = other11.cold_us;
-  gone_in_us = other11.gone_in_us;
-  sequence = other11.sequence;
-  version = other11.version;
-  __isset = other11.__isset;
+instance::instance(const instance& other28) {
+  id = other28.id;
+  role = other28.role;
+  ip = other28.ip;
+  port = other28.port;
+  serves = other28.serves;
+  zone = other28.zone;
+  leaving = other28.leaving;
+  incarnation = other28.incarnation;
+  cold_us = other28.cold_us;
+  gone_in_us = other28.gone_in_us;
+  sequence = other28.sequence;
+  version = other28.version;
+  __isset = other28.__isset;
+}
+instance& instance::operator=(const instance& other29) {
+  id = other29.id;
+  role = other29.role;
+  ip = other29.ip;
+  port = other29.port;
+  serves = other29.serves;
+  zone = other29.zone;
+  leaving = other29.leaving;
+  incarnation = other29.incarnation;
+  cold_us = other29.cold_us;
+  gone_in_us = other29.gone_in_us;
+  sequence = other29.sequence;
+  version = other29.version;
+  __isset = other29.__isset;
   return *this;
 }
 void instance::printTo(std::ostream& out) const {
@@ -1402,15 +2040,15 @@
   swap(a.__isset, b.__isset);
 }
 
-instance_name::instance_name(const instance_name& other12) {
-  role = other12.role;
-  id = other12.id;
-  __isset = other12.__isset;
+instance_name::instance_name(const instance_name& other30) {
+  role = other30.role;
+  id = other30.id;
+  __isset = other30.__isset;
 }
-instance_name& instance_name::operator=(const instance_name& other13) {
-  role = other13.role;
-  id = other13.id;
-  __isset = other13.__isset;
+instance_name& instance_name::operator=(const instance_name& other31) {
+  role = other31.role;
+  id = other31.id;
+  __isset = other31.__isset;
   return *this;
 }
 void instance_name::printTo(std::ostream& out) const {
@@ -1497,14 +2135,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->present.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->present.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->present.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->present[_i18].read(iprot);
+              xfer += this->present[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1517,14 +2155,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->removed.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->removed.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->removed[_i23].read(iprot);
+              xfer += this->removed[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1577,10 +2215,10 @@
   xfer += oprot->writeFieldBegin("present", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->present.size()));
-    std::vector<instance> ::const_iterator _iter24;
-    for (_iter24 = this->present.begin(); _iter24 != this->present.end(); ++_iter24)
+    std::vector<instance> ::const_iterator _iter42;
+    for (_iter42 = this->present.begin(); _iter42 != this->present.end(); ++_iter42)
     {
-      xfer += (*_iter24).write(oprot);
+      xfer += (*_iter42).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1589,10 +2227,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
-    std::vector<instance_name> ::const_iterator _iter25;
-    for (_iter25 = this->removed.begin(); _iter25 != this->removed.end(); ++_iter25)
+    std::vector<instance_name> ::const_iterator _iter43;
+    for (_iter43 = this->removed.begin(); _iter43 != this->removed.end(); ++_iter43)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1622,23 +2260,23 @@
   swap(a.__isset, b.__isset);
 }
 
-instance_changes::instance_changes(const instance_changes& other26) {
-  base = other26.base;
-  index = other26.index;
-  present = other26.present;
-  removed = other26.removed;
-  base_era = other26.base_era;
-  index_era = other26.index_era;
-  __isset = other26.__isset;
-}
-instance_changes& instance_changes::operator=(const instance_changes& other27) {
-  base = other27.base;
-  index = other27.index;
-  present = other27.present;
-  removed = other27.removed;
-  base_era = other27.base_era;
-  index_era = other27.index_era;
-  __isset = other27.__isset;
+instance_changes::instance_changes(const instance_changes& other44) {
+  base = other44.base;
+  index = other44.index;
+  present = other44.present;
+  removed = other44.removed;
+  base_era = other44.base_era;
+  index_era = other44.index_era;
+  __isset = other44.__isset;
+}
+instance_changes& instance_changes::operator=(const instance_changes& other45) {
+  base = other45.base;
+  index = other45.index;
+  present = other45.present;
+  removed = other45.removed;
+  base_era = other45.base_era;
+  index_era = other45.index_era;
+  __isset = other45.__isset;
   return *this;
 }
 void instance_changes::printTo(std::ostream& out) const {
@@ -1741,6 +2379,16 @@
 void heartbeat::__set_instances_era(const int64_t val) {
   this->instances_era = val;
 }
+
+void heartbeat::__set_exposures(const std::vector<exposure> & val) {
+  this->exposures = val;
+__isset.exposures = true;
+}
+
+void heartbeat::__set_exposure_sums(const std::vector<exposure> & val) {
+  this->exposure_sums = val;
+__isset.exposure_sums = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -1861,14 +2509,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->silent.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->silent.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->silent.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->silent[_i32].read(iprot);
+              xfer += this->silent[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1881,14 +2529,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->members.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->members.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->members[_i37].read(iprot);
+              xfer += this->members[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1901,14 +2549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->loads.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->loads.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->loads[_i42].read(iprot);
+              xfer += this->loads[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1937,14 +2585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->reports.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->reports.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->reports[_i47].read(iprot);
+              xfer += this->reports[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1985,6 +2633,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->exposures.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->exposures.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->exposures[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.exposures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->exposure_sums.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->exposure_sums.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += this->exposure_sums[_i75].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.exposure_sums = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2049,10 +2737,10 @@
   xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->silent.size()));
-    std::vector<silence> ::const_iterator _iter48;
-    for (_iter48 = this->silent.begin(); _iter48 != this->silent.end(); ++_iter48)
+    std::vector<silence> ::const_iterator _iter76;
+    for (_iter76 = this->silent.begin(); _iter76 != this->silent.end(); ++_iter76)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2061,10 +2749,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<member_record> ::const_iterator _iter49;
-    for (_iter49 = this->members.begin(); _iter49 != this->members.end(); ++_iter49)
+    std::vector<member_record> ::const_iterator _iter77;
+    for (_iter77 = this->members.begin(); _iter77 != this->members.end(); ++_iter77)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2073,10 +2761,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<load_digest> ::const_iterator _iter50;
-    for (_iter50 = this->loads.begin(); _iter50 != this->loads.end(); ++_iter50)
+    std::vector<load_digest> ::const_iterator _iter78;
+    for (_iter78 = this->loads.begin(); _iter78 != this->loads.end(); ++_iter78)
     {
-      xfer += (*_iter50).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2093,10 +2781,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<member_report> ::const_iterator _iter51;
-    for (_iter51 = this->reports.begin(); _iter51 != this->reports.end(); ++_iter51)
+    std::vector<member_report> ::const_iterator _iter79;
+    for (_iter79 = this->reports.begin(); _iter79 != this->reports.end(); ++_iter79)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2118,6 +2806,32 @@
   xfer += oprot->writeI64(this->instances_era);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.exposures) {
+    xfer += oprot->writeFieldBegin("exposures", ::apache::thrift::protocol::T_LIST, 22);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->exposures.size()));
+      std::vector<exposure> ::const_iterator _iter80;
+      for (_iter80 = this->exposures.begin(); _iter80 != this->exposures.end(); ++_iter80)
+      {
+        xfer += (*_iter80).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.exposure_sums) {
+    xfer += oprot->writeFieldBegin("exposure_sums", ::apache::thrift::protocol::T_LIST, 23);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->exposure_sums.size()));
+      std::vector<exposure> ::const_iterator _iter81;
+      for (_iter81 = this->exposure_sums.begin(); _iter81 != this->exposure_sums.end(); ++_iter81)
+      {
+        xfer += (*_iter81).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2146,56 +2860,62 @@
   swap(a.config_era, b.config_era);
   swap(a.config_version, b.config_version);
   swap(a.instances_era, b.instances_era);
+  swap(a.exposures, b.exposures);
+  swap(a.exposure_sums, b.exposure_sums);
   swap(a.__isset, b.__isset);
 }
 
-heartbeat::heartbeat(const heartbeat& other52) {
-  sender = other52.sender;
-  state = other52.state;
-  sequence = other52.sequence;
-  acknowledged = other52.acknowledged;
-  acknowledged_incarnation = other52.acknowledged_incarnation;
-  view_hash = other52.view_hash;
-  settled_hash = other52.settled_hash;
-  config_revision = other52.config_revision;
-  instances_index = other52.instances_index;
-  confirmed_age_us = other52.confirmed_age_us;
-  requests = other52.requests;
-  silent = other52.silent;
-  members = other52.members;
-  loads = other52.loads;
-  clock = other52.clock;
-  wants = other52.wants;
-  reports = other52.reports;
-  store_lost = other52.store_lost;
-  config_era = other52.config_era;
-  config_version = other52.config_version;
-  instances_era = other52.instances_era;
-  __isset = other52.__isset;
-}
-heartbeat& heartbeat::operator=(const heartbeat& other53) {
-  sender = other53.sender;
-  state = other53.state;
-  sequence = other53.sequence;
-  acknowledged = other53.acknowledged;
-  acknowledged_incarnation = other53.acknowledged_incarnation;
-  view_hash = other53.view_hash;
-  settled_hash = other53.settled_hash;
-  config_revision = other53.config_revision;
-  instances_index = other53.instances_index;
-  confirmed_age_us = other53.confirmed_age_us;
-  requests = other53.requests;
-  silent = other53.silent;
-  members = other53.members;
-  loads = other53.loads;
-  clock = other53.clock;
-  wants = other53.wants;
-  reports = other53.reports;
-  store_lost = other53.store_lost;
-  config_era = other53.config_era;
-  config_version = other53.config_version;
-  instances_era = other53.instances_era;
-  __isset = other53.__isset;
+heartbeat::heartbeat(const heartbeat& other82) {
+  sender = other82.sender;
+  state = other82.state;
+  sequence = other82.sequence;
+  acknowledged = other82.acknowledged;
+  acknowledged_incarnation = other82.acknowledged_incarnation;
+  view_hash = other82.view_hash;
+  settled_hash = other82.settled_hash;
+  config_revision = other82.config_revision;
+  instances_index = other82.instances_index;
+  confirmed_age_us = other82.confirmed_age_us;
+  requests = other82.requests;
+  silent = other82.silent;
+  members = other82.members;
+  loads = other82.loads;
+  clock = other82.clock;
+  wants = other82.wants;
+  reports = other82.reports;
+  store_lost = other82.store_lost;
+  config_era = other82.config_era;
+  config_version = other82.config_version;
+  instances_era = other82.instances_era;
+  exposures = other82.exposures;
+  exposure_sums = other82.exposure_sums;
+  __isset = other82.__isset;
+}
+heartbeat& heartbeat::operator=(const heartbeat& other83) {
+  sender = other83.sender;
+  state = other83.state;
+  sequence = other83.sequence;
+  acknowledged = other83.acknowledged;
+  acknowledged_incarnation = other83.acknowledged_incarnation;
+  view_hash = other83.view_hash;
+  settled_hash = other83.settled_hash;
+  config_revision = other83.config_revision;
+  instances_index = other83.instances_index;
+  confirmed_age_us = other83.confirmed_age_us;
+  requests = other83.requests;
+  silent = other83.silent;
+  members = other83.members;
+  loads = other83.loads;
+  clock = other83.clock;
+  wants = other83.wants;
+  reports = other83.reports;
+  store_lost = other83.store_lost;
+  config_era = other83.config_era;
+  config_version = other83.config_version;
+  instances_era = other83.instances_era;
+  exposures = other83.exposures;
+  exposure_sums = other83.exposure_sums;
+  __isset = other83.__isset;
   return *this;
 }
 void heartbeat::printTo(std::ostream& out) const {
@@ -2222,6 +2942,8 @@
   out << ", " << "config_era=" << to_string(config_era);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "instances_era=" << to_string(instances_era);
+  out << ", " << "exposures="; (__isset.exposures ? (out << to_string(exposures)) : (out << "<null>"));
+  out << ", " << "exposure_sums="; (__isset.exposure_sums ? (out << to_string(exposure_sums)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -29,6 +29,12 @@
 
 class load_digest;
 
+class version_counts;
+
+class route_exposure;
+
+class exposure;
+
 class member_report;
 
 class instance;
@@ -329,8 +335,239 @@
 
 std::ostream& operator<<(std::ostream& out, const load_digest& obj);
 
+typedef struct _version_counts__isset {
+  _version_counts__isset() : responses(false), failures(false), slow(false), timed(false), time_us(false) {}
+  bool responses :1;
+  bool failures :1;
+  bool slow :1;
+  bool timed :1;
+  bool time_us :1;
+} _version_counts__isset;
+
+class version_counts : public virtual ::apache::thrift::TBase {
+ public:
+
+  version_counts(const version_counts&) noexcept;
+  version_counts& operator=(const version_counts&) noexcept;
+  version_counts() noexcept
+                 : responses(0),
+                   failures(0),
+                   slow(0),
+                   timed(0),
+                   time_us(0) {
+  }
+
+  virtual ~version_counts() noexcept;
+  int64_t responses;
+  int64_t failures;
+  int64_t slow;
+  int64_t timed;
+  int64_t time_us;
+
+  _version_counts__isset __isset;
+
+  void __set_responses(const int64_t val);
+
+  void __set_failures(const int64_t val);
+
+  void __set_slow(const int64_t val);
+
+  void __set_timed(const int64_t val);
+
+  void __set_time_us(const int64_t val);
+
+  bool operator == (const version_counts & rhs) const
+  {
+    if (!(responses == rhs.responses))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(slow == rhs.slow))
+      return false;
+    if (!(timed == rhs.timed))
+      return false;
+    if (!(time_us == rhs.time_us))
+      return false;
+    return true;
+  }
+  bool operator != (const version_counts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const version_counts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(version_counts &a, version_counts &b);
+
+std::ostream& operator<<(std::ostream& out, const version_counts& obj);
+
+typedef struct _route_exposure__isset {
+  _route_exposure__isset() : route(false), target(false), earlier(false) {}
+  bool route :1;
+  bool target :1;
+  bool earlier :1;
+} _route_exposure__isset;
+
+class route_exposure : public virtual ::apache::thrift::TBase {
+ public:
+
+  route_exposure(const route_exposure&) noexcept;
+  route_exposure& operator=(const route_exposure&) noexcept;
+  route_exposure() noexcept
+                 : route(0) {
+  }
+
+  virtual ~route_exposure() noexcept;
+  int32_t route;
+  version_counts target;
+  version_counts earlier;
+
+  _route_exposure__isset __isset;
+
+  void __set_route(const int32_t val);
+
+  void __set_target(const version_counts& val);
+
+  void __set_earlier(const version_counts& val);
+
+  bool operator == (const route_exposure & rhs) const
+  {
+    if (!(route == rhs.route))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(earlier == rhs.earlier))
+      return false;
+    return true;
+  }
+  bool operator != (const route_exposure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const route_exposure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(route_exposure &a, route_exposure &b);
+
+std::ostream& operator<<(std::ostream& out, const route_exposure& obj);
+
+typedef struct _exposure__isset {
+  _exposure__isset() : order(false), sequence(false), elapsed_us(false), bad(false), earlier_closed(false), earlier_in_progress(false), requests(false), target_requests(false), bad_upstreams(false), routes(false) {}
+  bool order :1;
+  bool sequence :1;
+  bool elapsed_us :1;
+  bool bad :1;
+  bool earlier_closed :1;
+  bool earlier_in_progress :1;
+  bool requests :1;
+  bool target_requests :1;
+  bool bad_upstreams :1;
+  bool routes :1;
+} _exposure__isset;
+
+class exposure : public virtual ::apache::thrift::TBase {
+ public:
+
+  exposure(const exposure&);
+  exposure& operator=(const exposure&);
+  exposure() noexcept
+           : order(0),
+             sequence(0),
+             elapsed_us(0),
+             bad(0),
+             earlier_closed(0),
+             earlier_in_progress(0),
+             requests(0),
+             target_requests(0),
+             bad_upstreams(0) {
+  }
+
+  virtual ~exposure() noexcept;
+  int64_t order;
+  int64_t sequence;
+  int64_t elapsed_us;
+  bool bad;
+  bool earlier_closed;
+  int64_t earlier_in_progress;
+  int64_t requests;
+  int64_t target_requests;
+  int64_t bad_upstreams;
+  std::vector<route_exposure>  routes;
+
+  _exposure__isset __isset;
+
+  void __set_order(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_elapsed_us(const int64_t val);
+
+  void __set_bad(const bool val);
+
+  void __set_earlier_closed(const bool val);
+
+  void __set_earlier_in_progress(const int64_t val);
+
+  void __set_requests(const int64_t val);
+
+  void __set_target_requests(const int64_t val);
+
+  void __set_bad_upstreams(const int64_t val);
+
+  void __set_routes(const std::vector<route_exposure> & val);
+
+  bool operator == (const exposure & rhs) const
+  {
+    if (!(order == rhs.order))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(elapsed_us == rhs.elapsed_us))
+      return false;
+    if (!(bad == rhs.bad))
+      return false;
+    if (!(earlier_closed == rhs.earlier_closed))
+      return false;
+    if (!(earlier_in_progress == rhs.earlier_in_progress))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(target_requests == rhs.target_requests))
+      return false;
+    if (!(bad_upstreams == rhs.bad_upstreams))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    return true;
+  }
+  bool operator != (const exposure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const exposure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(exposure &a, exposure &b);
+
+std::ostream& operator<<(std::ostream& out, const exposure& obj);
+
 typedef struct _member_report__isset {
-  _member_report__isset() : id(false), incarnation(false), age_us(false), state(false), revision(false), requests(false), missed(false), store_lost(false), era(false), version(false) {}
+  _member_report__isset() : id(false), incarnation(false), age_us(false), state(false), revision(false), requests(false), missed(false), store_lost(false), era(false), version(false), exposures(false) {}
   bool id :1;
   bool incarnation :1;
   bool age_us :1;
@@ -341,13 +578,14 @@
   bool store_lost :1;
   bool era :1;
   bool version :1;
+  bool exposures :1;
 } _member_report__isset;
 
 class member_report : public virtual ::apache::thrift::TBase {
  public:
 
-  member_report(const member_report&) noexcept;
-  member_report& operator=(const member_report&) noexcept;
+  member_report(const member_report&);
+  member_report& operator=(const member_report&);
   member_report() noexcept
                 : id(0),
                   incarnation(0),
@@ -372,6 +610,7 @@
   bool store_lost;
   int64_t era;
   int64_t version;
+  std::vector<exposure>  exposures;
 
   _member_report__isset __isset;
 
@@ -395,6 +634,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_exposures(const std::vector<exposure> & val);
+
   bool operator == (const member_report & rhs) const
   {
     if (!(id == rhs.id))
@@ -417,6 +658,10 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (__isset.exposures != rhs.__isset.exposures)
+      return false;
+    else if (__isset.exposures && !(exposures == rhs.exposures))
+      return false;
     return true;
   }
   bool operator != (const member_report &rhs) const {
@@ -686,7 +931,7 @@
 std::ostream& operator<<(std::ostream& out, const instance_changes& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : sender(false), state(false), sequence(false), acknowledged(false), acknowledged_incarnation(false), view_hash(false), settled_hash(false), config_revision(false), instances_index(false), confirmed_age_us(false), requests(false), silent(false), members(false), loads(false), clock(false), wants(false), reports(false), store_lost(false), config_era(false), config_version(false), instances_era(false) {}
+  _heartbeat__isset() : sender(false), state(false), sequence(false), acknowledged(false), acknowledged_incarnation(false), view_hash(false), settled_hash(false), config_revision(false), instances_index(false), confirmed_age_us(false), requests(false), silent(false), members(false), loads(false), clock(false), wants(false), reports(false), store_lost(false), config_era(false), config_version(false), instances_era(false), exposures(false), exposure_sums(false) {}
   bool sender :1;
   bool state :1;
   bool sequence :1;
@@ -708,6 +953,8 @@
   bool config_era :1;
   bool config_version :1;
   bool instances_era :1;
+  bool exposures :1;
+  bool exposure_sums :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -756,6 +1003,8 @@
   int64_t config_era;
   int64_t config_version;
   int64_t instances_era;
+  std::vector<exposure>  exposures;
+  std::vector<exposure>  exposure_sums;
 
   _heartbeat__isset __isset;
 
@@ -801,6 +1050,10 @@
 
   void __set_instances_era(const int64_t val);
 
+  void __set_exposures(const std::vector<exposure> & val);
+
+  void __set_exposure_sums(const std::vector<exposure> & val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -845,6 +1098,14 @@
       return false;
     if (!(instances_era == rhs.instances_era))
       return false;
+    if (__isset.exposures != rhs.__isset.exposures)
+      return false;
+    else if (__isset.exposures && !(exposures == rhs.exposures))
+      return false;
+    if (__isset.exposure_sums != rhs.__isset.exposure_sums)
+      return false;
+    else if (__isset.exposure_sums && !(exposure_sums == rhs.exposure_sums))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -34,6 +34,33 @@
     7: i64 age_us
 }
 
+struct version_counts {
+    1: i64 responses
+    2: i64 failures
+    3: i64 slow
+    4: i64 timed
+    5: i64 time_us
+}
+
+struct route_exposure {
+    1: i32 route
+    2: version_counts target
+    3: version_counts earlier
+}
+
+struct exposure {
+    1: i64 order
+    2: i64 sequence
+    3: i64 elapsed_us
+    4: bool bad
+    5: bool earlier_closed
+    6: i64 earlier_in_progress
+    7: i64 requests
+    8: i64 target_requests
+    9: i64 bad_upstreams
+    10: list<route_exposure> routes
+}
+
 struct member_report {
     1: i64 id
     2: i64 incarnation
@@ -45,6 +72,7 @@
     8: bool store_lost
     9: i64 era
     10: i64 version
+    11: optional list<exposure> exposures
 }
 
 struct instance {
@@ -98,4 +126,6 @@
     19: i64 config_era
     20: i64 config_version
     21: i64 instances_era
+    22: optional list<exposure> exposures
+    23: optional list<exposure> exposure_sums
 }
--- a/test/peer/codec.cpp
+++ b/test/peer/codec.cpp
@@ -46,6 +46,43 @@
     EXPECT_EQ(got.m_loads[0].m_report, sample().m_loads[0].m_report);
 }
 
+// Reports on other members carry the exposures that those sent.
+TEST(codec, exposures_of_roll_outs_round_trip) {
+    exposure counts;
+    counts.m_order = ~std::uint64_t{7};
+    counts.m_sequence = 3;
+    counts.m_elapsed = milliseconds{1500};
+    counts.m_bad = true;
+    counts.m_earlier_closed = true;
+    counts.m_earlier_in_progress = 4;
+    counts.m_requests = 5;
+    counts.m_target_requests = 6;
+    counts.m_bad_upstreams = std::uint64_t{1} << 63U;
+    counts.on_route(~0U).m_target = {7, 8, 9, 10, 11};
+    counts.on_route(1).m_earlier = {12, 13, 14, 15, 16};
+    heartbeat message = sample();
+    message.m_exposures = {counts};
+    message.m_exposure_sums = {counts, counts};
+    message.m_reports.emplace_back();
+    message.m_reports[0].m_exposures = {counts};
+    const auto read = peer::decode(peer::encode(message));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().m_exposures, message.m_exposures);
+    EXPECT_EQ(read.value().m_exposure_sums, message.m_exposure_sums);
+    ASSERT_EQ(read.value().m_reports.size(), 1U);
+    EXPECT_EQ(read.value().m_reports[0].m_exposures, message.m_exposures);
+}
+
+// Without a roll-out heartbeats cost what they did before.
+TEST(codec, no_exposures_take_no_byte) {
+    heartbeat message = sample();
+    const std::size_t before = peer::encode(message).size();
+    message.m_exposures.emplace_back();
+    EXPECT_GT(peer::encode(message).size(), before);
+    message.m_exposures.clear();
+    EXPECT_EQ(peer::encode(message).size(), before);
+}
+
 TEST(codec, refuses_random_and_damaged_bytes) {
     random_source random{1};
     const auto whole = peer::encode(sample());
