--- a/include/skylark/event/event.hpp
+++ b/include/skylark/event/event.hpp
@@ -21,6 +21,7 @@
     drain,         //!< this process is shutting down
     pause,         //!< this process was suspended for some time
     isolation,     //!< store and majority both lost, or regained
+    rollout,       //!< stage of or verdict on a roll-out
     request        //!< a verdict other than answered
 };
 
@@ -47,6 +48,8 @@
         return "pause";
     case event_kind::isolation:
         return "isolation";
+    case event_kind::rollout:
+        return "rollout";
     case event_kind::request:
         break;
     }
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -14,6 +14,7 @@
 #include "entry/journal.hpp"
 #include "entry/metrics.hpp"
 #include "entry/packed_document.hpp"
+#include "entry/rollouts.hpp"
 #include "entry/settings.hpp"
 #include "entry/upstream_table.hpp"
 #include "io/event_loop.hpp"
@@ -41,6 +42,7 @@
     bool m_newer_announced{};  //!< by a peer, and not offered yet
     instance_list m_instances; //!< latest list; index 0 until there is one
     upstream_table m_upstreams;
+    rollouts m_rollouts{*this};
     //! Set from the begin of the graceful shutdown on.
     std::optional<drain_schedule> m_drain;
     bool m_isolated{}; //!< reaches neither the store nor a majority
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -105,10 +105,12 @@
 }
 
 void fleet::beat() {
-    const auto out = round(io::event_loop::now());
+    auto out = round(io::event_loop::now());
     note_changes();
-    for (const outgoing_heartbeat& item : out)
-        send(item);
+    for (outgoing_heartbeat& item : out) {
+        m_hooks.m_add_exposures(item);
+        send(std::move(item));
+    }
 }
 
 void fleet::announce_config() {
@@ -148,6 +150,7 @@
     follow_view();
     for (const load_digest& digest : message.value().m_loads)
         m_hooks.m_digest(digest);
+    m_hooks.m_exposures(message.value());
     const auto found = peers().find(message.value().m_sender.m_name.m_id);
     if (found != peers().end())
         m_hooks.m_peer_mark(found->second);
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -34,6 +34,10 @@
     std::function<void()> m_changed;
     //! A peer's configuration state was heard.
     std::function<void(const member&)> m_peer_mark;
+    //! Adds exposures of roll-outs to a heartbeat.
+    std::function<void(outgoing_heartbeat&)> m_add_exposures;
+    //! A heartbeat was heard that may contain exposures.
+    std::function<void(const heartbeat&)> m_exposures;
 };
 
 /*! @brief Membership by agreement, with the shares that rest on it. */
@@ -73,6 +77,13 @@
      */
     [[nodiscard]] bool is_watcher(time_point now) const;
 
+    /*! @brief Whether it is this entry's turn to record what all decide; never
+     *  with an agreement, under which the operators write the document. */
+    [[nodiscard]] bool is_first(time_point now) const {
+        const auto* of = std::get_if<roster>(&m_members);
+        return of && of->is_first(now);
+    }
+
     /*! @brief Whether this entry passes on what it hears to others. */
     [[nodiscard]] bool is_relay() const {
         const auto* of = std::get_if<roster>(&m_members);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -140,6 +140,8 @@
     request& req = *m_requests.find(admitted);
     req.m_shortened = allowed - time_left;
     req.m_rank = matched.m_rank;
+    req.m_version_choice =
+        m_shared.m_rollouts.draw(target.m_name, m_router.random());
     req.m_target =
         matched.m_target > duration{0} ? matched.m_target : time_left + waited;
     req.m_target_time = now + req.m_target - waited;
@@ -209,6 +211,8 @@
         waiting.m_tried.clear();
         choice = m_router.choose(waiting, now);
     }
+    if (!choice && m_shared.m_rollouts.fall_back(waiting))
+        choice = m_router.choose(waiting, now);
     if (!choice && m_router.has_eligible_upstream(name))
         return false;
     queue.pop_front();
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -39,6 +39,7 @@
     if (current.m_share)
         ++target.share_use(*current.m_share);
     target.m_load.request_sent();
+    m_shared.m_rollouts.attempt_began(req, target);
     const auto handler = [this, key, which](connection_id,
                                             const io::client_event& what) {
         handle_event(key, which, what);
@@ -143,6 +144,7 @@
     }
     const bool lost = std::holds_alternative<may_have_run>(how);
     const auto* refused = std::get_if<not_run>(&how);
+    m_shared.m_rollouts.broken(*req, ended, target, how);
     if (lost || refused)
         log_failed_attempt(*req, ended, target, how, detail);
     if (lost ||
@@ -198,6 +200,7 @@
     m_client.close(ended.m_connection);
     upstream& target = *m_shared.m_upstreams.find(ended.m_upstream);
     --target.m_connections;
+    m_shared.m_rollouts.cancelled(req, ended, target);
     const duration silent = io::event_loop::now() - ended.m_sent_at;
     if (ended.m_reused && ended.m_sent && silent > silent_connection_limit)
         m_pool.close_stale(target, ended.m_sent_at);
--- a/src/entry/forwarder_head.cpp
+++ b/src/entry/forwarder_head.cpp
@@ -62,6 +62,9 @@
         return;
     }
     const bool failure = head.m_status >= io::status::first_server_error;
+    m_shared.m_rollouts.answered(req, current, target, signs.m_report, failure);
+    req.m_attempts.at(which).m_answered = true;
+    req.m_attempts.at(which).m_failed = failure;
     target.m_load.record_response(now - current.m_sent_at, !failure);
     target.m_health.answered(!failure, now);
     if (!failure)
--- a/src/entry/forwarder_probing.cpp
+++ b/src/entry/forwarder_probing.cpp
@@ -109,7 +109,10 @@
                    [&](const no_upstream_available&) {
                        m_shared.m_loop.cancel(req.m_probe_timer);
                        req.m_probe_timer = {};
-                       apply(key, req.m_machine.rejected());
+                       if (m_shared.m_rollouts.fall_back(req))
+                           begin_probing(key);
+                       else
+                           apply(key, req.m_machine.rejected());
                    }},
         step);
 }
--- a/src/entry/inspector.cpp
+++ b/src/entry/inspector.cpp
@@ -2,6 +2,7 @@
 #include "entry/inspector.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include <skylark/rule/classify.hpp>
 
@@ -67,6 +68,9 @@
     case show_subject::events:
         out = events();
         break;
+    case show_subject::rollouts:
+        out = rollouts_of_services();
+        break;
     }
     BOOST_OUTCOME_TRY(chosen, select(std::move(out), query.m_filters));
     return clean(std::move(chosen));
@@ -220,6 +224,28 @@
     return out;
 }
 
+table inspector::rollouts_of_services() {
+    table out{{"service", "target", "stage", "verdict", "share_percent",
+               "elapsed_ms", "duration_ms", "requests", "target_requests",
+               "responses", "bad"},
+              {}};
+    constexpr double percent = 100.0;
+    const time_point now = io::event_loop::now();
+    for (auto& [service, state] : m_shared.m_rollouts.all()) {
+        const exposure& sums = state.m_ledger.total();
+        out.m_rows.push_back(
+            {service, state.m_order.m_target_version,
+             std::string{name_of(state.m_order.m_stage)},
+             std::string{name_of(state.m_verdict)},
+             text(std::llround(state.m_plan.m_target_share * percent)),
+             text(to_ms(now - state.m_began)),
+             text(to_ms(state.m_order.m_duration)), text(sums.m_requests),
+             text(sums.m_target_requests), text(sums.target_responses()),
+             text(sums.target_bad())});
+    }
+    return out;
+}
+
 table inspector::explain(const explain_query& query) {
     table out{{"upstream", "zone", "state", "in_flight", "penalty",
                "preference", "share", "verdict"},
--- a/src/entry/inspector.hpp
+++ b/src/entry/inspector.hpp
@@ -34,6 +34,7 @@
     table shares();
     table config();
     table events();
+    table rollouts_of_services();
 
     context& m_shared;
     router& m_router;
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -52,7 +52,7 @@
      "upstream responses that named another request"},
 }};
 
-constexpr std::array<description, 10> gauges{{
+constexpr std::array<description, 12> gauges{{
     {"skylark_requests", "requests at hand"},
     {"skylark_queued", "requests that wait for an upstream"},
     {"skylark_members", "entries in the view"},
@@ -63,6 +63,9 @@
     {"skylark_isolated", "1 while new work is refused"},
     {"skylark_upstreams_warm", "upstreams that take full load"},
     {"skylark_connections", "connections to upstreams"},
+    {"skylark_rollout_share", "percent of requests for a new version"},
+    {"skylark_rollout_stage",
+     "of roll-outs in progress: 1 ordered, 2 canary, 3 promoted; 0 none"},
 }};
 
 } // namespace
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -56,7 +56,9 @@
     has_majority,
     isolated,
     upstreams_warm,
-    connections
+    connections,
+    rollout_share,
+    rollout_stage
 };
 
 /*! @brief All metrics of the process. */
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -35,7 +35,8 @@
       m_forwarder{m_shared, m_callers, seed_of(from)},
       m_configurator{m_shared, [this] { adopt(); }}, m_prober{m_shared,
                                                               m_forwarder},
-      m_control{m_shared, m_forwarder, m_configurator}, m_lookup{m_shared} {
+      m_control{m_shared, m_forwarder, m_configurator}, m_lookup{m_shared},
+      m_rollout_coordinator{m_shared} {
     m_callers.set_handlers(
         {[this](exchange_id key, const io::request_view& request) {
              serve_caller(key, request);
@@ -68,7 +69,14 @@
     hooks.m_peer_mark = [this](const member& peer) {
         m_configurator.peer_mark(peer);
     };
+    hooks.m_add_exposures = [this](outgoing_heartbeat& out) {
+        m_shared.m_rollouts.add_to(out);
+    };
+    hooks.m_exposures = [this](const heartbeat& message) {
+        m_shared.m_rollouts.heard(message);
+    };
     BOOST_OUTCOME_TRYV(m_shared.m_fleet.start(std::move(hooks)));
+    m_rollout_coordinator.start();
     m_configurator.start();
     prepare_place();
     // Without shares nobody owns a probe; upstreams are asked before a send.
@@ -143,6 +151,7 @@
     }
     m_forwarder.upstreams_removed(m_shared.m_upstreams.adopt(
         m_shared.m_config.current(), m_shared.m_instances));
+    m_shared.m_rollouts.adopt();
     m_forwarder.dispatch_queued();
 }
 
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -11,6 +11,7 @@
 #include "entry/forwarder.hpp"
 #include "entry/lookup.hpp"
 #include "entry/prober.hpp"
+#include "entry/rollout_coordinator.hpp"
 #include "io/http_server.hpp"
 #include "store/lease_holder.hpp"
 
@@ -55,6 +56,7 @@
     prober m_prober;
     control m_control;
     lookup m_lookup;
+    rollout_coordinator m_rollout_coordinator;
     std::optional<store::lease_holder> m_place; //!< in the store's list
     listing_policy m_listing_policy;
     hold_up_record m_hold_ups;
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -17,6 +17,7 @@
 #include <skylark/share/kind.hpp>
 
 #include "entry/metrics.hpp"
+#include "entry/version_choice.hpp"
 
 namespace skylark::entry {
 
@@ -35,6 +36,9 @@
     std::optional<load_report> m_report;
     std::uint32_t m_probe_count{};         //!< probes sent before the attempt
     std::uint32_t m_pending_probe_count{}; //!< of those, unanswered
+    std::uint64_t m_rollout{}; //!< order that it counts for; 0: none
+    bool m_answered{};         //!< the head of its response has arrived
+    bool m_failed{};           //!< with a failure
 };
 
 /*! @brief One request of a caller. */
@@ -64,7 +68,8 @@
     time_point m_target_time; //!< an answer by then has full value
     duration m_target{};      //!< the same, from the caller's first request
     std::uint32_t m_rank{};   //!< order within its class
-    duration m_shortened{};   //!< taken off its time for a pause
+    version_choice m_version_choice{}; //!< drawn once, see rollouts
+    duration m_shortened{};            //!< taken off its time for a pause
 
     // Probes that precede an attempt.
     std::vector<upstream_id> m_probed; //!< probed since it left the queue
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -119,8 +119,9 @@
             continue;
         const upstream& item = *m_shared.m_upstreams.find(key);
         std::optional<share_kind> share;
-        if (exclusion_of(item, config, of.m_class, now, share) !=
-            exclusion::none)
+        if (!m_shared.m_rollouts.admits(of, item) ||
+            exclusion_of(item, config, of.m_class, now, share) !=
+                exclusion::none)
             continue;
         const std::uint32_t cold = share == share_kind::cold ? cold_penalty : 0;
         m_candidates.push_back({key, item.m_load.in_flight(),
--- a/src/entry/router_probing.cpp
+++ b/src/entry/router_probing.cpp
@@ -49,6 +49,7 @@
         const upstream& item = *m_shared.m_upstreams.find(key);
         std::optional<share_kind> share;
         if (contains(of.m_tried, key) ||
+            !m_shared.m_rollouts.admits(of, item) ||
             exclusion_of(item, config, of.m_class, now, share) !=
                 exclusion::none)
             continue;
