--- a/include/skylark/command/statement.hpp
+++ b/include/skylark/command/statement.hpp
@@ -35,7 +35,8 @@
     shares,
     config,
     events,
-    teams
+    teams,
+    rollouts
 };
 
 /*! @brief show SUBJECT [where FIELD OP VALUE [and ...]] */
--- a/src/command/parse.cpp
+++ b/src/command/parse.cpp
@@ -12,7 +12,7 @@
 
 namespace peg = tao::pegtl;
 
-constexpr std::array<std::pair<std::string_view, show_subject>, 11> subjects{{
+constexpr std::array<std::pair<std::string_view, show_subject>, 12> subjects{{
     {"services", show_subject::services},
     {"zones", show_subject::zones},
     {"rules", show_subject::rules},
@@ -24,6 +24,7 @@
     {"config", show_subject::config},
     {"events", show_subject::events},
     {"teams", show_subject::teams},
+    {"rollouts", show_subject::rollouts},
 }};
 
 constexpr std::array<std::pair<std::string_view, change_kind>, 6> kinds{{
@@ -212,7 +213,7 @@
 template <>
 inline constexpr auto expectation<grammar::subject> =
     "services, zones, rules, limits, upstreams, entries, load, shares, "
-    "config, events or teams";
+    "config, events, teams or rollouts";
 template <>
 inline constexpr auto expectation<grammar::end> =
     "the end of the statement, or where and and with FIELD OP VALUE";
--- a/src/entry/forwarder_authentication.cpp
+++ b/src/entry/forwarder_authentication.cpp
@@ -33,9 +33,8 @@
 
 } // namespace
 
-forwarder::authentication
-forwarder::authenticate(const io::request_view& from,
-                        const rule& matched) const {
+forwarder::authentication forwarder::authenticate(const io::request_view& from,
+                                                  const rule& matched) const {
     if (m_shared.m_teams.empty() || matched.m_public)
         return {true, nullptr};
     const auto key = key_of(from, key_field(m_shared.m_dialect));
@@ -53,11 +52,11 @@
                           request_class::normal, std::nullopt, std::nullopt,
                           line_kind::unauthenticated);
     else
-        refuse_on_arrival(
-            key, from, io::status::unavailable,
-            "configuration not confirmed, " + std::string{reason},
-            request_class::normal, retry_after(refusal{}, m_router.random()),
-            std::nullopt, line_kind::unauthenticated);
+        refuse_on_arrival(key, from, io::status::unavailable,
+                          "configuration not confirmed, " + std::string{reason},
+                          request_class::normal,
+                          retry_after(refusal{}, m_router.random()),
+                          std::nullopt, line_kind::unauthenticated);
 }
 
 io::header forwarder::key_challenge() const {
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -56,7 +56,7 @@
     {"skylark_allowance_messages_total", "messages sent about tokens"},
 }};
 
-constexpr std::array<description, 10> gauges{{
+constexpr std::array<description, 12> gauges{{
     {"skylark_requests", "requests at hand"},
     {"skylark_queued", "requests that wait for an upstream"},
     {"skylark_members", "entries in the view"},
@@ -67,6 +67,9 @@
     {"skylark_isolated", "1 while new work is refused"},
     {"skylark_upstreams_warm", "upstreams that take full load"},
     {"skylark_connections", "connections to upstreams"},
+    {"skylark_rollout_share", "percent of requests for a new version"},
+    {"skylark_rollout_stage",
+     "of roll-outs in progress: 1 ordered, 2 canary, 3 promoted; 0 none"},
 }};
 
 // Gauges, as a team that is not shown any more takes its series with it.
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -59,7 +59,9 @@
     has_majority,
     isolated,
     upstreams_warm,
-    connections
+    connections,
+    rollout_share,
+    rollout_stage
 };
 
 /*! @brief What happened to the requests of a team that has a rate limit. */
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -18,6 +18,7 @@
 #include <skylark/team/rank.hpp>
 
 #include "entry/metrics.hpp"
+#include "entry/version_choice.hpp"
 
 namespace skylark::entry {
 
@@ -36,6 +37,9 @@
     std::optional<load_report> m_report;
     std::uint32_t m_probe_count{};         //!< probes sent before the attempt
     std::uint32_t m_pending_probe_count{}; //!< of those, unanswered
+    std::uint64_t m_rollout{}; //!< order that it counts for; 0: none
+    bool m_answered{};         //!< the head of its response has arrived
+    bool m_failed{};           //!< with a failure
 };
 
 /*! @brief What a request has of its team's rate limit. */
@@ -77,7 +81,8 @@
     duration m_target{};      //!< the same, from the caller's first request
     request_rank m_rank;      //!< order within its class
     std::string m_team;       //!< name of its team; empty: none
-    duration m_shortened{};   //!< taken off its time for a pause
+    version_choice m_version_choice{}; //!< drawn once, see rollouts
+    duration m_shortened{};            //!< taken off its time for a pause
 
     // Probes that precede an attempt.
     std::vector<upstream_id> m_probed; //!< probed since it left the queue
