--- a/src/allowance/client_questions.cpp
+++ b/src/allowance/client_questions.cpp
@@ -30,7 +30,7 @@
                            allowance_steps& out) {
     drop_expired(of, now);
     const auto [first, second] = m_view.rank(of.m_limit.m_team);
-    question& next = of.m_question.emplace();
+    question& next = of.m_question.emplace(question{});
     next.m_sequence = ++m_last_sequence;
     next.m_target = now < of.m_replacement_until ? of.m_replacement : first;
     next.m_first_sent = now;
