Bound the exposures in heartbeats, keep the earlier version if the target is lost

Cause: many routes or members would outgrow a datagram; the loss of all target upstreams after promotion would have ended the service at completion. Change: 16 KB of exposures in a heartbeat, in turns; 32 routes counted apart; no completion without a usable target upstream.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -51,7 +51,8 @@
     test/route/room.cpp
     test/rollout/exposure.cpp test/rollout/judge.cpp test/rollout/plan.cpp
     test/rollout/fleet.cpp test/platform/rollout_records.cpp
-    test/store/rollout_writer.cpp test/platform/rollouts.cpp
+    test/store/rollout_writer.cpp test/platform/rollouts.cpp test/entry/rollouts.cpp
+    test/member/first_member.cpp
     test/standin/overload.cpp test/standin/kv_store.cpp
     standin/kv_store.cpp standin/kv_restore.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
--- a/include/skylark/rollout/plan.hpp
+++ b/include/skylark/rollout/plan.hpp
@@ -36,6 +36,7 @@
     rollout_times m_times;
     //! No entry sends to the earlier version, or has a request there.
     bool m_earlier_drained{};
+    bool m_target_usable{true}; //!< at least one upstream of it is
 };
 
 /*! @brief Stage to record next.
--- a/src/entry/rollout_coordinator.cpp
+++ b/src/entry/rollout_coordinator.cpp
@@ -48,7 +48,8 @@
         return;
     const auto next =
         plan_write({state.m_order.m_stage, state.m_verdict, state.times(now),
-                    m_shared.m_rollouts.earlier_drained(state)});
+                    m_shared.m_rollouts.earlier_drained(state),
+                    !state.m_canaries.empty()});
     if (!next)
         return;
     // The entries that are not heard may have found the version bad.
--- a/src/entry/rollout_counts.cpp
+++ b/src/entry/rollout_counts.cpp
@@ -10,10 +10,13 @@
 
 namespace {
 
-// Exposures of other members in one datagram; one of five routes takes about
-// 150 bytes, and a datagram holds 64 KB. What does not fit follows in the next
-// report.
-constexpr std::size_t most_reported = 96;
+// Bytes of exposures in one heartbeat, which has to fit into a datagram of 64
+// KB with up to 1,000 reports of 40 bytes. What does not fit follows in the
+// next report.
+constexpr std::size_t exposure_bytes = std::size_t{16} << 10U;
+// Routes that are counted apart; the others are counted together.
+constexpr std::size_t most_routes = 32;
+constexpr std::uint32_t other_routes = 0;
 constexpr std::uint64_t upstream_bits = 64;
 
 // Slowdown of an upstream around a response. It changes several times a second,
@@ -29,6 +32,23 @@
     return std::max(1U, most) / static_cast<double>(nominal_slowness);
 }
 
+// Upper bound of the encoded size of usual counts.
+std::size_t encoded_size(const exposure& of) {
+    constexpr std::size_t fields = 60;
+    constexpr std::size_t route = 60;
+    return fields + route * of.m_routes.size();
+}
+
+// Adds an exposure if its size is left.
+void add_within(std::size_t& left, std::vector<exposure>& to,
+                const exposure& what) {
+    const std::size_t size = encoded_size(what);
+    if (size > left)
+        return;
+    left -= size;
+    to.push_back(what);
+}
+
 duration normalize(duration took, double by) {
     return duration{
         static_cast<duration::rep>(static_cast<double>(took.count()) / by)};
@@ -45,7 +65,10 @@
 
 version_counts& rollouts::counts_of(rollout_state& state, const request& of,
                                     const upstream& target) {
-    route_exposure& route = state.m_own.on_route(route_key(of.m_rule));
+    const std::uint32_t key = route_key(of.m_rule);
+    const bool apart = state.m_own.find_route(key) ||
+                       state.m_own.m_routes.size() < most_routes;
+    route_exposure& route = state.m_own.on_route(apart ? key : other_routes);
     return target.m_version == state.m_order.m_target_version ? route.m_target
                                                               : route.m_earlier;
 }
@@ -130,37 +153,38 @@
 }
 
 void rollouts::add_to(outgoing_heartbeat& out) {
-    const bool fleet_scope = out.m_scope == subscription::fleet;
-    std::size_t room = most_reported;
+    std::size_t left = exposure_bytes;
     for (auto& [service, state] : m_states) {
         if (is_final(state.m_order.m_stage))
             continue;
-        out.m_message.m_exposures.push_back(state.m_own);
-        if (fleet_scope) {
-            out.m_message.m_exposure_sums.push_back(state.m_ledger.total());
-            out.m_message.m_exposure_sums.back().m_order = state.m_key;
-        }
+        add_within(left, out.m_message.m_exposures, state.m_own);
+        if (out.m_scope == subscription::fleet)
+            add_within(left, out.m_message.m_exposure_sums,
+                       state.m_ledger.total());
     }
-    if (out.m_scope != subscription::zone || out.m_message.m_exposures.empty())
-        return;
-    auto& reports = out.m_message.m_reports;
-    // Begins with the member after the last one of the report before.
-    const auto first = std::find_if(
-        reports.begin(), reports.end(), [this](const member_report& item) {
+    if (out.m_scope == subscription::zone && !out.m_message.m_exposures.empty())
+        add_reports(out.m_message.m_reports, left);
+}
+
+// Begins with the member after the last one of the report before.
+void rollouts::add_reports(std::vector<member_report>& to, std::size_t left) {
+    const auto next =
+        std::find_if(to.begin(), to.end(), [this](const member_report& item) {
             return item.m_name.m_id.value() > m_report_cursor;
         });
-    const auto begin = static_cast<std::size_t>(first - reports.begin());
-    for (std::size_t i = 0; i < reports.size() && room > 0; ++i) {
-        member_report& item = reports[(begin + i) % reports.size()];
-        m_report_cursor = item.m_name.m_id.value();
-        for (auto& [service, state] : m_states) {
-            const exposure* known = state.m_ledger.find(
-                {item.m_name.m_id, item.m_name.m_incarnation});
-            if (!known || is_final(state.m_order.m_stage) || room == 0)
+    const auto begin = static_cast<std::size_t>(next - to.begin());
+    for (std::size_t i = 0; i < to.size(); ++i) {
+        member_report& item = to[(begin + i) % to.size()];
+        const reporter name{item.m_name.m_id, item.m_name.m_incarnation};
+        for (const auto& [service, state] : m_states) {
+            const exposure* known = state.m_ledger.find(name);
+            if (!known || is_final(state.m_order.m_stage))
                 continue;
-            item.m_exposures.push_back(*known);
-            --room;
+            if (encoded_size(*known) > left)
+                return;
+            add_within(left, item.m_exposures, *known);
         }
+        m_report_cursor = item.m_name.m_id.value();
     }
 }
 
--- a/src/entry/rollouts.cpp
+++ b/src/entry/rollouts.cpp
@@ -140,7 +140,7 @@
     state.m_own.m_bad = state.m_verdict == rollout_verdict::bad;
     state.m_plan = plan_traffic(state.m_order.m_stage, state.m_verdict, sums,
                                 state.times(now));
-    state.m_own.m_earlier_closed = !state.m_plan.m_earlier_allowed;
+    state.m_own.m_earlier_closed = state.earlier_closed();
     if (before == state.m_verdict)
         return false;
     note(state, "judged on requests=" + std::to_string(sums.m_requests) +
@@ -173,7 +173,8 @@
     if (!state.m_plan.m_target_allowed)
         return version_choice::earlier;
     if (!state.m_plan.m_earlier_allowed)
-        return version_choice::target;
+        return state.earlier_closed() ? version_choice::target
+                                      : version_choice::earlier;
     // All upstreams already have the ordered version.
     if (!state.m_has_earlier)
         return version_choice::any;
--- a/src/entry/rollouts.hpp
+++ b/src/entry/rollouts.hpp
@@ -38,6 +38,14 @@
     //! Whether an upstream of another version is listed and not leaving.
     bool m_has_earlier{};
 
+    /*! @brief Whether no request goes to the earlier version. Until that is
+     *  recorded, it takes the requests while no target upstream is usable. */
+    [[nodiscard]] bool earlier_closed() const {
+        return !m_plan.m_earlier_allowed &&
+               (m_order.m_stage == rollout_stage::completed ||
+                !m_canaries.empty());
+    }
+
     [[nodiscard]] rollout_times times(time_point now) const {
         return {now - m_began, m_order.m_duration};
     }
@@ -120,6 +128,7 @@
     void begin(rollout_state& state, const rollout_order& order);
     void follow_upstreams(rollout_state& state, time_point now);
     bool judge(rollout_state& state, time_point now);
+    void add_reports(std::vector<member_report>& to, std::size_t left);
     [[nodiscard]] rollout_state* find_order(std::uint64_t key);
     void take(const reporter& from, const std::vector<exposure>& list);
     void note(const rollout_state& state, std::string_view what);
--- a/src/rollout/plan.cpp
+++ b/src/rollout/plan.cpp
@@ -55,12 +55,18 @@
     if (facts.m_verdict == rollout_verdict::bad)
         return rollout_stage::rolled_back;
     const bool late = is_late(facts.m_times);
+    // Without an upstream of the target version, the end of the earlier ones
+    // would be the end of the service.
+    if (!facts.m_target_usable && late)
+        return rollout_stage::rolled_back;
+    if (!facts.m_target_usable && facts.m_stage != rollout_stage::ordered)
+        return std::nullopt;
     if (facts.m_stage == rollout_stage::promoted) {
         if (facts.m_earlier_drained || late)
             return rollout_stage::completed;
         return std::nullopt;
     }
-    if (facts.m_verdict == rollout_verdict::good)
+    if (facts.m_verdict == rollout_verdict::good && facts.m_target_usable)
         return late ? rollout_stage::completed : rollout_stage::promoted;
     // Nothing proves the version good, so the earlier one has to stay.
     if (late)
--- a/test/rollout/plan.cpp
+++ b/test/rollout/plan.cpp
@@ -97,6 +97,24 @@
                   rolled_back);
 }
 
+// All upstreams of the new version may be lost after it was promoted.
+TEST(plan_write, a_version_without_upstreams_is_never_completed) {
+    using enum rollout_stage;
+    write_facts lost = facts(promoted, rollout_verdict::good, 50, true);
+    lost.m_target_usable = false;
+    EXPECT_EQ(plan_write(lost), std::nullopt);
+    lost.m_times.m_elapsed = seconds{58};
+    EXPECT_EQ(plan_write(lost), rolled_back);
+    lost.m_stage = canary;
+    EXPECT_EQ(plan_write(lost), rolled_back);
+    lost.m_times.m_elapsed = seconds{40};
+    EXPECT_EQ(plan_write(lost), std::nullopt);
+    // The status tells the operators that the order was seen.
+    lost.m_stage = ordered;
+    lost.m_verdict = undecided;
+    EXPECT_EQ(plan_write(lost), canary);
+}
+
 // Each canary gets the load of an ordinary upstream: 0.08 of 25 is 2 of them.
 TEST(canaries, are_as_many_as_their_share_fills) {
     EXPECT_EQ(canary_count(25, 25), 2U);
