Begin pipelined requests while those before them are in progress

h2o hands a request over when the one before it is answered, so requests that a caller sends together wait for each other.

The server looks at what is behind a request in progress, in h2o's buffer and in the kernel's, and opens exchanges for GET and HEAD requests without a body that its owner allows to begin (m_may_begin_early). Their answers are held, bounded in number and bytes, and joined to h2o's requests when it hands them over. Without the callback nothing changes.

An answer that was broken off while a piece was on its way left its exchange open until its owner sent again; on_proceed() ends it now.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -19,8 +19,6 @@
 using internal::handler;
 
 namespace {
-// Bytes that a caller receives at once, before it can send another request.
-constexpr std::size_t short_answer = std::size_t{16} << 10U;
 constexpr auto input_check_period = milliseconds{100};
 constexpr auto idle_check_period = milliseconds{10};
 // h2o's own time limit runs from the end of an answer until the next request
@@ -76,6 +74,8 @@
     m_native->m_total_input_limit = limits.m_input_bytes;
     m_native->set_bounds({limits.m_head_bytes, limits.m_body_bytes});
     m_native->m_idle_timeout = limits.m_idle_timeout;
+    m_native->m_concurrent_requests = limits.m_concurrent_requests;
+    m_native->m_held_limit = limits.m_held_bytes;
 }
 
 void http_server::set_handlers(handlers callbacks) {
@@ -139,61 +139,27 @@
                         std::span<const header> headers,
                         std::optional<std::uint64_t> length) {
     exchange* found = m_native->m_exchanges.find(key);
-    if (!found || found->m_started)
-        return;
-    h2o_req_t* request = found->m_request;
-    request->res.status = status;
-    request->res.reason = "-";
-    request->res.content_length = length.value_or(SIZE_MAX);
-    for (const header& field : headers) {
-        const auto name = h2o_strdup(&request->pool, field.m_name.data(),
-                                     field.m_name.size());
-        const auto value = h2o_strdup(&request->pool, field.m_value.data(),
-                                      field.m_value.size());
-        h2o_add_header_by_str(&request->pool, &request->res.headers, name.base,
-                              name.len, 1, nullptr, value.base, value.len);
-    }
-    found->m_started = true;
-    h2o_start_response(request, &found->m_generator->m_super);
+    if (found && found->m_held)
+        found->m_held->start(status, headers, length);
+    else if (found && !found->m_started)
+        m_native->start(*found, status, headers, length);
 }
 
 void http_server::send(exchange_id key, std::string_view piece, bool last) {
     exchange* found = m_native->m_exchanges.find(key);
-    if (!found || !found->m_started || found->m_complete ||
-        found->m_send_pending)
-        return;
-    // A caller that is told that its connection closes takes what it has sent
-    // behind the request for lost.
-    if (m_native->m_closing && last && !found->m_head_sent &&
-        piece.size() <= short_answer &&
-        internal::input_behind(*found->m_request) == 0)
-        found->m_request->http1_is_persistent = 0;
-    found->m_head_sent = true;
-    found->m_piece.assign(piece);
-    found->m_complete = last;
-    found->m_send_pending = true;
-    auto buffer = h2o_iovec_init(found->m_piece.data(), found->m_piece.size());
-    h2o_send(found->m_request, &buffer, buffer.len == 0 ? 0 : 1,
-             last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+    if (found && found->m_held)
+        m_native->hold(key, piece, last);
+    else if (found && found->m_started && !found->m_complete &&
+             !found->m_send_pending)
+        m_native->write(*found, std::string{piece}, last);
 }
 
 void http_server::abort(exchange_id key) {
     exchange* found = m_native->m_exchanges.find(key);
-    if (!found || !found->m_started)
-        return;
-    // On an error h2o would write an invalid chunk size; shutting the socket
-    // down first keeps it off the wire. While a send is pending h2o must not
-    // be called; it then detects the shutdown itself.
-    const bool send_pending = found->m_send_pending;
-    static_cast<internal::accepted_connection*>(
-        native::socket_of(found->m_request)->on_close.data)
-        ->m_broken_off = true;
-    // h2o would otherwise go on with the next request of the connection.
-    found->m_request->http1_is_persistent = 0;
-    if (send_pending || !found->m_complete)
-        shutdown(found->m_socket, SHUT_RDWR);
-    if (!send_pending && !found->m_complete)
-        h2o_send(found->m_request, nullptr, 0, H2O_SEND_STATE_ERROR);
+    if (found && found->m_held && !found->m_request)
+        m_native->abort_held(*found, key);
+    else if (found && found->m_started)
+        m_native->break_off(*found);
 }
 
 void http_server::answer(exchange_id key, int status,
@@ -202,16 +168,14 @@
     const exchange* found = m_native->m_exchanges.find(key);
     if (!found || found->m_started)
         return;
-    const h2o_iovec_t& method = found->m_request->input.method;
-    const bool ends_with_head =
-        std::string_view{method.base, method.len} == "HEAD";
+    const bool ends_with_head = found->m_head_only;
     start(key, status, headers, body.size());
     send(key, ends_with_head ? std::string_view{} : body, true);
 }
 
 std::string_view http_server::body(exchange_id key) const {
     const exchange* found = m_native->m_exchanges.find(key);
-    if (!found)
+    if (!found || !found->m_request)
         return {};
     const h2o_iovec_t& entity = found->m_request->entity;
     return {entity.base, entity.len};
@@ -240,6 +204,11 @@
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) != 0;
 }
 
+bool http_server::awaits_turn(exchange_id key) const {
+    const exchange* found = m_native->m_exchanges.find(key);
+    return found && !found->m_request;
+}
+
 duration http_server::time_since_last_request() const {
     return event_loop::now() - m_native->m_last_request;
 }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -38,12 +38,25 @@
     //! SO_SNDBUF, read by listen(); 0: kernel's default. Bounds what counts as
     //! written although the caller has not received it.
     int m_send_buffer_bytes{};
+    //! Requests of one connection that are in progress at a time, see
+    //! handlers::m_may_begin_early; 0 and 1: one begins when the one before it
+    //! was answered.
+    std::size_t m_concurrent_requests{8};
+    //! Bytes of answers that one connection holds until their turn. Above it,
+    //! m_ready is not called until then, so it may be exceeded by one piece of
+    //! each answer.
+    std::size_t m_held_bytes{std::size_t{256} << 10U};
 };
 
 /*! @brief Serves HTTP/1 on one or more addresses.
  *
  *  An exchange lasts from its request until its answer was sent or its caller
- *  disconnected; calls with the id of a finished exchange have no effect. */
+ *  disconnected; calls with the id of a finished exchange have no effect.
+ *
+ *  Requests that a caller sends behind others may be passed on early, see
+ *  handlers::m_may_begin_early. Their answers are held until those before them
+ *  were written. If one of those closes the connection, the exchanges behind it
+ *  end as if their caller had disconnected, and nothing of them is written. */
 class http_server {
 public:
     /*! @brief Callbacks of the server. */
@@ -60,6 +73,12 @@
         //! A connection was ended although bytes that the caller had sent on it
         //! were not answered; how many, as far as they are known.
         std::function<void(discard_cause, std::size_t)> m_discarded;
+        //! Whether a GET or HEAD request without a body may be begun while
+        //! those before it on its connection are in progress, and may be
+        //! overtaken by such requests: whether it is idempotent. Without this
+        //! callback no request is begun early. The views are valid only during
+        //! the call.
+        std::function<bool(const request_view&)> m_may_begin_early;
     };
 
     http_server(event_loop& loop, const server_limits& limits);
@@ -154,6 +173,10 @@
      *  show that: the caller may still read. */
     [[nodiscard]] bool caller_unreachable(exchange_id key) const;
 
+    /*! @brief Whether an answer is held until the ones before it on its
+     *  connection were written, however long that takes. */
+    [[nodiscard]] bool awaits_turn(exchange_id key) const;
+
     /*! @brief Number of open connections, with those that linger after the
      *  answer that ended them. */
     [[nodiscard]] std::size_t connections() const;
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -124,6 +124,7 @@
         server.m_handlers.m_rejected(status::bad_request, {});
     if (self->m_kept >= 0)
         server.m_lingering.add(self->m_kept);
+    server.end_early(*server.m_connections.find(self->m_key), 0);
     server.m_connections.erase(self->m_key);
 }
 
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -69,8 +69,13 @@
         &request->pool, sizeof(generator), &native::on_dispose));
     self->m_super = {&native::on_proceed, &native::on_stop};
     self->m_server = this;
+    h2o_socket_t* socket = socket_of(request);
+    auto& connection =
+        *static_cast<internal::accepted_connection*>(socket->on_close.data);
     self->m_key = m_exchanges.emplace(
-        exchange{request, self, h2o_socket_get_fd(socket_of(request))});
+        exchange{request, self, h2o_socket_get_fd(socket), connection.m_key,
+                 view(request->input.method) == "HEAD"});
+    connection.m_front = self->m_key;
     return self->m_key;
 }
 
@@ -144,11 +149,17 @@
                            0);
         return 0;
     }
-    server.m_last_request = event_loop::now();
-    if (server.reject_oversized(request, server.collect_headers(request)))
-        return 0;
-    const exchange_id key = server.open(request);
-    server.m_handlers.m_request(key, server.view_of(request));
+    // The caller may close the connection during the calls below.
+    const connection_id key = connection->m_key;
+    if (!server.join(request)) {
+        server.m_last_request = event_loop::now();
+        if (server.reject_oversized(request, server.collect_headers(request)))
+            return 0;
+        const exchange_id opened = server.open(request);
+        server.m_handlers.m_request(opened, server.view_of(request));
+    }
+    server.begin_early(key);
+    server.plan_watch();
     return 0;
 }
 
@@ -211,8 +222,18 @@
 void http_server::native::on_proceed(h2o_generator_t* self, h2o_req_t*) {
     const auto* own = reinterpret_cast<generator*>(self);
     auto& server = *static_cast<native*>(own->m_server);
-    if (exchange* found = server.m_exchanges.find(own->m_key))
+    exchange* found = server.m_exchanges.find(own->m_key);
+    if (found)
         found->m_send_pending = false;
+    // A shutdown alone ends the connection only if more is written.
+    const auto* connection =
+        found ? server.m_connections.find(found->m_connection) : nullptr;
+    if (connection && connection->m_broken_off && !found->m_complete) {
+        h2o_send(found->m_request, nullptr, 0, H2O_SEND_STATE_ERROR);
+        return;
+    }
+    if (found && found->m_held && !server.write_held(*found))
+        return;
     if (server.m_handlers.m_ready)
         server.m_handlers.m_ready(own->m_key);
 }
@@ -227,7 +248,7 @@
     auto& server = *static_cast<native*>(own->m_server);
     const exchange* found = server.m_exchanges.find(key);
     const bool complete = found && found->m_complete;
-    server.m_exchanges.erase(key);
+    server.erase_exchange(key);
     if (server.m_handlers.m_closed)
         server.m_handlers.m_closed(key, complete);
 }
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -1,15 +1,18 @@
 // State of the HTTP server; private to http_server.cpp,
-// http_server_connections.cpp and http_server_native.cpp.
+// http_server_connections.cpp, http_server_early.cpp and
+// http_server_native.cpp.
 #ifndef SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 #define SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include <skylark/core/id_map.hpp>
 
+#include "io/held_answer.hpp"
 #include "io/held_bounds.hpp"
 #include "io/http_server.hpp"
 #include "io/lingering_connections.hpp"
@@ -21,11 +24,20 @@
 
 struct generator;
 
-// Lives from the request until h2o disposes of its memory pool.
+// Lives from the request until h2o disposes of its memory pool. One that was
+// begun early has no request of h2o yet.
 struct exchange {
     h2o_req_t* m_request;
     generator* m_generator; // allocated from the request's pool
     int m_socket;
+    connection_id m_connection;
+    bool m_head_only; // HEAD request
+    // Whether requests behind it may be begun; found out when there are any.
+    std::optional<bool> m_may_be_overtaken;
+    // Of an exchange that was begun early, until the answer was passed to h2o.
+    // Invariant: with a request of h2o, m_send_pending is true.
+    std::optional<held_answer> m_held;
+    std::size_t m_size{}; // bytes of a request that was begun early
     std::string m_piece;
     bool m_started{};
     bool m_head_sent{}; // whether the connection closes is decided
@@ -74,7 +86,16 @@
     time_point m_since;
     duration m_time_limit{};
     bool m_receiving{};
-    bool m_overdue{}; // at the last check
+    bool m_overdue{};    // at the last check
+    exchange_id m_front; // of the request that h2o has handed over
+    // Exchanges that were begun behind it, in the order of their requests.
+    std::vector<exchange_id> m_early;
+    bool m_no_early{}; // an answer on its way or held closes the connection
+    // The request behind those may not begin early.
+    bool m_early_stopped{};
+    // Bytes behind the front request when the last of them were the begin of a
+    // request; 0 otherwise.
+    std::size_t m_unfinished{};
 };
 
 } // namespace internal
@@ -101,7 +122,11 @@
     std::vector<header_view>
         m_headers; // of the present request; reused to save allocations
     time_point m_last_request;
-    bool m_closing{}; // short answers close
+    std::size_t m_concurrent_requests{};
+    std::size_t m_held_limit{}; // bytes of held answers of one connection
+    std::size_t m_held_bytes{}; // of all connections
+    bool m_watching{};          // watch_input() is planned
+    bool m_closing{};           // short answers close
     bool m_shutting_down{};
 
     // Sockets whose requests were received whole and are in progress.
@@ -139,6 +164,34 @@
     bool reject_oversized(h2o_req_t* request, std::size_t head_size) const;
     void reject(h2o_req_t* request, int status, const char* reason,
                 const std::string& text) const;
+    void start(internal::exchange& item, int status,
+               std::span<const header> headers,
+               std::optional<std::uint64_t> length);
+    void break_off(internal::exchange& item);
+    // Passes a piece of an answer to h2o.
+    void write(internal::exchange& item, std::string piece, bool last);
+
+    // Requests that are begun before h2o hands them over.
+    [[nodiscard]] bool begins_early() const;
+    void begin_early(connection_id key);
+    bool begin_next(connection_id key);
+    bool may_be_overtaken(internal::exchange& front);
+    // Begins requests that arrive while others are in progress.
+    void watch_input();
+    void plan_watch();
+    // Gives a request to the exchange that was begun for it, if there is one.
+    bool join(h2o_req_t* request);
+    void write_joined(exchange_id key);
+    // Passes what is held to h2o; returns whether the sender may go on.
+    bool write_held(internal::exchange& item);
+    void hold(exchange_id key, std::string_view piece, bool last);
+    void abort_held(internal::exchange& item, exchange_id key);
+    // Lets the sender of a held answer go on if there is room.
+    void grant(exchange_id key);
+    [[nodiscard]] bool has_room(connection_id key);
+    // Ends the exchanges behind the first ones of a connection's early ones.
+    void end_early(internal::accepted_connection& connection, std::size_t kept);
+    void erase_exchange(exchange_id key);
 };
 
 } // namespace skylark::io
--- a/src/io/request_input.cpp
+++ b/src/io/request_input.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-std::size_t input_behind(const h2o_req_t& request) {
+std::string_view buffered_behind(const h2o_req_t& request) {
     h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
     const std::string_view input{socket->input->bytes, socket->input->size};
     // A body lies in the input, decoded in place if it came in chunks.
@@ -37,7 +37,12 @@
             ? static_cast<std::size_t>(request.entity.base - input.data()) +
                   request.entity.len
             : head_length(input);
-    return input.size() - length +
+    return input.substr(length);
+}
+
+std::size_t input_behind(const h2o_req_t& request) {
+    h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
+    return buffered_behind(request).size() +
            static_cast<std::size_t>(unread_bytes(h2o_socket_get_fd(socket)));
 }
 
--- a/src/io/request_input.hpp
+++ b/src/io/request_input.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_IO_REQUEST_INPUT_HPP
 
 #include <cstddef>
+#include <string_view>
 
 #include "io/native.hpp"
 
@@ -13,6 +14,9 @@
  *  reads no further then. */
 std::size_t input_behind(const h2o_req_t& request);
 
+/*! @brief The part of it that h2o has read; valid as above. */
+std::string_view buffered_behind(const h2o_req_t& request);
+
 } // namespace skylark::io::internal
 
 #endif
--- a/src/io/response_parser.cpp
+++ b/src/io/response_parser.cpp
@@ -1,25 +1,11 @@
 // Response parsing with picohttpparser, which libh2o exports without a header.
 #include "io/response_parser.hpp"
 #include "io/http_status.hpp"
+#include "io/picohttpparser.hpp"
 
 #include <algorithm>
 #include <charconv>
 
-extern "C" {
-// NOLINTBEGIN: names of picohttpparser
-struct phr_header {
-    const char* name;
-    size_t name_len;
-    const char* value;
-    size_t value_len;
-};
-// NOLINTEND
-int phr_parse_response(const char* buffer, size_t length, int* minor_version,
-                       int* status, const char** message, size_t* message_len,
-                       struct phr_header* headers, size_t* header_count,
-                       size_t last_length);
-}
-
 namespace skylark::io {
 
 namespace {
