--- a/test/platform/hidden_keys.cpp
+++ b/test/platform/hidden_keys.cpp
@@ -73,8 +73,8 @@
     for (const std::string& bad :
          {with("\"blues\",", ""), with("100,", "[\"key-red\"],"),
           with("[\"key-blue\"]", "\"key-blue\""), with("key-blue", "key-new"),
-          only_teams, good + "x", with("\"version\"", "\"versions\""),
-          with("key-new", "key-new\\n")}) {
+          only_teams, std::string{R"({"tenants":"key-new"})"}, good + "x",
+          with("\"version\"", "\"versions\""), with("key-new", "key-new\\n")}) {
         m_store.put("op/config", bad);
         turn_for(milliseconds{400});
         all += output.read();
