Give the instance of a test its version

The version that was added to instance shifted the values of an initializer list, which no longer compiled (test/store/consul_protocol.cpp).

--- a/test/store/consul_protocol.cpp
+++ b/test/store/consul_protocol.cpp
@@ -50,6 +50,7 @@
                          {0x7f000001U, 80},
                          "stock",
                          "enna",
+                         "",
                          true}};
     const auto read = store::parse_instances(
         R"([{"ServiceID":"a","ServiceAddress":"127.0.0.1","ServicePort":80,
