Work on pipelined idempotent requests at the same time

Six requests of 0.3 s that a caller sends together were answered after 300, 600, 900, 1200, 1501 and 1802 ms, as each waited for the one before it.

The forwarder allows requests to begin early whose rule makes them idempotent. Answers that wait for their turn are not taken for stalled, and their time is extended while only the bound on held bytes keeps them from going on. The setting pipelined_requests bounds the number for a connection; 0 turns it off.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -44,7 +44,7 @@
     test/platform/half_closed_callers.cpp test/platform/foreign_answers.cpp test/platform/silent_answers.cpp
     test/platform/head_requests.cpp test/platform/failed_answers.cpp
     test/platform/hanging_upstreams.cpp test/platform/hanging_repeats.cpp
-    test/platform/closed_idle_connections.cpp
+    test/platform/closed_idle_connections.cpp test/platform/pipelined_callers.cpp
     test/platform/leaving.cpp test/platform/restored.cpp
     test/store/restored_store.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
--- a/include/skylark/limit/answer_bound.hpp
+++ b/include/skylark/limit/answer_bound.hpp
@@ -42,6 +42,11 @@
         m_least_end = std::max(m_least_end, now + grace);
     }
 
+    /*! @brief The caller's connection takes no more of the answer until those
+     *  before it were written.
+     *  @param now current time */
+    constexpr void held_back(time_point now) { process_paused(now); }
+
     /*! @brief Whether the answer may go on.
      *  @param now current time
      *  @param left bytes of the body that have not arrived; of no effect
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -38,6 +38,10 @@
      *  @param from the request; its views are valid only during the call */
     void accept(exchange_id key, const io::request_view& from);
 
+    /*! @brief Whether a request may be handled before those in front of it on
+     *  its connection were answered: whether its rule makes it idempotent. */
+    [[nodiscard]] bool may_begin_early(const io::request_view& from) const;
+
     /*! @brief Handles that the caller's connection is ready for the next part
      *  of an answer. */
     void caller_writable(exchange_id key);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -60,6 +60,17 @@
         admit(key, from, *matched, *config.find_service(name));
 }
 
+bool forwarder::may_begin_early(const io::request_view& from) const {
+    if (!m_shared.m_config.ready())
+        return false;
+    const rule* matched =
+        classify(m_shared.m_config.current().m_rules, from.m_method,
+                 from.m_path, from.m_host, [&](std::string_view name) {
+                     return io::find_header(from.m_headers, name);
+                 });
+    return matched && matched->m_idempotent;
+}
+
 const std::string& forwarder::select_service(const rule& matched) {
     if (matched.m_split.empty())
         return matched.m_service;
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -198,7 +198,8 @@
         const bool may_stall =
             req.m_sending || now >= req.m_machine.terms().m_deadline;
         if (req.m_answering && may_stall &&
-            now - req.m_last_progress > stalled_answer_limit)
+            now - req.m_last_progress > stalled_answer_limit &&
+            !m_callers.awaits_turn(req.m_exchange))
             stalled.push_back(key);
         if (!req.m_answering && now - req.m_arrived > caller_check_age &&
             may_cancel(req) && caller_has_left(req))
--- a/src/entry/forwarder_bounds.cpp
+++ b/src/entry/forwarder_bounds.cpp
@@ -28,6 +28,9 @@
     request* req = m_requests.find(key);
     if (!req || req->m_upstream_done)
         return;
+    // The connection does not take more yet, so what is missing is not late.
+    if (req->m_sending && m_callers.awaits_turn(req->m_exchange))
+        req->m_answer_bound->held_back(io::event_loop::now());
     if (!req->m_answer_bound->may_go_on(io::event_loop::now(),
                                         req->m_body_left.value_or(0))) {
         break_off_answer(key, "deadline");
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -25,6 +25,7 @@
     io::server_limits out;
     out.m_body_bytes = from.m_input_bytes;
     out.m_input_bytes = from.m_input_bytes;
+    out.m_concurrent_requests = from.m_pipelined_requests;
     return out;
 }
 
@@ -49,6 +50,9 @@
          },
          [this](io::discard_cause cause, std::size_t bytes) {
              m_forwarder.log_discarded(cause, bytes);
+         },
+         [this](const io::request_view& request) {
+             return m_forwarder.may_begin_early(request);
          }});
     loop.on_pause(defaults::pause_limit, [this](duration gap) { paused(gap); });
 }
@@ -137,9 +141,11 @@
     // The instance list may come before the first configuration.
     if (m_shared.m_config.ready()) {
         const limits& bounds = m_shared.m_config.current().m_limits;
-        m_callers.set_limits({bounds.m_body_bytes, bounds.m_idle,
-                              bounds.m_head_bytes,
-                              m_shared.m_settings.m_input_bytes});
+        io::server_limits accepted = starting_limits(m_shared.m_settings);
+        accepted.m_body_bytes = bounds.m_body_bytes;
+        accepted.m_idle_timeout = bounds.m_idle;
+        accepted.m_head_bytes = bounds.m_head_bytes;
+        m_callers.set_limits(accepted);
     }
     m_forwarder.upstreams_removed(m_shared.m_upstreams.adopt(
         m_shared.m_config.current(), m_shared.m_instances));
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -267,6 +267,7 @@
     reader.ms("apply_limit_ms", out.m_apply_limit);
     reader.bytes("input_bytes", out.m_input_bytes);
     reader.bytes("answer_bytes", out.m_answer_bytes);
+    reader.bytes("pipelined_requests", out.m_pipelined_requests);
     if (auto error = reader.finish())
         return *std::move(error);
     if (auto error = check_timing(out, file))
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -57,6 +57,9 @@
     std::size_t m_input_bytes{defaults::input_bytes};
     //! Bytes of all answers that callers have not read.
     std::size_t m_answer_bytes{defaults::answer_bytes};
+    //! Requests of one caller's connection that are in progress at a time; 0
+    //! and 1: one after another.
+    std::size_t m_pipelined_requests{8};
 };
 
 /*! @brief Reads settings.
