Let the test of a long answer behind another fail without a crash

Without the extension of its time (held_back taken out on a scratch copy) the answer is missing, and the test read beyond what the caller had received.

--- a/test/platform/pipelined_callers.cpp
+++ b/test/platform/pipelined_callers.cpp
@@ -203,13 +203,12 @@
         return !caller->read() || caller->bytes().ends_with("\r\n0\r\n\r\n");
     });
     EXPECT_NE(caller->bytes().find("\r\n\r\nabcd"), std::string::npos);
-    EXPECT_EQ(std::count(caller->bytes().begin(), caller->bytes().end(), 'x'),
-              static_cast<std::ptrdiff_t>(piece * pieces) +
-                  std::count(caller->bytes().begin(),
-                             caller->bytes().begin() +
-                                 static_cast<std::ptrdiff_t>(
-                                     caller->bytes().find("xxxxx")),
-                             'x'));
+    const auto body = caller->bytes().find("xxxxx");
+    ASSERT_NE(body, std::string::npos);
+    EXPECT_EQ(
+        std::count(caller->bytes().begin() + static_cast<std::ptrdiff_t>(body),
+                   caller->bytes().end(), 'x'),
+        static_cast<std::ptrdiff_t>(piece * pieces));
     EXPECT_TRUE(caller->bytes().ends_with("\r\n0\r\n\r\n"));
 }
 
