Decide when requests leave their zone, and how many

With a zone's upstreams gone or overloaded, each request probed up to six upstreams of its own zone (fifteen when room is scarce), counted the silent ones as full too, and was refused without having reached another zone.

The setting zone_price gives what the traffic of a request to another zone is worth, in milliseconds of response time. With it, an entry compares by service what a request costs that stays and one that leaves (route/zone_cost), from the room that its own probes found in each zone in the last 2 s (route/zone_room), the path times, the target and the price. route/zone_share turns that into a share of requests that leave directly, at most 0.9, which rises by at most 0.5 and falls by 0.25 a second. A request that finds no room in its zone has a step left for the others. Zones that do not answer are tried by one step each 0.25 to 2 s. Zones with little room are used only by zones with less, since otherwise full zones exchange their requests. skylark_zone_share and skylark_sent_to_other_zones_total by service, and a line for each change.

Without the setting, or with 0, no random number more is drawn and the steps are the same as before. deploy/entry.toml.template does not set it.

Run: zone_room, zone_cost, zone_choice, zone_share, probe_step, settings, and test/platform/zones (a whole entry), all good. skylark-entry and skylark-check link.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -18,7 +18,7 @@
 
 # The entry as a library, so that tests can use its parts.
 add_library(skylark_entry STATIC
-    src/entry/settings.cpp src/entry/journal.cpp src/entry/log_line.cpp src/entry/log_sink.cpp
+    src/entry/settings.cpp src/entry/settings_check.cpp src/entry/journal.cpp src/entry/log_line.cpp src/entry/log_sink.cpp
     src/entry/forwarder_log.cpp src/entry/metrics.cpp
     src/entry/fleet.cpp src/entry/upstream_table.cpp src/entry/router.cpp
     src/entry/router_probing.cpp
@@ -26,6 +26,7 @@
     src/entry/availability_info.cpp
     src/entry/native_dialect.cpp platform/dialect.cpp src/entry/on_demand_prober.cpp
     src/entry/lookup.cpp src/entry/forwarder_probing.cpp
+    src/entry/forwarder_zones.cpp
     src/entry/forwarder_admission.cpp src/entry/forwarder_attempt.cpp
     src/entry/forwarder_head.cpp
     src/entry/forwarder_answer.cpp src/entry/forwarder_refusal.cpp
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -48,7 +48,8 @@
     test/store/restored_store.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
-    test/route/room.cpp
+    test/route/room.cpp test/route/zone_room.cpp test/route/zone_cost.cpp
+    test/route/zone_share.cpp test/route/zone_choice.cpp test/platform/zones.cpp
     test/standin/overload.cpp test/standin/kv_store.cpp
     standin/kv_store.cpp standin/kv_restore.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
--- a/include/skylark/route/probe_candidate.hpp
+++ b/include/skylark/route/probe_candidate.hpp
@@ -15,6 +15,7 @@
 struct probe_candidate {
     upstream_id m_upstream;
     bool m_same_zone{};           //!< in the availability zone of this entry
+    bool m_zone_open{true};       //!< requests of this zone may go to its zone
     bool m_probed{};              //!< has been probed for this request
     bool m_probe_pending{};       //!< probe sent, its answer is awaited
     bool m_probe_overdue{};       //!< probe sent, not answered in time
--- a/include/skylark/route/probe_step.hpp
+++ b/include/skylark/route/probe_step.hpp
@@ -16,6 +16,7 @@
 #include <skylark/core/random.hpp>
 #include <skylark/route/probe_candidate.hpp>
 #include <skylark/route/room.hpp>
+#include <skylark/route/zone_choice.hpp>
 
 namespace skylark {
 
@@ -43,6 +44,7 @@
     bool m_wait_for_pending{};    //!< wait for pending probes before deciding
     std::size_t m_probe_budget{}; //!< probes that the budget allows now
     room_terms m_room;            //!< what the request needs
+    zone_choice m_zones;          //!< where it looks
 };
 
 /*! @brief Largest number of probes that one step sends. */
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_ENTRY_FORWARDER_HPP
 
 #include <map>
+#include <span>
 #include <string>
 
 #include <skylark/core/id_map.hpp>
@@ -12,6 +13,7 @@
 #include <skylark/limit/token_bucket.hpp>
 #include <skylark/load/room_estimator.hpp>
 #include <skylark/load/service_time_estimator.hpp>
+#include <skylark/route/zone_share.hpp>
 #include <skylark/rule/deadline_range.hpp>
 #include <skylark/rule/weighted_round_robin.hpp>
 
@@ -158,6 +160,17 @@
     void record_room(const request& req, const upstream& probed);
     token_bucket& probe_budget(const std::string& service);
 
+    // Zones.
+    zone_share& zone_share_of(const std::string& service);
+    void choose_zone(request& req);
+    [[nodiscard]] double zone_penalty(const request& req,
+                                      std::span<const zone_distance> others);
+    void note_zone_share(const std::string& service, const zone_share& share,
+                         time_point now);
+    void record_unanswered(const request& req, upstream_id from);
+    void record_zone_room(const request& req, const upstream& probed,
+                          bool was_overdue);
+
     // Attempts.
     void begin_attempt(request_id key, request& req, const route_choice& choice,
                        bool is_hedge);
@@ -237,6 +250,7 @@
     std::map<std::string, service_time_estimator> m_service_times; // by rule
     std::map<std::string, deadline_range> m_deadline_ranges;       // by rule
     std::map<std::string, service_state> m_services;               // by name
+    std::map<std::string, zone_share> m_zone_shares;               // by service
     std::map<std::string, weighted_round_robin> m_splits;          // by rule
     ratio_budget m_hedge_budget;
     std::map<std::string, double> m_hedge_percent; // by service
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -79,6 +79,8 @@
     }
     current.m_sent = true;
     current.m_sent_at = now;
+    if (target.m_zone != m_shared.m_settings.m_zone)
+        m_shared.m_metrics.sent_to_other_zone(req.m_service.m_name);
     log_send(req, current, target, now);
     m_client.send(current.m_connection, std::move(head),
                   m_callers.body(req.m_exchange), req.m_head_only);
--- a/src/entry/forwarder_probing.cpp
+++ b/src/entry/forwarder_probing.cpp
@@ -24,6 +24,7 @@
     req.m_overdue_probes.clear();
     req.m_probing_since = io::event_loop::now();
     req.m_probing_allowance = {};
+    choose_zone(req);
     plan_probes(key, true);
 }
 
@@ -53,7 +54,7 @@
         req.m_target / max_probing_part + req.m_probing_allowance;
     return {wait_for_pending,
             may_probe ? probe_budget(req.m_service.m_name).available(now) : 0,
-            room_terms_for(req, now)};
+            room_terms_for(req, now), req.m_zones};
 }
 
 room_terms forwarder::room_terms_for(const request& req, time_point now) {
@@ -94,8 +95,8 @@
         return;
     }
     const probe_options options = probe_options_for(req, wait_for_pending, now);
-    const auto candidates =
-        m_router.probe_candidates(req, options.m_room.m_scarce, now);
+    const auto candidates = m_router.probe_candidates(
+        req, options.m_room.m_scarce, now, zone_share_of(req.m_service.m_name));
     const probe_step step =
         plan_probe_step(candidates, options, m_router.random());
     std::visit(
@@ -137,6 +138,8 @@
     req.m_probe_timer = m_shared.m_loop.after(timeout, [this, key] {
         if (request* found = m_requests.find(key)) {
             found->m_probe_timer = {};
+            for (const upstream_id late : found->m_pending_probes)
+                record_unanswered(*found, late);
             found->m_overdue_probes.insert(found->m_overdue_probes.end(),
                                            found->m_pending_probes.begin(),
                                            found->m_pending_probes.end());
@@ -157,12 +160,15 @@
 
 void forwarder::probe_finished(request_id key, upstream_id from) {
     request* req = m_requests.find(key);
-    if (!req || std::erase(req->m_pending_probes, from) +
-                        std::erase(req->m_overdue_probes, from) ==
-                    0)
+    if (!req)
         return;
-    if (const upstream* probed = m_shared.m_upstreams.find(from))
+    const bool was_overdue = std::erase(req->m_overdue_probes, from) > 0;
+    if (std::erase(req->m_pending_probes, from) == 0 && !was_overdue)
+        return;
+    if (const upstream* probed = m_shared.m_upstreams.find(from)) {
         record_room(*req, *probed);
+        record_zone_room(*req, *probed, was_overdue);
+    }
     // If the request was sent or queued again in the meantime, the report has
     // been recorded for later requests and there is nothing to plan.
     const bool planning = req->m_attempts.empty() && !req->m_queued &&
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -2,6 +2,7 @@
 #include "entry/metrics.hpp"
 
 #include <array>
+#include <set>
 #include <vector>
 
 #include <prometheus/counter.h>
@@ -74,6 +75,9 @@
     prometheus::Histogram* m_config_delay{};
     std::vector<prometheus::Counter*> m_counters;
     std::vector<prometheus::Gauge*> m_gauges;
+    prometheus::Family<prometheus::Counter>* m_sent_to_other_zones{};
+    prometheus::Family<prometheus::Gauge>* m_zone_shares{};
+    std::set<std::string> m_services; // with a label of their own
 };
 
 metrics::metrics() : m_store{std::make_unique<store>()} {
@@ -103,6 +107,16 @@
              .Help("from a configuration's announcement to its adoption")
              .Register(registry)
              .Add({}, delay_edges);
+    m_store->m_sent_to_other_zones =
+        &prometheus::BuildCounter()
+             .Name("skylark_sent_to_other_zones_total")
+             .Help("requests sent to upstreams of other zones")
+             .Register(registry);
+    m_store->m_zone_shares =
+        &prometheus::BuildGauge()
+             .Name("skylark_zone_share")
+             .Help("part of the requests that leaves the zone directly")
+             .Register(registry);
     for (const auto& item : counters)
         m_store->m_counters.push_back(&prometheus::BuildCounter()
                                            .Name(item.m_name)
@@ -119,6 +133,24 @@
 
 metrics::~metrics() = default;
 
+const std::string& metrics::label_of(const std::string& service) {
+    constexpr std::size_t most_services = 32;
+    static const std::string other = "other";
+    auto& known = m_store->m_services;
+    if (known.contains(service) || known.size() < most_services)
+        return *known.insert(service).first;
+    return other;
+}
+
+void metrics::sent_to_other_zone(const std::string& service) {
+    m_store->m_sent_to_other_zones->Add({{"service", label_of(service)}})
+        .Increment();
+}
+
+void metrics::set_zone_share(const std::string& service, double share) {
+    m_store->m_zone_shares->Add({{"service", label_of(service)}}).Set(share);
+}
+
 void metrics::finished(request_class of, outcome how, duration took) {
     const auto row = static_cast<std::size_t>(of);
     const auto column = static_cast<std::size_t>(how);
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -77,6 +77,13 @@
      *  @param delay since a peer announced it first */
     void adopted(duration delay);
 
+    /*! @brief Counts a request that was sent to another zone. Beyond 32
+     *  services, here and in set_zone_share(), the label is "other". */
+    void sent_to_other_zone(const std::string& service);
+
+    /*! @brief Part of a service's requests that leaves the zone directly. */
+    void set_zone_share(const std::string& service, double share);
+
     void count(counter which, std::uint64_t by = 1);
     void set(gauge which, std::int64_t value);
 
@@ -85,6 +92,7 @@
 
 private:
     struct store;
+    [[nodiscard]] const std::string& label_of(const std::string& service);
     std::unique_ptr<store> m_store;
 };
 
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -14,6 +14,7 @@
 #include <skylark/core/id.hpp>
 #include <skylark/limit/answer_bound.hpp>
 #include <skylark/load/report.hpp>
+#include <skylark/route/zone_choice.hpp>
 #include <skylark/share/kind.hpp>
 
 #include "entry/metrics.hpp"
@@ -74,6 +75,7 @@
     //! Time that probes of far zones took beyond those of near ones.
     duration m_probing_allowance{};
     timer_id m_probe_timer;
+    zone_choice m_zones;                  //!< where it looks for an upstream
     outcome m_outcome{outcome::answered}; //!< counted when the request ends
     int m_status{};                 //!< of the answer that was begun, 0 before
     std::string_view m_abort_cause; //!< why this entry broke the answer off
--- a/src/entry/router.hpp
+++ b/src/entry/router.hpp
@@ -10,6 +10,7 @@
 
 #include <skylark/route/policy.hpp>
 #include <skylark/route/probe_step.hpp>
+#include <skylark/route/zone_share.hpp>
 
 #include "entry/context.hpp"
 #include "entry/request.hpp"
@@ -105,9 +106,16 @@
      *  @param of request to send
      *  @param scarce whether room is scarce, so that doubtful upstreams are
      *  tried too
-     *  @param now current time */
+     *  @param now current time
+     *  @param zones which zones its requests may go to, if these have a price
+     */
     std::vector<probe_candidate> probe_candidates(const request& of,
-                                                  bool scarce, time_point now);
+                                                  bool scarce, time_point now,
+                                                  const zone_share& zones);
+
+    /*! @brief Zones with upstreams that can take a request; the views are valid
+     *  until the upstreams change. */
+    std::vector<zone_distance> usable_zones(const request& of, time_point now);
 
     /*! @brief Time until the first upstream of a service ends its cold start
      *  and its rest, in whole milliseconds.
--- a/src/entry/router_probing.cpp
+++ b/src/entry/router_probing.cpp
@@ -37,8 +37,10 @@
 }
 } // namespace
 
-std::vector<probe_candidate>
-router::probe_candidates(const request& of, bool scarce, time_point now) {
+std::vector<probe_candidate> router::probe_candidates(const request& of,
+                                                      bool scarce,
+                                                      time_point now,
+                                                      const zone_share& zones) {
     std::vector<probe_candidate> out;
     const service& config = service_of(of);
     const auto contains = [](const auto& list, upstream_id key) {
@@ -55,6 +57,7 @@
         probe_candidate added;
         added.m_upstream = key;
         added.m_same_zone = item.m_zone == m_shared.m_settings.m_zone;
+        added.m_zone_open = !of.m_zones.m_priced || zones.open(item.m_zone);
         added.m_probed = contains(of.m_probed, key);
         added.m_probe_pending = contains(of.m_pending_probes, key);
         added.m_probe_overdue = contains(of.m_overdue_probes, key);
@@ -86,6 +89,28 @@
     return out;
 }
 
+std::vector<zone_distance> router::usable_zones(const request& of,
+                                                time_point now) {
+    std::vector<zone_distance> out;
+    const service& config = service_of(of);
+    for (const upstream_id key :
+         m_shared.m_upstreams.of_service(config.m_name)) {
+        const upstream& item = *m_shared.m_upstreams.find(key);
+        const std::string_view zone = item.m_zone;
+        const bool known =
+            std::any_of(out.begin(), out.end(), [&](const auto& other) {
+                return other.m_zone == zone;
+            });
+        std::optional<share_kind> share;
+        if (known || exclusion_of(item, config, of.m_class, now, share) !=
+                         exclusion::none)
+            continue;
+        out.push_back({zone, m_shared.m_paths.timeout(zone, true),
+                       m_shared.m_paths.expected(zone, false)});
+    }
+    return out;
+}
+
 std::optional<duration> router::time_until_usable(std::string_view service,
                                                   time_point now) {
     std::optional<duration> out;
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -12,6 +12,7 @@
 #include <skylark/core/suggest.hpp>
 
 #include "core/bounded_ms.hpp"
+#include "entry/settings_check.hpp"
 
 namespace skylark::entry {
 
@@ -208,23 +209,13 @@
                                                      "error", "off"};
 constexpr std::array<std::string_view, 2> deployments{"native", "platform"};
 
-std::optional<input_error> check_timing(const settings& subject,
-                                        std::string_view file) {
-    const member_timing& timing = subject.m_timing;
-    if (timing.m_hold_down >= timing.m_self_stop + timing.m_report_age)
-        return std::nullopt;
-    return input_error{std::string{file},
-                       "share_hold_down_ms = " +
-                           std::to_string(to_ms(timing.m_hold_down)),
-                       "at least share_self_stop_ms + 600"};
-}
-
 parsed<settings> read_table(const toml::table& table, std::string_view file) {
     toml_reader reader{table, file};
     settings out;
     reader.text("name", out.m_name, true);
     reader.text("zone", out.m_zone, true);
     reader.text("region", out.m_region, false);
+    reader.ms("zone_price", out.m_zone_price);
     std::string deployed{deployments.front()};
     reader.one_of("deployment", deployed, deployments);
     out.m_deployment =
@@ -269,7 +260,7 @@
     reader.bytes("answer_bytes", out.m_answer_bytes);
     if (auto error = reader.finish())
         return *std::move(error);
-    if (auto error = check_timing(out, file))
+    if (auto error = check_values(out, file))
         return *std::move(error);
     return out;
 }
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -25,6 +25,9 @@
     std::string m_name;   //!< unique in the deployment
     std::string m_zone;   //!< availability zone of this instance
     std::string m_region; //!< for operators; not used in decisions
+    //! Price of a request's traffic to another zone, as the response time that
+    //! is worth as much; 0: zones are chosen without regard to it.
+    duration m_zone_price{0};
     deployment m_deployment{deployment::native};
     //! Names of all availability zones; needed where the store lists none.
     std::vector<std::string> m_zones;
--- a/src/route/probe_targets.cpp
+++ b/src/route/probe_targets.cpp
@@ -79,7 +79,8 @@
                      random_source& random) {
     std::vector<ranked> list;
     for (const probe_candidate& candidate : candidates)
-        if (candidate.m_same_zone == same_zone && !candidate.m_probed &&
+        if (candidate.m_same_zone == same_zone &&
+            (same_zone || candidate.m_zone_open) && !candidate.m_probed &&
             !candidate.m_report && !was_recently_full(candidate, options))
             list.push_back({&candidate, random()});
     std::vector<upstream_id> out;
--- a/test/entry/settings.cpp
+++ b/test/entry/settings.cpp
@@ -82,6 +82,9 @@
     expect_error(good + "bootstrap = 1\n", "true or false");
     expect_error(good + "cores = 0\n", "got cores = 0");
     expect_error(good + "cores = \"x\"\n", "number of cores");
+    expect_error(good + "zone_price = -1\n", "got zone_price = -1");
+    expect_error(good + "zone_price = 60001\n", "up to 60000");
+    expect_error(good + "zone_price = 0.5\n", "whole number");
 }
 
 TEST(settings, refuses_an_empty_address) {
@@ -98,3 +101,14 @@
     EXPECT_GT(read.value().m_apply_limit, std::chrono::hours{24 * 365});
     EXPECT_LT(read.value().m_apply_limit, std::chrono::hours{24 * 36500});
 }
+
+// Without the key, zones are chosen as before it existed.
+TEST(settings, zones_have_no_price_unless_one_is_set) {
+    const auto price = [](const std::string& line) {
+        const auto read = entry::parse_settings(good + line, "e.toml");
+        return read ? read.value().m_zone_price : duration{-1};
+    };
+    EXPECT_EQ(price(""), duration{0});
+    EXPECT_EQ(price("zone_price = 0\n"), duration{0});
+    EXPECT_EQ(price("zone_price = 20\n"), milliseconds{20});
+}
