--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -56,7 +56,8 @@
     test/store/restored_store.cpp test/route/probe_step.cpp
     test/rule/weighted_round_robin.cpp
     test/rule/deadline_range.cpp test/load/room_estimator.cpp test/load/health_record.cpp
-    test/route/room.cpp
+    test/route/room.cpp test/route/zone_room.cpp test/route/zone_cost.cpp
+    test/route/zone_share.cpp test/route/zone_choice.cpp test/platform/zones.cpp
     test/rollout/exposure.cpp test/rollout/judge.cpp test/rollout/plan.cpp
     test/rollout/fleet.cpp test/platform/rollout_records.cpp
     test/store/rollout_writer.cpp test/platform/rollouts.cpp test/entry/rollouts.cpp
