--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-// An entry that was silent for longer is not named to callers, long before a
-// majority can remove it from the view.
-constexpr int missed_heartbeats = 3;
 // A waiting watch counts as a call to the store, so few entries watch.
 constexpr std::size_t watchers_per_zone = 1;
 constexpr double percent = 100.0;
@@ -235,13 +232,6 @@
     return std::find(first.begin(), first.end(), self()) != first.end();
 }
 
-bool fleet::live(const member& peer, time_point now) const {
-    const auto* of = std::get_if<roster>(&m_members);
-    return of ? of->live(peer, now)
-              : now - peer.m_last_heard <=
-                    missed_heartbeats * m_settings.m_timing.m_period;
-}
-
 std::size_t fleet::size() const {
     return std::visit(
         overloaded{
--- a/src/entry/fleet_tokens.cpp
+++ b/src/entry/fleet_tokens.cpp
@@ -5,6 +5,12 @@
 
 namespace skylark::entry {
 
+namespace {
+// An entry that was silent for longer is not named to callers, long before a
+// majority can remove it from the view.
+constexpr int missed_heartbeats = 3;
+} // namespace
+
 void fleet::send_tokens(const outgoing_allowance& item) {
     const auto known = peers().find(item.m_to);
     if (known == peers().end())
@@ -25,6 +31,13 @@
     return true;
 }
 
+bool fleet::live(const member& peer, time_point now) const {
+    const auto* of = std::get_if<roster>(&m_members);
+    return of ? of->live(peer, now)
+              : now - peer.m_last_heard <=
+                    missed_heartbeats * m_settings.m_timing.m_period;
+}
+
 std::vector<entry_id> fleet::live_members(time_point now) const {
     std::vector<entry_id> out;
     if (!m_leaving)
--- a/src/team/directory.cpp
+++ b/src/team/directory.cpp
@@ -10,10 +10,11 @@
     for (std::size_t i = 0; i < m_teams.size(); ++i)
         for (const std::string& digest : m_teams[i].m_key_digests)
             m_by_digest.emplace(digest, i);
-    const auto first = std::min_element(
-        m_teams.begin(), m_teams.end(), [](const team& left, const team& right) {
-            return left.m_rank < right.m_rank;
-        });
+    const auto first =
+        std::min_element(m_teams.begin(), m_teams.end(),
+                         [](const team& left, const team& right) {
+                             return left.m_rank < right.m_rank;
+                         });
     m_first_rank = first == m_teams.end() ? 0 : first->m_rank;
 }
 
