Authenticate requests by the keys of teams

A configuration may hold teams. A request on a rule that is not public needs the key of a team; without one it gets 401 if the entry may claim that no configuration in force has it, else 503 with Retry-After. The upstream gets the team's name in place of the caller's key and team header. A team's rank goes before the rule's.

Errors about teams show no value that may be a key. A configuration that cannot be read is no longer handed to the document's reader, whose error quoted up to 200 bytes of it. The instances of test/command/apply.cpp get their version, without which they did not compile.

The whole suite is not run yet.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -9,7 +9,8 @@
     src/store/consul_protocol.cpp src/store/polling_client.cpp
     src/store/mirror.cpp src/store/mirror_client.cpp src/store/mirror_values.cpp
     src/store/lease_holder.cpp
-    src/store/base64.cpp platform/kv_protocol.cpp platform/records.cpp)
+    src/store/base64.cpp platform/kv_protocol.cpp platform/records.cpp
+    platform/teams.cpp)
 target_include_directories(skylark_store PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(skylark_store PUBLIC skylark_io)
 add_library(skylark_peer STATIC src/peer/codec.cpp src/peer/instance_codec.cpp
@@ -27,6 +28,7 @@
     src/entry/native_dialect.cpp platform/dialect.cpp src/entry/on_demand_prober.cpp
     src/entry/lookup.cpp src/entry/forwarder_probing.cpp
     src/entry/forwarder_admission.cpp src/entry/forwarder_attempt.cpp
+    src/entry/forwarder_authentication.cpp
     src/entry/forwarder_head.cpp
     src/entry/forwarder_answer.cpp src/entry/forwarder_refusal.cpp
     src/entry/forwarder_drain.cpp src/entry/forwarder_bounds.cpp
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -28,6 +28,9 @@
     test/io/lingering_connections.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/entry/retired_service.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
     test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp
+    test/team/directory.cpp test/config/teams.cpp test/io/sha256.cpp
+    test/platform/teams.cpp test/platform/team_keys.cpp
+    test/platform/hidden_keys.cpp test/entry/team_keys.cpp
     test/entry/listener_shutdown.cpp test/ctl/query_command.cpp
     src/ctl/client.cpp src/ctl/query_command.cpp
     src/ctl/shown_table.cpp src/ctl/timeline.cpp src/ctl/timeline_page.cpp
--- a/include/skylark/command/statement.hpp
+++ b/include/skylark/command/statement.hpp
@@ -34,7 +34,8 @@
     load,
     shares,
     config,
-    events
+    events,
+    teams
 };
 
 /*! @brief show SUBJECT [where FIELD OP VALUE [and ...]] */
--- a/include/skylark/config/config.hpp
+++ b/include/skylark/config/config.hpp
@@ -46,6 +46,9 @@
 inline constexpr double change_lines_per_s = 100.0;
 //! Anyone can cause such lines; a few show the paths that are asked for.
 inline constexpr double unmatched_lines_per_s = 2.0;
+//! Anyone can cause these as well; a caller whose key was removed shows in
+//! some.
+inline constexpr double unauthenticated_lines_per_s = 10.0;
 //! Anyone can cause these too; a group of callers shows as more than one line.
 inline constexpr double rejected_lines_per_s = 10.0;
 inline constexpr double discarded_lines_per_s = 10.0;
--- a/src/command/apply.cpp
+++ b/src/command/apply.cpp
@@ -64,11 +64,14 @@
             }};
 }
 
-static status set_idempotent(rule& item, const located_text& value) {
-    if (value.m_text != "true" && value.m_text != "false")
-        return error_at(value, "true or false");
-    item.m_idempotent = value.m_text == "true";
-    return outcome_ns::success();
+template <class Item>
+static setter<Item> flag_field(std::string_view key, bool Item::*member) {
+    return {key, [member](Item& item, const located_text& value) -> status {
+                if (value.m_text != "true" && value.m_text != "false")
+                    return error_at(value, "true or false");
+                item.*member = value.m_text == "true";
+                return outcome_ns::success();
+            }};
 }
 
 static status set_class(rule& item, const located_text& value) {
@@ -100,7 +103,8 @@
             text_field("header", &rule::m_header),
             text_field("header_value", &rule::m_header_value),
             {"class", set_class},
-            {"idempotent", set_idempotent},
+            flag_field("idempotent", &rule::m_idempotent),
+            flag_field("public", &rule::m_public),
             ms_field("deadline_ms", &rule::m_deadline)};
 }
 
--- a/src/command/grammar.hpp
+++ b/src/command/grammar.hpp
@@ -30,7 +30,8 @@
     keyword<TAO_PEGTL_STRING("upstreams")>,
     keyword<TAO_PEGTL_STRING("entries")>, keyword<TAO_PEGTL_STRING("load")>,
     keyword<TAO_PEGTL_STRING("shares")>, keyword<TAO_PEGTL_STRING("config")>,
-    keyword<TAO_PEGTL_STRING("events")>> {};
+    keyword<TAO_PEGTL_STRING("events")>,
+    keyword<TAO_PEGTL_STRING("teams")>> {};
 struct field : peg::plus<peg::sor<peg::alnum, peg::one<'_'>>> {};
 struct comparison : peg::sor<TAO_PEGTL_STRING("!="), TAO_PEGTL_STRING("="),
                              TAO_PEGTL_STRING("<"), TAO_PEGTL_STRING(">")> {};
--- a/src/command/parse.cpp
+++ b/src/command/parse.cpp
@@ -12,7 +12,7 @@
 
 namespace peg = tao::pegtl;
 
-constexpr std::array<std::pair<std::string_view, show_subject>, 10> subjects{{
+constexpr std::array<std::pair<std::string_view, show_subject>, 11> subjects{{
     {"services", show_subject::services},
     {"zones", show_subject::zones},
     {"rules", show_subject::rules},
@@ -23,6 +23,7 @@
     {"shares", show_subject::shares},
     {"config", show_subject::config},
     {"events", show_subject::events},
+    {"teams", show_subject::teams},
 }};
 
 constexpr std::array<std::pair<std::string_view, change_kind>, 6> kinds{{
@@ -211,7 +212,7 @@
 template <>
 inline constexpr auto expectation<grammar::subject> =
     "services, zones, rules, limits, upstreams, entries, load, shares, "
-    "config or events";
+    "config, events or teams";
 template <>
 inline constexpr auto expectation<grammar::end> =
     "the end of the statement, or where and and with FIELD OP VALUE";
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -6,6 +6,8 @@
 
 #include <skylark/route/policy_name.hpp>
 
+#include "config/team_check.hpp"
+
 namespace skylark {
 
 namespace internal {
@@ -120,6 +122,7 @@
         BOOST_OUTCOME_TRYV(
             internal::check_rule(subject, subject.m_rules[i], place));
     }
+    BOOST_OUTCOME_TRYV(internal::check_teams(subject.m_teams));
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/config/document_json.cpp
+++ b/src/config/document_json.cpp
@@ -4,6 +4,7 @@
 #include <skylark/config/document.hpp>
 
 #include "config/json_reader.hpp"
+#include "config/team_json.hpp"
 #include "core/json_text.hpp"
 
 namespace skylark {
@@ -74,6 +75,7 @@
     reader.read("max_attempts", out.m_max_attempts);
     reader.read_ms("target_ms", out.m_target);
     reader.read("rank", out.m_rank);
+    reader.read("public", out.m_public);
     return finish(reader, std::move(out));
 }
 
@@ -111,6 +113,7 @@
     reader.read_list("zones", out.m_zones, read_zone);
     reader.read_list("services", out.m_services, read_service);
     reader.read_list("rules", out.m_rules, read_rule);
+    reader.read_list("teams", out.m_teams, read_team);
     if (const auto* child = reader.child("limits")) {
         BOOST_OUTCOME_TRY(bounds, read_limits(*child, "document/limits"));
         out.m_limits = bounds;
@@ -177,7 +180,8 @@
             {"split", write_list(from.m_split)},
             {"max_attempts", from.m_max_attempts},
             {"target_ms", to_ms(from.m_target)},
-            {"rank", from.m_rank}};
+            {"rank", from.m_rank},
+            {"public", from.m_public}};
 }
 
 static json write(const limits& from) {
@@ -212,6 +216,7 @@
         {"zones", internal::write_list(subject.m_zones)},
         {"services", internal::write_list(subject.m_services)},
         {"rules", internal::write_list(subject.m_rules)},
+        {"teams", internal::write_list(subject.m_teams)},
         {"limits", internal::write(subject.m_limits)}};
     constexpr int indent = 2;
     return json_text(tree, indent);
@@ -225,6 +230,7 @@
         {"zones", internal::write_compact(subject.m_zones)},
         {"services", internal::write_compact(subject.m_services)},
         {"rules", internal::write_compact(subject.m_rules)},
+        {"teams", internal::write_compact(subject.m_teams)},
         {"limits", internal::write(subject.m_limits)}};
     return json_text(tree);
 }
--- a/src/config/json_reader.hpp
+++ b/src/config/json_reader.hpp
@@ -17,12 +17,26 @@
 
 namespace skylark::internal {
 
+/*! @brief Whether errors contain the values that they are about. */
+enum class value_display : std::uint8_t {
+    shown,
+    hidden //!< except numbers and booleans, which are no keys
+};
+
+// Type of a value that may be or contain a key, and what can be no key itself.
+inline std::string hidden_excerpt(const nlohmann::json& value) {
+    if (value.is_number() || value.is_boolean() || value.is_null())
+        return json_excerpt(value);
+    return std::string{"a value of type "} + value.type_name();
+}
+
 // Reads the fields of one object and records the first error. The
 // object must outlive the reader.
 class json_reader {
 public:
-    json_reader(const nlohmann::json& object, std::string place)
-        : m_object{object}, m_place{std::move(place)} {
+    json_reader(const nlohmann::json& object, std::string place,
+                value_display display = value_display::shown)
+        : m_object{object}, m_place{std::move(place)}, m_display{display} {
         if (!m_object.is_object())
             fail("", object, "an object");
     }
@@ -65,6 +79,18 @@
         }
     }
 
+    void read(std::string_view key, double& out) {
+        constexpr double largest = 1e9;
+        if (const auto* value = take(key)) {
+            const double number =
+                value->is_number() ? value->get<double>() : -1.0;
+            if (number >= 0.0 && number <= largest)
+                out = number;
+            else
+                fail(key, *value, "a number from 0 to 1000000000");
+        }
+    }
+
     void read_ms(std::string_view key, duration& out) {
         auto ms = static_cast<std::uint32_t>(to_ms(out));
         read(key, ms);
@@ -116,7 +142,7 @@
             return m_error;
         for (const auto& [key, value] : m_object.items()) {
             if (std::find(m_known.begin(), m_known.end(), key) == m_known.end())
-                return input_error{m_place + "/" + key, json_excerpt(value),
+                return input_error{m_place + "/" + key, excerpt(value),
                                    expected_one_of(key, m_known)};
         }
         return std::nullopt;
@@ -126,10 +152,17 @@
               std::string expected) {
         if (!m_error)
             m_error = input_error{m_place + "/" + std::string{key},
-                                  json_excerpt(value), std::move(expected)};
+                                  excerpt(value), std::move(expected)};
     }
 
 private:
+    // A list or an object in an unexpected place may contain teams with keys.
+    [[nodiscard]] std::string excerpt(const nlohmann::json& value) const {
+        return m_display == value_display::hidden || value.is_structured()
+                   ? hidden_excerpt(value)
+                   : json_excerpt(value);
+    }
+
     const nlohmann::json* take(std::string_view key) {
         m_known.push_back(key);
         if (m_error || !m_object.is_object())
@@ -140,6 +173,7 @@
 
     const nlohmann::json& m_object;
     std::string m_place;
+    value_display m_display;
     std::vector<std::string_view> m_known;
     std::optional<input_error> m_error;
 };
--- a/src/entry/configurator_adoption.cpp
+++ b/src/entry/configurator_adoption.cpp
@@ -44,6 +44,8 @@
 void configurator::apply_adopted(const document& before,
                                  std::string_view source) {
     const config_adoption& config = m_shared.m_config;
+    if (config.current().m_teams != before.m_teams)
+        m_shared.m_teams = team_directory{config.current().m_teams};
     m_shared.m_packed.set_text(config.text());
     m_documents.adopted(config.order());
     m_shared.m_newer_announced = m_documents.plan().pending();
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -8,6 +8,7 @@
 #include <skylark/config/adoption.hpp>
 #include <skylark/discovery/instance.hpp>
 #include <skylark/limit/drain_schedule.hpp>
+#include <skylark/team/directory.hpp>
 
 #include "entry/dialect.hpp"
 #include "entry/fleet.hpp"
@@ -37,6 +38,7 @@
     journal m_journal;
     fleet m_fleet;
     config_adoption m_config;
+    team_directory m_teams;    //!< of m_config
     packed_document m_packed;  //!< of m_config, for peers
     bool m_newer_announced{};  //!< by a peer, and not offered yet
     instance_list m_instances; //!< latest list; index 0 until there is one
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -112,6 +112,9 @@
                            std::optional<duration> retry_after,
                            std::optional<address> other_entry = std::nullopt,
                            line_kind kind = line_kind::decision);
+    // Whether no configuration that may be in force differs from the one here,
+    // so that what it does not hold may be denied for good.
+    [[nodiscard]] bool may_deny() const;
     // Refuses a request that no rule matches; as unknown for now if a newer
     // configuration may allow it.
     void refuse_unmatched(exchange_id key, const io::request_view& from);
@@ -128,6 +131,23 @@
     [[nodiscard]] duration retry_after_starting() const;
     [[nodiscard]] refusal refusal_of(const request& req, const refuse& why);
 
+    // Authentication.
+    struct authentication {
+        bool m_permitted{};
+        const team* m_team{}; // nullptr: the request has none
+    };
+    [[nodiscard]] authentication authenticate(const io::request_view& from,
+                                              const rule& matched) const;
+    // Refuses a request without the key of a team; as unknown for now if a
+    // newer configuration may hold its key.
+    void refuse_unauthenticated(exchange_id key, const io::request_view& from);
+    // Header that a response with status 401 needs (RFC 9110, 15.5.2).
+    [[nodiscard]] io::header key_challenge() const;
+    [[nodiscard]] request_class class_of_request(const rule& matched,
+                                                 const team* whose) const;
+    [[nodiscard]] request_rank rank_of_request(const rule& matched,
+                                               const team* whose) const;
+
     // Admission.
     [[nodiscard]] std::string request_name(const io::request_view& from) const;
     // Selects the service by the rule's split, if it has one; advances the
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -47,17 +47,23 @@
         refuse_unmatched(key, from);
         return;
     }
+    const authentication caller = authenticate(from, *matched);
+    if (!caller.m_permitted) {
+        refuse_unauthenticated(key, from);
+        return;
+    }
+    const request_class wanted = class_of_request(*matched, caller.m_team);
     const std::string& name = select_service(*matched);
     if (m_shared.m_isolated)
         refuse_on_arrival(key, from, io::status::unavailable,
                           "this entry reaches neither store nor majority",
-                          matched->m_class, retry_after_without(name));
+                          wanted, retry_after_without(name));
     else if (!m_router.has_eligible_upstream(name))
         refuse_on_arrival(key, from, io::status::unavailable,
-                          "service " + name + " has no usable upstream",
-                          matched->m_class, retry_after_without(name));
+                          "service " + name + " has no usable upstream", wanted,
+                          retry_after_without(name));
     else // check() has refused rules of services that are not declared
-        admit(key, from, *matched, *config.find_service(name), nullptr);
+        admit(key, from, *matched, *config.find_service(name), caller.m_team);
 }
 
 const std::string& forwarder::select_service(const rule& matched) {
@@ -92,16 +98,17 @@
 void forwarder::admit(exchange_id key, const io::request_view& from,
                       const rule& matched, const service& target,
                       const team* whose) {
-    const bool can_serve = m_router.can_serve(target, matched.m_class);
+    const request_class wanted = class_of_request(matched, whose);
+    const bool can_serve = m_router.can_serve(target, wanted);
     if (!can_serve && m_shared.m_drain) {
-        refuse_leaving(key, from, matched.m_class);
+        refuse_leaving(key, from, wanted);
         return;
     }
     if (!can_serve) {
         refuse_on_arrival(key, from, io::status::unavailable,
                           "this entry owns no slot of service " + target.m_name,
-                          matched.m_class, retry_after_without(target.m_name),
-                          m_router.random_slot_owner(target, matched.m_class));
+                          wanted, retry_after_without(target.m_name),
+                          m_router.random_slot_owner(target, wanted));
         return;
     }
     const limits& bounds = m_shared.m_config.current().m_limits;
@@ -116,13 +123,13 @@
     const duration time_left =
         span.m_longest < allowed ? allowed - span.m_least : duration{0};
     if (!m_shared.may_pass_on(now + time_left)) {
-        refuse_leaving(key, from, matched.m_class);
+        refuse_leaving(key, from, wanted);
         return;
     }
     auto& queues = m_queues[target.m_name];
-    if (queues.queue(matched.m_class).size() >= bounds.m_queue_length) {
+    if (queues.queue(wanted).size() >= bounds.m_queue_length) {
         refuse_on_arrival(key, from, io::status::unavailable, "queue is full",
-                          matched.m_class, retry_after_without(target.m_name));
+                          wanted, retry_after_without(target.m_name));
         return;
     }
     deadline_range& range = m_deadline_ranges[matched.m_name];
@@ -132,15 +139,19 @@
     const duration waited =
         span.m_longest +
         (requested ? range.least_wait(*requested) : duration{0});
-    const request_id admitted = m_requests.emplace(request{
-        key, target, matched.m_name, matched.m_class,
-        attempt_machine{
-            {matched.m_idempotent, now + time_left, matched.m_max_attempts}},
-        now, forward_head(from, m_shared.m_dialect), from.m_method == "HEAD"});
+    const request_id admitted = m_requests.emplace(
+        request{key, target, matched.m_name, wanted,
+                attempt_machine{{matched.m_idempotent, now + time_left,
+                                 matched.m_max_attempts}},
+                now,
+                forward_head(from, m_shared.m_dialect,
+                             {!m_shared.m_teams.empty(),
+                              whose ? std::string_view{whose->m_name} : ""}),
+                from.m_method == "HEAD"});
     m_last_admission = now;
     request& req = *m_requests.find(admitted);
     req.m_shortened = allowed - time_left;
-    req.m_rank = matched.m_rank;
+    req.m_rank = rank_of_request(matched, whose);
     if (whose)
         req.m_team = whose->m_name;
     req.m_target =
@@ -157,13 +168,12 @@
     retry_budget(target.m_name).deposit(bounds.m_retry_percent);
     if (matched.m_idempotent) {
         m_hedge_budget.deposit(m_hedge_percent[target.m_name]);
-        if (matched.m_class != request_class::bulk &&
-            bounds.m_hedge_percent > 0)
+        if (wanted != request_class::bulk && bounds.m_hedge_percent > 0)
             req.m_hedge_timer = m_shared.m_loop.after(
                 bounds.m_hedge_after, [this, admitted] { hedge(admitted); });
     }
     req.m_queued = true;
-    queues.push(matched.m_class, admitted);
+    queues.push(wanted, admitted);
     dispatch_service(target.m_name);
 }
 
--- a/src/entry/forwarder_refusal.cpp
+++ b/src/entry/forwarder_refusal.cpp
@@ -73,20 +73,21 @@
                                   std::optional<duration> retry_after,
                                   std::optional<address> other_entry,
                                   line_kind kind) {
-    const auto headers = std::visit(
+    auto headers = std::visit(
         [&](const auto& kind) {
             return kind.refusal_headers(not_run{not_run_proof::not_admitted},
                                         retry_after, other_entry);
         },
         m_shared.m_dialect);
+    if (status == io::status::unauthorized)
+        headers.push_back(key_challenge());
     m_shared.m_metrics.finished(wanted, outcome::not_run, duration{0});
     log_refusal_on_arrival(request_name(from), status, reason, retry_after,
                            kind);
     m_callers.answer(key, status, headers, std::string{reason} + "\n");
 }
 
-void forwarder::refuse_unmatched(exchange_id key,
-                                 const io::request_view& from) {
+bool forwarder::may_deny() const {
     const settings& own = m_shared.m_settings;
     absence_grounds known;
     known.m_age = m_shared.m_config.age(io::event_loop::now());
@@ -94,9 +95,14 @@
         known.m_apply_limit = own.m_apply_limit;
     known.m_newer_announced = m_shared.m_newer_announced;
     known.m_isolated = m_shared.m_isolated;
+    return may_claim_absence(known);
+}
+
+void forwarder::refuse_unmatched(exchange_id key,
+                                 const io::request_view& from) {
     const std::string what =
         std::string{from.m_method} + ' ' + std::string{from.m_path};
-    if (may_claim_absence(known))
+    if (may_deny())
         refuse_on_arrival(key, from, io::status::not_found,
                           "no rule matches " + what, request_class::normal,
                           std::nullopt, std::nullopt, line_kind::unmatched);
--- a/src/entry/inspector.cpp
+++ b/src/entry/inspector.cpp
@@ -67,6 +67,9 @@
     case show_subject::events:
         out = events();
         break;
+    case show_subject::teams:
+        out = teams();
+        break;
     }
     BOOST_OUTCOME_TRY(chosen, select(std::move(out), query.m_filters));
     return clean(std::move(chosen));
@@ -103,7 +106,7 @@
 
 table inspector::rules() {
     table out{{"rule", "service", "method", "path_prefix", "header", "class",
-               "idempotent", "deadline_ms"},
+               "idempotent", "deadline_ms", "public"},
               {}};
     for (const rule& item : m_shared.m_config.current().m_rules)
         out.m_rows.push_back(
@@ -111,7 +114,16 @@
              item.m_header.empty() ? "-"
                                    : item.m_header + "=" + item.m_header_value,
              std::string{name_of(item.m_class)}, yes_no(item.m_idempotent),
-             text(to_ms(item.m_deadline))});
+             text(to_ms(item.m_deadline)), yes_no(item.m_public)});
+    return out;
+}
+
+table inspector::teams() {
+    table out{{"team", "keys", "rank", "rate_per_s", "burst"}, {}};
+    for (const team& item : m_shared.m_config.current().m_teams)
+        out.m_rows.push_back({item.m_name, text(item.m_key_digests.size()),
+                              text(item.m_rank), text(item.m_rate_per_s),
+                              text(item.m_burst)});
     return out;
 }
 
--- a/src/entry/inspector.hpp
+++ b/src/entry/inspector.hpp
@@ -27,6 +27,7 @@
     table services();
     table zones();
     table rules();
+    table teams();
     table bounds();
     table upstreams();
     table entries();
--- a/src/entry/journal.hpp
+++ b/src/entry/journal.hpp
@@ -71,6 +71,7 @@
     std::array<line_budget, line_kind_count> m_budgets{
         line_budget{defaults::decision_lines_per_s},
         line_budget{defaults::unmatched_lines_per_s},
+        line_budget{defaults::unauthenticated_lines_per_s},
         line_budget{defaults::cut_lines_per_s},
         line_budget{defaults::rejected_lines_per_s},
         line_budget{defaults::discarded_lines_per_s},
--- a/src/entry/line_kind.hpp
+++ b/src/entry/line_kind.hpp
@@ -11,15 +11,16 @@
 /*! @brief Kinds of log lines. Each has a bound of its own, so that many lines
  *  of one kind do not displace the others. */
 enum class line_kind : std::uint8_t {
-    decision,  //!< on a request
-    unmatched, //!< refusals of requests that no rule matches
-    cut,       //!< requests that a shutdown ends without an answer
-    rejected,  //!< requests that the HTTP server rejected
-    discarded, //!< input that the HTTP server discarded
-    change     //!< of state
+    decision,        //!< on a request
+    unmatched,       //!< refusals of requests that no rule matches
+    unauthenticated, //!< refusals of requests without the key of a team
+    cut,             //!< requests that a shutdown ends without an answer
+    rejected,        //!< requests that the HTTP server rejected
+    discarded,       //!< input that the HTTP server discarded
+    change           //!< of state
 };
 
-inline constexpr std::size_t line_kind_count = 6;
+inline constexpr std::size_t line_kind_count = 7;
 
 /*! @brief Name of a kind in the line that counts what was left out. */
 constexpr std::string_view name_of(line_kind kind) {
@@ -28,6 +29,8 @@
         return "decisions";
     case line_kind::unmatched:
         return "unmatched";
+    case line_kind::unauthenticated:
+        return "unauthenticated";
     case line_kind::cut:
         return "cut";
     case line_kind::rejected:
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -25,7 +25,7 @@
                               "abandoned"};
 
 // In the order of the enumerations.
-constexpr std::array<description, 21> counters{{
+constexpr std::array<description, 22> counters{{
     {"skylark_retries_total", "attempts after a failed one"},
     {"skylark_hedges_total", "second attempts beside a slow one"},
     {"skylark_hedges_won_total", "hedges that answered first"},
@@ -50,6 +50,8 @@
      "own answers to requests that upstreams may have been working on"},
     {"skylark_answers_skipped_total",
      "upstream responses that named another request"},
+    {"skylark_unauthenticated_total",
+     "requests refused without the key of a team"},
 }};
 
 constexpr std::array<description, 10> gauges{{
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -42,7 +42,8 @@
     discarded,
     config_fetch_failures,
     answered_instead,
-    answers_skipped
+    answers_skipped,
+    unauthenticated
 };
 
 /*! @brief Values that are set anew. */
--- a/src/entry/native_dialect.hpp
+++ b/src/entry/native_dialect.hpp
@@ -35,6 +35,10 @@
     //! Whether a response body that is delimited only by the end of the
     //! connection is forwarded.
     static constexpr bool accepts_close_delimited = false;
+    //! Header of requests that holds the caller's key, and nothing else.
+    static constexpr std::string_view key_field = "Team-Key";
+    //! Header of requests to upstreams that holds the name of the key's team.
+    static constexpr std::string_view team_field = "Team";
 
     /*! @brief Time limit requested by the caller; the header holds
      *  milliseconds.
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -15,6 +15,7 @@
 #include <skylark/limit/answer_bound.hpp>
 #include <skylark/load/report.hpp>
 #include <skylark/share/kind.hpp>
+#include <skylark/team/rank.hpp>
 
 #include "entry/metrics.hpp"
 
@@ -63,7 +64,7 @@
     std::string m_name;       //!< given by the caller; may be empty
     time_point m_target_time; //!< an answer by then has full value
     duration m_target{};      //!< the same, from the caller's first request
-    std::uint32_t m_rank{};   //!< order within its class
+    request_rank m_rank;      //!< order within its class
     std::string m_team;       //!< name of its team; empty: none
     duration m_shortened{};   //!< taken off its time for a pause
 
--- a/src/entry/request_head.cpp
+++ b/src/entry/request_head.cpp
@@ -41,12 +41,27 @@
     return false;
 }
 
+struct team_field_names {
+    std::string_view m_key;
+    std::string_view m_team;
+};
+
+team_field_names team_fields(const dialect& of) {
+    return std::visit(
+        [](const auto& kind) {
+            return team_field_names{kind.key_field, kind.team_field};
+        },
+        of);
+}
+
 } // namespace
 
 std::string forward_head(const io::request_view& from,
-                         const dialect& wire_dialect) {
+                         const dialect& wire_dialect,
+                         const forwarded_team& whose) {
     constexpr std::size_t initial_capacity = 512; // bytes
     const auto connection = io::find_header(from.m_headers, "connection");
+    const auto [key_field, team_field] = team_fields(wire_dialect);
     std::string out;
     out.reserve(initial_capacity);
     out.append(from.m_method).append(" ");
@@ -63,9 +78,15 @@
             io::equal_ignoring_case(field.m_name, "host") ||
             is_connection_option(connection, field.m_name))
             continue;
+        if (whose.m_replaces &&
+            (io::equal_ignoring_case(field.m_name, key_field) ||
+             io::equal_ignoring_case(field.m_name, team_field)))
+            continue;
         out.append(field.m_name).append(": ");
         out.append(field.m_value).append("\r\n");
     }
+    if (!whose.m_name.empty())
+        out.append(team_field).append(": ").append(whose.m_name) += "\r\n";
     const bool without_body = from.m_body.empty() && (from.m_method == "GET" ||
                                                       from.m_method == "HEAD");
     if (!without_body)
--- a/src/entry/request_head.hpp
+++ b/src/entry/request_head.hpp
@@ -13,14 +13,24 @@
 
 namespace skylark::entry {
 
+/*! @brief What an upstream learns of the caller's team. */
+struct forwarded_team {
+    //! Whether the document has teams. The caller's key and what it says of its
+    //! team are then not forwarded.
+    bool m_replaces{};
+    std::string_view m_name{}; //!< sent to the upstream; empty: nothing is
+};
+
 /*! @brief Builds the part of a forwarded request's head that is the same for
  *  all attempts.
  *  @param from the caller's request
  *  @param wire_dialect interface towards upstreams
+ *  @param whose the caller's team
  *  @return request line and end-to-end headers, without hop-by-hop headers,
  *  the headers of an attempt and the blank line */
 std::string forward_head(const io::request_view& from,
-                         const dialect& wire_dialect);
+                         const dialect& wire_dialect,
+                         const forwarded_team& whose = {});
 
 /*! @brief Completes the head of a forwarded request for one attempt.
  *  @param head result of forward_head()
--- a/src/io/http_status.hpp
+++ b/src/io/http_status.hpp
@@ -10,6 +10,7 @@
 inline constexpr int first_redirect = 300; //!< all 2xx are below
 inline constexpr int not_modified = 304;
 inline constexpr int bad_request = 400;
+inline constexpr int unauthorized = 401;
 inline constexpr int not_found = 404;
 inline constexpr int request_timeout = 408;
 inline constexpr int conflict = 409;
--- a/src/store/mirror_values.cpp
+++ b/src/store/mirror_values.cpp
@@ -1,6 +1,9 @@
 // mirror_client: composes document and instance list from the records.
 #include <algorithm>
 
+#include <nlohmann/json.hpp>
+
+#include "core/json_text.hpp"
 #include "store/mirror_client.hpp"
 
 namespace skylark::store {
@@ -26,10 +29,11 @@
         drained.push_back(it->first.substr(prefix.size()));
     const auto read =
         platform::read_configuration(found->second.m_value, m_terms, drained);
-    // Invalid text is passed on unchanged: the reader rejects it and logs why.
-    m_document =
-        stored_value{position, read ? format_compact_document(read.value())
-                                    : found->second.m_value};
+    // The reader rejects the error's text and logs it. The configuration's own
+    // text may contain keys, which an excerpt of it would show.
+    m_document = stored_value{
+        position, read ? format_compact_document(read.value())
+                       : json_text({{"invalid", read.error().text()}})};
     if (!read)
         m_on_invalid(read.error());
     return *m_document;
--- a/test/command/apply.cpp
+++ b/test/command/apply.cpp
@@ -20,8 +20,8 @@
 instance_list instances() {
     instance_list out;
     out.m_instances = {
-        {"a", instance_role::upstream, {1, 1}, "stock", "enna", false},
-        {"b", instance_role::upstream, {2, 1}, "stock", "bronte", true}};
+        {"a", instance_role::upstream, {1, 1}, "stock", "enna", "", false},
+        {"b", instance_role::upstream, {2, 1}, "stock", "bronte", "", true}};
     return out;
 }
 
@@ -57,6 +57,15 @@
     EXPECT_EQ(run("set hedge_percent 9").value().m_limits.m_hedge_percent, 9U);
 }
 
+TEST(apply, sets_whether_a_rule_is_public) {
+    auto created = run("create rule r service stock path_prefix /s public "
+                       "true");
+    ASSERT_TRUE(created) << created.error().text();
+    EXPECT_TRUE(created.value().find_rule("r")->m_public);
+    expect_error("create rule r service stock path_prefix /s public 1",
+                 "true or false");
+}
+
 TEST(apply, drains_and_restores_zones) {
     const auto out = run("drain zone bronte");
     ASSERT_TRUE(out);
--- a/test/command/parse.cpp
+++ b/test/command/parse.cpp
@@ -30,6 +30,13 @@
     EXPECT_EQ(query.m_filters[1].m_operator, ">");
 }
 
+TEST(parse_statement, shows_teams) {
+    const auto read = parse_statement("show teams where rank < 2");
+    ASSERT_TRUE(read) << read.error().text();
+    EXPECT_EQ(std::get<show_query>(read.value()).m_subject,
+              show_subject::teams);
+}
+
 TEST(parse_statement, explain) {
     const auto read =
         parse_statement("explain request GET /stock/3 header X-Hail yes");
--- a/test/entry/request_head.cpp
+++ b/test/entry/request_head.cpp
@@ -41,3 +41,23 @@
     EXPECT_EQ(entry::verdict_text(may_have_run{attempt_step::request_sent}),
               "unknown");
 }
+
+TEST(request_head, names_the_team_in_place_of_what_the_caller_sent) {
+    const std::array headers{io::header_view{"team-key", "secret"},
+                             io::header_view{"Team", "other"},
+                             io::header_view{"TEAM", "third"}};
+    const io::request_view from{"GET", "/", "", headers};
+    const entry::dialect wire_dialect;
+    EXPECT_EQ(entry::forward_head(from, wire_dialect, {true, "reds"}),
+              "GET / HTTP/1.1\r\nHost: upstream\r\nTeam: reds\r\n");
+    EXPECT_EQ(entry::forward_head(from, wire_dialect, {true, ""}),
+              "GET / HTTP/1.1\r\nHost: upstream\r\n");
+}
+
+TEST(request_head, passes_these_fields_on_where_there_are_no_teams) {
+    const std::array headers{io::header_view{"Team-Key", "a"},
+                             io::header_view{"Team", "b"}};
+    EXPECT_EQ(entry::forward_head({"GET", "/", "", headers}, entry::dialect{}),
+              "GET / HTTP/1.1\r\nHost: upstream\r\nTeam-Key: a\r\n"
+              "Team: b\r\n");
+}
--- a/test/platform/node_fixture.hpp
+++ b/test/platform/node_fixture.hpp
@@ -71,6 +71,7 @@
     std::string m_stamp{"stamp"};
     std::string m_body;       // of the last request
     std::string m_request_id; // the same; empty for a health check
+    std::string m_fields;     // of the last request, one a line
 
 private:
     void serve(exchange_id key, const io::request_view& request) {
@@ -84,6 +85,12 @@
         m_host = request.m_host;
         m_path = request.m_path;
         m_body = request.m_body;
+        m_fields.clear();
+        for (const io::header_view& field : request.m_headers)
+            m_fields.append(field.m_name)
+                .append(": ")
+                .append(field.m_value)
+                .append("\n");
         const auto wanted =
             io::find_header(request.m_headers, "Expected-Instance");
         m_misdirected |= wanted != m_id;
