--- a/src/peer/exposure_codec.cpp
+++ b/src/peer/exposure_codec.cpp
@@ -74,6 +74,7 @@
 
 std::vector<wire::exposure> to_wire(const std::vector<exposure>& from) {
     std::vector<wire::exposure> out;
+    out.reserve(from.size());
     for (const exposure& item : from)
         out.push_back(encode_one(item));
     return out;
@@ -81,6 +82,7 @@
 
 std::vector<exposure> from_wire(const std::vector<wire::exposure>& from) {
     std::vector<exposure> out;
+    out.reserve(from.size());
     for (const wire::exposure& item : from)
         out.push_back(decode_one(item));
     return out;
