Save the tokens of a team that nobody has lent for

An owner's bucket began empty at the first question, so the first requests of a team that was idle got 429.

--- a/include/skylark/allowance/lender.hpp
+++ b/include/skylark/allowance/lender.hpp
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -79,6 +80,9 @@
         std::uint32_t m_yield_requests{}; // without an answer
         time_point m_interim_since;
         time_point m_room_at; // when the next refused caller should return
+        // Since when this entry has been the first member for the team, in a
+        // view that is settled; none if it is not.
+        std::optional<time_point> m_first_since;
     };
 
     [[nodiscard]] double part(const bucket& of, time_point now) const;
@@ -98,6 +102,8 @@
     allowance_message stop(bucket& of, time_point now) const;
     void yielded(bucket& of, const allowance_message& reply,
                  time_point now) const;
+    void note_first(bucket& of, time_point now) const;
+    [[nodiscard]] double saved_tokens(const bucket& of, time_point now) const;
     [[nodiscard]] entry_id rival_of(const bucket& of) const;
     [[nodiscard]] bool is_first(const bucket& of) const;
 
--- a/src/allowance/lender.cpp
+++ b/src/allowance/lender.cpp
@@ -41,6 +41,7 @@
         }
         to.m_limit = item;
         refill(to, now);
+        note_first(to, now);
     }
     m_buckets = std::move(next);
 }
@@ -100,6 +101,7 @@
     of.m_refilled = now;
     of.m_ahead.clear();
     of.m_room_at = now;
+    of.m_first_since.reset();
 }
 
 allowance_message allowance_lender::lend(bucket& of,
--- a/src/allowance/lender_turns.cpp
+++ b/src/allowance/lender_turns.cpp
@@ -29,6 +29,7 @@
         refill(of, now);
     m_view = view;
     for (auto& [team, of] : m_buckets) {
+        note_first(of, now);
         const bool lends = of.m_state == lending_state::active;
         if (!lends || is_first(of))
             continue;
@@ -40,6 +41,26 @@
     return out;
 }
 
+void allowance_lender::note_first(bucket& of, time_point now) const {
+    if (!m_view.m_settled || !is_first(of))
+        of.m_first_since.reset();
+    else if (!of.m_first_since)
+        of.m_first_since = now;
+}
+
+// Tokens of the time in which nobody lent: this entry was the first member, all
+// members knew it, and it was not asked. Without them the first requests of a
+// team that was idle would be refused.
+double allowance_lender::saved_tokens(const bucket& of, time_point now) const {
+    if (!of.m_first_since)
+        return 0.0;
+    const std::chrono::duration<double> idle =
+        now - *of.m_first_since - agreement_time;
+    const double share = part(of, now);
+    return std::clamp(idle.count() * of.m_limit.m_rate * share, 0.0,
+                      of.m_limit.capacity(share));
+}
+
 // Several members may have joined since the former owner was the first one, so
 // more than the second one are asked.
 void allowance_lender::request_yield(
@@ -116,6 +137,7 @@
     }
     of.m_state = lending_state::idle;
     of.m_tokens = 0.0;
+    of.m_first_since.reset();
     return out;
 }
 
@@ -161,8 +183,9 @@
     if (!waited && !is_first(of))
         return;
     // An interim lender has lent tokens that were not its own.
-    const double left =
-        of.m_state == lending_state::interim ? 0.0 : reply.m_count;
+    double left = of.m_state == lending_state::interim ? 0.0 : reply.m_count;
+    if (of.m_state == lending_state::pending && !was_lender)
+        left = saved_tokens(of, now);
     begin(of, lending_state::active, left, now);
     of.m_vouched = reply.m_vouched;
     refill(of, now);
--- a/test/allowance/lender.cpp
+++ b/test/allowance/lender.cpp
@@ -82,6 +82,33 @@
     EXPECT_EQ(ask(50, start + seconds{1}), 10U);
 }
 
+// Guards against a refusal of the first requests of a team that was idle.
+TEST_F(allowance_lender_test, saves_tokens_while_nobody_lends) {
+    const time_point later = start + seconds{4}; // 3 s until all agree
+    ask(12, later);
+    rival_yields(0, later);
+    EXPECT_EQ(repeat(later), 10U);
+    const time_point idle = start + seconds{60};
+    m_lender = {};
+    set_limit(10.0, 20.0, start);
+    m_lender.set_view(m_view, start);
+    ask(30, idle);
+    rival_yields(0, idle);
+    EXPECT_EQ(repeat(idle), 20U);
+}
+
+// Guards against tokens that two lenders lend for the same time.
+TEST_F(allowance_lender_test, saves_none_while_another_one_may_have_lent) {
+    const time_point later = start + seconds{60};
+    m_view.m_settled = false;
+    m_lender.set_view(m_view, later - seconds{1});
+    m_view.m_settled = true;
+    m_lender.set_view(m_view, later);
+    ask(5, later + seconds{1});
+    rival_yields(0, later + seconds{1});
+    EXPECT_EQ(repeat(later + seconds{1}), 0U);
+}
+
 TEST_F(allowance_lender_test, takes_over_what_is_left) {
     ask(1, start);
     rival_yields(7, start);
