Lend the whole limit in a deployment of one entry, allow fleets without hooks

An entry whose settings name no other one counted as one of 64 and granted 1/64 of each limit: all tests of team_node got 429.

--- a/include/skylark/allowance/view.hpp
+++ b/include/skylark/allowance/view.hpp
@@ -23,6 +23,8 @@
     std::vector<entry_id> m_known;
     //! Whether this entry has had time to hear of all members.
     bool m_settled{};
+    //! The deployment has no other entry, so nobody else lends.
+    bool m_single{};
 
     /*! @brief First and second member for a team; none if there is none. */
     struct ranking {
@@ -61,7 +63,7 @@
     [[nodiscard]] double size() const {
         constexpr std::size_t assumed = 64;
         const std::size_t known = m_known.size();
-        const bool doubtful = known <= 1 || !m_settled;
+        const bool doubtful = !m_single && (known <= 1 || !m_settled);
         return static_cast<double>(doubtful ? std::max(known, assumed) : known);
     }
 
--- a/src/allowance/lender.cpp
+++ b/src/allowance/lender.cpp
@@ -69,7 +69,8 @@
     for (const auto& [who, item] : of.m_askers)
         if (item.m_alone_until > now && m_view.is_member(who))
             members -= 1.0;
-    const double doubt = m_view.m_settled || of.m_vouched ? 1.0 : doubtful;
+    const bool certain = m_view.m_settled || m_view.m_single || of.m_vouched;
+    const double doubt = certain ? 1.0 : doubtful;
     return std::clamp(members / m_view.size() / doubt, 0.0, 1.0);
 }
 
--- a/src/entry/allowance_service.cpp
+++ b/src/entry/allowance_service.cpp
@@ -58,6 +58,7 @@
     m_view.m_self = m_members.self();
     m_view.m_live = m_members.live_members(now);
     m_view.m_settled = now - m_started > settling_time;
+    m_view.m_single = m_members.single() && m_members.peers().empty();
     for (const entry_id item : m_view.m_live)
         m_last_live[item] = now;
     // A member that has left uses no tokens any more.
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -105,7 +105,8 @@
     auto out = round(io::event_loop::now());
     note_changes();
     for (outgoing_heartbeat& item : out) {
-        m_hooks.m_add_exposures(item);
+        if (m_hooks.m_add_exposures)
+            m_hooks.m_add_exposures(item);
         send(std::move(item));
     }
 }
@@ -149,7 +150,8 @@
     follow_view();
     for (const load_digest& digest : message.value().m_loads)
         m_hooks.m_digest(digest);
-    m_hooks.m_exposures(message.value());
+    if (m_hooks.m_exposures)
+        m_hooks.m_exposures(message.value());
     const auto found = peers().find(message.value().m_sender.m_name.m_id);
     if (found != peers().end())
         m_hooks.m_peer_mark(found->second);
--- a/src/entry/fleet.hpp
+++ b/src/entry/fleet.hpp
@@ -133,6 +133,8 @@
     [[nodiscard]] std::uint32_t requests() const;
     [[nodiscard]] entry_id self() const { return self_record().m_name.m_id; }
     void add_seeds(std::span<const address> seeds);
+    /*! @brief Whether the settings name no other entry. */
+    [[nodiscard]] bool single() const { return m_settings.m_seeds.empty(); }
     void set_listed(std::span<const address> listed);
     void set_requests(std::uint32_t count);
 
--- a/test/allowance/lender.cpp
+++ b/test/allowance/lender.cpp
@@ -97,6 +97,17 @@
     EXPECT_EQ(repeat(idle), 20U);
 }
 
+// Guards against a deployment of one entry that gets a part of its limits, as
+// if others had to be reckoned with.
+TEST_F(allowance_lender_test, lends_the_whole_limit_in_a_deployment_of_one) {
+    m_view.m_live = m_view.m_known = {m_view.m_self};
+    m_view.m_settled = false;
+    m_view.m_single = true;
+    m_lender.set_view(m_view, start);
+    EXPECT_EQ(ask(1, start), 0U);
+    EXPECT_EQ(ask(30, start + seconds{1}), 10U);
+}
+
 // Guards against tokens that two lenders lend for the same time.
 TEST_F(allowance_lender_test, saves_none_while_another_one_may_have_lent) {
     const time_point later = start + seconds{60};
