Let the test of refusals behind a pause hold up probes of all zones

It provokes refusals by answers of probes that come after 12 ms. The probes now come later than the longest timeout.

--- a/test/platform/behind_a_pause.cpp
+++ b/test/platform/behind_a_pause.cpp
@@ -1,6 +1,8 @@
 // Requests that are read behind a pause of the process.
 #include <thread>
 
+#include <skylark/load/path_time.hpp>
+
 #include "test/io/raw_caller.hpp"
 #include "test/platform/node_fixture.hpp"
 
@@ -61,9 +63,11 @@
     m_loop.after(duration{0}, [this] {
         send_from_all();
         std::this_thread::sleep_for(defaults::pause_limit + milliseconds{100});
-        // Probes' answers come too late.
-        m_loop.every(milliseconds{1},
-                     [] { std::this_thread::sleep_for(milliseconds{12}); });
+        // Probes' answers come too late, those of another zone as well.
+        m_loop.every(milliseconds{1}, [] {
+            std::this_thread::sleep_for(path_time::longest_timeout +
+                                        milliseconds{10});
+        });
     });
     turn_until([this] { return all_answered(); });
     for (int i = 0; i < 50; ++i)
