Read a bounded part of a response at a time

Callers saw machines that ran out of memory beside answers without an end. One read took all that the kernel held for a connection, and went on while the upstream sent; resume() let it read again before what had been left was reported. So limits acted on a burst only after it was in memory.

A client connection now reads 16 KB itself each time that its socket is readable, and reads nothing while input is left. The rest stays in the kernel, which tells the loop again in the next iteration, so a turn that yields and continues from a timer is not needed.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -3,6 +3,8 @@
 
 #include <array>
 #include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 #include "io/event_loop.hpp"
@@ -14,7 +16,8 @@
 using internal::phase;
 
 http_client::http_client(event_loop& loop, const limits& bounds)
-    : m_native{std::make_unique<native>(native{&loop, bounds, {}, {}})} {}
+    : m_native{std::make_unique<native>(native{
+          &loop, bounds, {}, {}, std::vector<char>(bounds.m_turn_bytes)})} {}
 
 http_client::~http_client() {
     m_native->m_loop->cancel(m_native->m_watch);
@@ -28,15 +31,8 @@
     created.m_handler = std::move(on_event);
     created.m_owner = m_native.get();
     created.m_key = key;
-    sockaddr_in name = internal::to_native(server);
-    auto* generic = reinterpret_cast<sockaddr*>(&name);
-    created.m_socket = h2o_socket_connect(m_native->m_loop->native(), generic,
-                                          sizeof name, &native::on_connect);
-    if (created.m_socket) {
-        created.m_socket->data = &created;
-        m_native->set_socket_options(h2o_socket_get_fd(created.m_socket));
+    if (m_native->connect(created, server))
         return key;
-    }
     m_native->m_loop->after(duration{0}, [this, key] {
         if (connection* found = m_native->m_connections.find(key))
             m_native->fail(*found, "connect refused by the kernel");
@@ -44,6 +40,27 @@
     return key;
 }
 
+// h2o's own connections read all that the kernel holds, as long as the peer
+// sends on, so these do without and receive() reads.
+bool http_client::native::connect(connection& conn, address server) {
+    const int fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return false;
+    set_socket_options(fd);
+    const sockaddr_in name = internal::to_native(server);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&name);
+    if (::connect(fd, generic, sizeof name) != 0 && errno != EINPROGRESS) {
+        ::close(fd);
+        return false;
+    }
+    conn.m_socket = h2o_evloop_socket_create(m_loop->native(), fd,
+                                             H2O_SOCKET_FLAG_DONT_READ);
+    conn.m_socket->data = &conn;
+    h2o_socket_notify_write(conn.m_socket, &native::on_connect);
+    return true;
+}
+
 void http_client::rebind(connection_id key, handler on_event) {
     if (connection* found = m_native->m_connections.find(key))
         found->m_handler = std::move(on_event);
@@ -90,11 +107,11 @@
     if (!found || !found->m_socket || !found->m_paused)
         return;
     found->m_paused = false;
-    found->m_yielded = false;
-    h2o_socket_read_start(found->m_socket, &native::on_read);
-    if (found->m_socket->input->size > 0)
-        m_native->m_loop->after(duration{0},
-                                [this, key] { m_native->read_buffered(key); });
+    if (found->m_input.empty())
+        h2o_socket_read_start(found->m_socket, &native::on_read);
+    else
+        m_native->m_loop->after(
+            duration{0}, [this, key] { m_native->continue_reading(key); });
 }
 
 void http_client::close(connection_id key) {
@@ -107,8 +124,7 @@
 
 bool http_client::usable(connection_id key) {
     connection* found = m_native->m_connections.find(key);
-    if (!found || found->m_phase != phase::idle ||
-        found->m_socket->input->size > 0)
+    if (!found || found->m_phase != phase::idle || !found->m_input.empty())
         return false;
     char byte{};
     const int fd = h2o_socket_get_fd(found->m_socket);
@@ -118,7 +134,7 @@
 
 std::size_t http_client::unreported(connection_id key) const {
     const connection* found = m_native->m_connections.find(key);
-    return found && found->m_socket ? found->m_socket->input->size : 0;
+    return found ? found->m_input.size() : 0;
 }
 
 std::size_t http_client::size() const {
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -42,11 +42,10 @@
         //! The same beside it for each byte of the body. The default leaves
         //! room for chunks of one byte.
         std::size_t m_framing_per_body_byte{8};
-        //! Body input of one connection that is processed at a time, before
-        //! others have their turn. Framing costs far more time for each byte
-        //! than the body, so it is a fraction of this where little of it is
-        //! body.
-        std::size_t m_turn_bytes{std::size_t{64} << 10U};
+        //! Input of one connection that is read and processed at a time, before
+        //! others have their turn; with the head, it bounds the memory for
+        //! input of each connection.
+        std::size_t m_turn_bytes{std::size_t{16} << 10U};
     };
 
     http_client(event_loop& loop, const limits& bounds);
--- a/src/io/http_client_end.cpp
+++ b/src/io/http_client_end.cpp
@@ -23,7 +23,6 @@
 bool http_client::native::finish_skipped(connection& conn) {
     conn.m_skipping = false;
     conn.m_skipped = true;
-    conn.m_mostly_framing = false;
     conn.m_phase = phase::head;
     return check_overhead(conn);
 }
@@ -56,7 +55,6 @@
     conn.m_phase = phase::idle;
     conn.m_overhead_bytes = 0;
     conn.m_body_bytes = 0;
-    conn.m_mostly_framing = false;
     conn.m_bytes_sent = false;
     if (!reusable)
         close_socket(conn);
--- a/src/io/http_client_native.hpp
+++ b/src/io/http_client_native.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <skylark/core/id_map.hpp>
 
@@ -34,6 +35,9 @@
     connection_id m_key;
     response_parser m_parser;
     std::string m_output; // must outlive h2o's write
+    // Received and not processed yet. Invariant: nothing more is read while it
+    // holds the begin of a body that was left by pause().
+    std::string m_input;
     phase m_phase{phase::connecting};
     peer_silence m_silence;         // of the request in progress
     std::size_t m_overhead_bytes{}; // input of the response besides its body
@@ -48,10 +52,6 @@
     bool m_skipping{}; // the response in progress is not reported
     bool m_skipped{};  // one was; the next may come at any time
     bool m_paused{};
-    // Input is left for a later turn; nothing is read meanwhile.
-    bool m_yielded{};
-    bool m_at_end{};         // the server sends nothing more
-    bool m_mostly_framing{}; // the last part of the input
 };
 
 } // namespace internal
@@ -63,6 +63,7 @@
     limits m_limits;
     id_map<connection_id, internal::connection> m_connections;
     timer_id m_watch{}; // runs while a request is in progress
+    std::vector<char> m_read_buffer;
 
     static void on_connect(h2o_socket_t* socket, const char* error);
     static void on_write(h2o_socket_t* socket, const char* error);
@@ -82,10 +83,11 @@
     void complete(internal::connection& conn, bool reusable,
                   bool close_delimited);
     void handle_end_of_stream(internal::connection& conn, const char* error);
-    void read_buffered(connection_id key);
-    std::size_t turn_size(const internal::connection& conn) const;
-    void yield_turn(internal::connection& conn);
-    void continue_turn(connection_id key);
+    // Creates the socket of a connection and begins to connect.
+    bool connect(internal::connection& conn, address server);
+    void receive(internal::connection& conn);
+    void process_input(connection_id key);
+    void continue_reading(connection_id key);
     void set_socket_options(int fd) const;
     static void end_kernel_limit(const internal::connection& conn);
     void watch(internal::connection& conn);
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -1,5 +1,6 @@
 // Read path of client connections: turns received bytes into events.
-#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
 #include <utility>
 
 #include "io/event_loop.hpp"
@@ -10,42 +11,12 @@
 using internal::connection;
 using internal::phase;
 
-namespace {
-// Timers that are due at once may run in the same turn of the loop.
-constexpr duration turn_delay{1};
-} // namespace
-
-// Processes input that was buffered before pause().
-void http_client::native::read_buffered(connection_id key) {
+// Processes what pause() left and goes on reading.
+void http_client::native::continue_reading(connection_id key) {
+    process_input(key);
     connection* found = m_connections.find(key);
     if (found && found->m_socket && !found->m_paused)
-        on_read(found->m_socket, nullptr);
-}
-
-std::size_t http_client::native::turn_size(const connection& conn) const {
-    constexpr std::size_t framing_part = 8;
-    const std::size_t available = conn.m_socket->input->size;
-    if (conn.m_at_end)
-        return available;
-    return std::min(available, conn.m_mostly_framing
-                                   ? m_limits.m_turn_bytes / framing_part
-                                   : m_limits.m_turn_bytes);
-}
-
-// Leaves the rest of the input for the next turn of the loop.
-void http_client::native::yield_turn(connection& conn) {
-    conn.m_yielded = true;
-    h2o_socket_read_stop(conn.m_socket);
-    m_loop->after(turn_delay, [this, key = conn.m_key] { continue_turn(key); });
-}
-
-void http_client::native::continue_turn(connection_id key) {
-    connection* found = m_connections.find(key);
-    if (!found || !found->m_socket || !std::exchange(found->m_yielded, false) ||
-        found->m_paused)
-        return;
-    h2o_socket_read_start(found->m_socket, &native::on_read);
-    on_read(found->m_socket, nullptr);
+        h2o_socket_read_start(found->m_socket, &native::on_read);
 }
 
 void http_client::native::report(connection& conn, const client_event& event) {
@@ -83,8 +54,11 @@
     if (!self)
         return;
     auto& owner = *static_cast<native*>(self->m_owner);
-    if (error) {
-        owner.fail(*self, error);
+    int result = 0;
+    socklen_t size = sizeof result;
+    getsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_ERROR, &result, &size);
+    if (error || result != 0) {
+        owner.fail(*self, "connection refused or timed out");
         return;
     }
     self->m_phase = phase::idle;
@@ -108,30 +82,43 @@
     }
 }
 
-void http_client::native::on_read(h2o_socket_t* socket, const char* error) {
-    auto* self = static_cast<connection*>(socket->data);
-    if (!self)
+void http_client::native::on_read(h2o_socket_t* socket, const char* /*error*/) {
+    if (auto* self = static_cast<connection*>(socket->data))
+        static_cast<native*>(self->m_owner)->receive(*self);
+}
+
+// Reads a bounded part; the socket stays readable if there is more, so that
+// other connections have their turn first.
+void http_client::native::receive(connection& conn) {
+    const connection_id key = conn.m_key;
+    const auto count = recv(h2o_socket_get_fd(conn.m_socket),
+                            m_read_buffer.data(), m_read_buffer.size(), 0);
+    if (count > 0) {
+        conn.m_input.append(m_read_buffer.data(),
+                            static_cast<std::size_t>(count));
+        process_input(key);
         return;
-    auto& owner = *static_cast<native*>(self->m_owner);
-    const connection_id key = self->m_key;
-    // Data received before the connection ended is delivered even when
-    // reading is paused.
-    if (error) {
-        self->m_paused = false;
-        self->m_yielded = false;
-        self->m_at_end = true;
-    }
-    while (owner.m_connections.find(key) && owner.advance(*self)) {
     }
-    if (error && owner.m_connections.find(key))
-        owner.handle_end_of_stream(*self, error);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    handle_end_of_stream(conn, count == 0 ? h2o_socket_error_closed
+                                          : h2o_socket_error_io);
+}
+
+void http_client::native::process_input(connection_id key) {
+    connection* found = m_connections.find(key);
+    while (found && advance(*found))
+        found = m_connections.find(key);
+    // Idle connections are many and keep no memory for input.
+    found = m_connections.find(key);
+    if (found && found->m_input.empty())
+        found->m_input.shrink_to_fit();
 }
 
 // Performs one parsing step; returns false when it needs more input or
 // nothing is left to do.
 bool http_client::native::advance(connection& conn) {
-    if (conn.m_phase == phase::closed || conn.m_paused || conn.m_yielded ||
-        conn.m_socket->input->size == 0)
+    if (conn.m_phase == phase::closed || conn.m_paused || conn.m_input.empty())
         return false;
     if (conn.m_phase == phase::head)
         return advance_head(conn);
@@ -159,13 +146,12 @@
 }
 
 bool http_client::native::advance_head(connection& conn) {
-    h2o_buffer_t** input = &conn.m_socket->input;
     response_head head;
     std::size_t consumed = 0;
-    const auto state = conn.m_parser.read_head(
-        {(*input)->bytes, (*input)->size}, conn.m_head_only, head, consumed);
+    const auto state =
+        conn.m_parser.read_head(conn.m_input, conn.m_head_only, head, consumed);
     if (state == parse_state::more) {
-        if ((*input)->size > m_limits.m_head_bytes)
+        if (conn.m_input.size() > m_limits.m_head_bytes)
             fail(conn, "response head without an end");
         return false;
     }
@@ -175,7 +161,7 @@
     }
     constexpr int first_final_status = 200;
     if (head.m_status < first_final_status) {
-        h2o_buffer_consume(input, consumed);
+        conn.m_input.erase(0, consumed);
         conn.m_overhead_bytes += consumed;
         return check_overhead(conn);
     }
@@ -184,7 +170,7 @@
     report(conn, head_received{head});
     if (!m_connections.find(key) || !conn.m_socket)
         return false;
-    h2o_buffer_consume(&conn.m_socket->input, consumed);
+    conn.m_input.erase(0, consumed);
     // Skipped responses are bounded together.
     conn.m_overhead_bytes =
         conn.m_skipping ? conn.m_overhead_bytes + consumed : 0;
@@ -194,17 +180,15 @@
         return true;
     if (conn.m_skipping)
         return finish_skipped(conn);
-    finish(conn, conn.m_socket->input->size, false);
+    finish(conn, conn.m_input.size(), false);
     return false;
 }
 
 bool http_client::native::advance_body(connection& conn) {
-    h2o_buffer_t** input = &conn.m_socket->input;
-    const std::size_t taken = turn_size(conn);
+    const std::size_t taken = conn.m_input.size();
     std::size_t size = 0;
     std::size_t rest = 0;
-    const auto state =
-        conn.m_parser.read_body({(*input)->bytes, taken}, size, rest);
+    const auto state = conn.m_parser.read_body(conn.m_input, size, rest);
     if (state == parse_state::malformed) {
         fail(conn, "malformed response body");
         return false;
@@ -212,23 +196,18 @@
     const connection_id key = conn.m_key;
     conn.m_overhead_bytes += taken - rest - size;
     conn.m_body_bytes += size;
-    conn.m_mostly_framing = size < taken / 2;
     if (size > 0 && !conn.m_skipping)
-        report(conn, body_received{{(*input)->bytes, size}});
+        report(conn, body_received{{conn.m_input.data(), size}});
     if (!m_connections.find(key) || !conn.m_socket)
         return false;
-    if (conn.m_skipping && state == parse_state::found) {
-        h2o_buffer_consume(&conn.m_socket->input, taken - rest);
-        return finish_skipped(conn);
-    }
-    const std::size_t left = conn.m_socket->input->size - taken;
-    h2o_buffer_consume(&conn.m_socket->input, taken);
-    if (state == parse_state::found) {
-        finish(conn, rest + left, false);
+    conn.m_input.erase(0, taken - rest);
+    if (state == parse_state::more) {
+        check_overhead(conn);
         return false;
     }
-    if (check_overhead(conn) && left > 0 && !conn.m_paused)
-        yield_turn(conn);
+    if (conn.m_skipping)
+        return finish_skipped(conn);
+    finish(conn, rest, false);
     return false;
 }
 
--- a/test/io/http_client.cpp
+++ b/test/io/http_client.cpp
@@ -3,6 +3,7 @@
 // byte.
 #include "io/http_client.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -284,6 +285,41 @@
     EXPECT_TRUE(client.usable(key));
 }
 
+// One read took all that the kernel held, so memory grew with the burst of each
+// connection before any limit was checked.
+TEST_F(client_test, keeps_a_bounded_part_of_what_has_arrived) {
+    constexpr std::size_t arrived = std::size_t{256} << 10U;
+    constexpr std::size_t most_kept = std::size_t{64} << 10U;
+    begin("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(arrived) +
+          "\r\n\r\n" + std::string(arrived, 'x'));
+    std::size_t kept = 0;
+    for (int i = 0; i < 5000 && !m_log.m_complete; ++i) {
+        m_loop.run_once(milliseconds{1});
+        kept = std::max(kept, m_client.unreported(m_connection));
+    }
+    EXPECT_LE(kept, most_kept);
+    EXPECT_EQ(m_log.m_body.size(), arrived);
+}
+
+// A caller that takes one piece at a time must not make its upstream's input
+// pile up.
+TEST_F(client_test, resume_reads_no_more_before_the_rest_was_reported) {
+    constexpr std::size_t arrived = std::size_t{256} << 10U;
+    constexpr std::size_t most_kept = std::size_t{64} << 10U;
+    begin("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(arrived) +
+          "\r\n\r\n" + std::string(arrived, 'x'));
+    std::size_t kept = 0;
+    for (int i = 0; i < 5000 && !m_log.m_complete; ++i) {
+        m_client.pause(m_connection);
+        m_loop.run_once(milliseconds{1});
+        m_client.resume(m_connection);
+        m_loop.run_once(milliseconds{1});
+        kept = std::max(kept, m_client.unreported(m_connection));
+    }
+    EXPECT_LE(kept, most_kept);
+    EXPECT_EQ(m_log.m_body.size(), arrived);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     http_client, endless_answers,
     testing::Values(
