Run due timers within h2o's iteration

Callers saw connections that were reset and refused: the process ended by SIGABRT (write_pending: Assertion 'sock->super._cb.write != NULL' failed).

Due timers ran behind h2o_evloop_run(). A write from a timer that the kernel took whole was reported in the next iteration only, after h2o had decided what to poll for. If an earlier write of that socket had been partial, it stayed polled for writing without a callback, and the event that came when the caller read on failed the assertion. Without another event the report came after the whole wait.

Timers now run in a timeout of h2o's, behind the callbacks of sockets and before the end of the iteration, which runs what they caused. The order is part of event_loop's documentation. The handler of pauses runs within an iteration too.

--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -15,8 +15,34 @@
 constexpr duration max_poll_wait = milliseconds{100};
 } // namespace
 
+// h2o runs the callbacks of a timeout of 0 ms behind those of sockets, and
+// behind each of them those that it caused.
+struct event_loop::timer_phase {
+    h2o_timeout_t m_timeout;
+    h2o_timeout_entry_t m_entry;
+    event_loop* m_owner;
+
+    explicit timer_phase(event_loop* owner)
+        : m_timeout{}, m_entry{}, m_owner{owner} {
+        h2o_timeout_init(owner->m_native, &m_timeout, 0);
+        m_entry.cb = [](h2o_timeout_entry_t* entry) {
+            H2O_STRUCT_FROM_MEMBER(timer_phase, m_entry, entry)
+                ->m_owner->run_timer_phase();
+        };
+    }
+
+    // Includes the phase in the iteration that runs now or comes next. h2o
+    // compares times of the wall clock, so an entry that was linked before
+    // that was set back would not run until it has caught up.
+    void schedule() {
+        h2o_timeout_unlink(&m_entry);
+        h2o_timeout_link(m_owner->m_native, &m_timeout, &m_entry);
+    }
+};
+
 event_loop::event_loop()
-    : m_native{h2o_evloop_create()},
+    : m_native{h2o_evloop_create()}, m_phase{std::make_unique<timer_phase>(
+                                         this)},
       m_timer_fd{timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)},
       m_last_pause_check{now()} {
     // Writing to a closed connection must fail with EPIPE instead of killing
@@ -24,15 +50,21 @@
     std::signal(SIGPIPE, SIG_IGN);
     auto* socket = h2o_evloop_socket_create(m_native, m_timer_fd,
                                             H2O_SOCKET_FLAG_DONT_READ);
+    socket->data = m_phase.get();
     h2o_socket_read_start(socket, [](h2o_socket_t* ready, const char*) {
         std::uint64_t expirations = 0;
         const auto size =
             read(h2o_socket_get_fd(ready), &expirations, sizeof expirations);
-        static_cast<void>(size); // run_due_timers() checks the timers next
+        static_cast<void>(size); // run_due_timers() checks the timers
+        static_cast<timer_phase*>(ready->data)->schedule();
     });
 }
 
-event_loop::~event_loop() = default; // h2o 2.2 cannot destroy an evloop
+// h2o 2.2 cannot destroy an evloop, so nothing that it points to is released
+// either.
+event_loop::~event_loop() {
+    static_cast<void>(m_phase.release());
+}
 
 time_point event_loop::now() {
     const auto reading = std::chrono::steady_clock::now().time_since_epoch();
@@ -74,13 +106,30 @@
 
 void event_loop::run_once(duration longest_wait) {
     arm_timer_fd();
-    const bool overdue =
-        !m_timers.empty() && m_timers.begin()->first.m_due <= now();
-    const auto wait_ms = overdue ? 0 : to_ms(longest_wait);
-    h2o_evloop_run(m_native, static_cast<std::int32_t>(wait_ms));
+    // h2o does not wait if the phase is scheduled.
+    if (overdue())
+        m_phase->schedule();
+    h2o_evloop_run(m_native, static_cast<std::int32_t>(to_ms(longest_wait)));
+    const time_point present = now();
+    if (!std::exchange(m_phase_ran, false)) {
+        if (m_pause_handler && present - m_last_pause_check > m_pause_limit) {
+            m_phase->schedule();
+            h2o_evloop_run(m_native, 0);
+            m_phase_ran = false;
+        }
+        m_last_pause_check = present;
+    }
+    m_iteration_pause = duration{0};
+}
+
+bool event_loop::overdue() const {
+    return !m_timers.empty() && m_timers.begin()->first.m_due <= now();
+}
+
+void event_loop::run_timer_phase() {
+    m_phase_ran = true;
     detect_pause();
     run_due_timers();
-    m_iteration_pause = duration{0};
 }
 
 // h2o waits in whole milliseconds, so a timer descriptor wakes it at the exact
--- a/src/io/event_loop.hpp
+++ b/src/io/event_loop.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 
 #include <skylark/core/id.hpp>
 #include <skylark/core/time.hpp>
@@ -14,6 +15,12 @@
 namespace skylark::io {
 
 /*! @brief Wraps h2o's event loop and adds timers with microsecond due times.
+ *
+ *  An iteration waits for events, runs the callbacks of sockets, then those of
+ *  due timers, then what either caused, such as the end of a write. Timers run
+ *  within h2o's own iteration: h2o updates what it polls for before it reports
+ *  writes, so a write from outside of an iteration may leave its socket polled
+ *  without a callback, which ends the process.
  *
  *  Not thread-safe: all calls must come from the thread that runs the loop. */
 class event_loop {
@@ -48,13 +55,13 @@
 
     /*! @brief Sets the handler that is called when the process has not run
      *  for longer than a limit. It runs inside detect_pause(), before any due
-     *  timer.
+     *  timer, and within an iteration.
      *  @param limit gaps up to this length are not reported; must be at least
      *  the longest wait for an event
      *  @param handler gets the length of the gap */
     void on_pause(duration limit, pause_handler handler);
 
-    /*! @brief Checks for a pause now. Socket callbacks for which the age of
+    /*! @brief Checks for a pause now. Callbacks of sockets for which the age of
      *  input matters call this first: input that was queued in the kernel
      *  during a pause may be as old as the pause is long.
      *  @return length of the pause that ended in this loop iteration, or
@@ -83,10 +90,16 @@
         auto operator<=>(const due_order&) const = default;
     };
 
+    // h2o's timeout in which due timers run.
+    struct timer_phase;
+
+    [[nodiscard]] bool overdue() const;
+    void run_timer_phase();
     void run_due_timers();
     void arm_timer_fd();
 
     st_h2o_evloop_t* m_native;
+    std::unique_ptr<timer_phase> m_phase;
     int m_timer_fd;              // wakes h2o's loop for the next due timer
     time_point m_timer_fd_due{}; // expiry that m_timer_fd was last set to
     // Invariant: m_timers and m_due hold the same timers, with the same due
@@ -98,6 +111,7 @@
     duration m_pause_limit{};
     pause_handler m_pause_handler;
     duration m_iteration_pause{}; // pause that ended in this iteration
+    bool m_phase_ran{};           // in this iteration
     bool m_stopped{};
 };
 
