Bound the tests of roll-outs by time

They sent at most 20,000 requests, taken for the time of a roll-out. A good version now has to be completed by the deadline of its order, which is stricter; what has no deadline gets 20 s.

--- a/test/platform/rollouts.cpp
+++ b/test/platform/rollouts.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t first_target = 2; // upstreams 2 and 3 are of version v2
-constexpr int longest_roll_out = 20000; // requests
+constexpr auto longest_stage = seconds{20};
 
 class rollouts_at_entry : public whole_entry {
 protected:
@@ -49,9 +49,11 @@
                                  R"(","target_version":"v2"})");
     }
 
-    // Sends requests until something is reached.
-    void send_while(const std::function<bool()>& wanted) {
-        for (int i = 0; i < longest_roll_out && wanted(); ++i) {
+    // Sends requests until something is reached, at most for so long.
+    void send_while(const std::function<bool()>& wanted,
+                    duration longest = longest_stage) {
+        const time_point end = io::event_loop::now() + longest;
+        while (wanted() && io::event_loop::now() < end) {
             send("GET");
             ++m_since_order;
         }
@@ -93,10 +95,12 @@
 TEST_F(rollouts_at_entry, a_good_version_is_completed) {
     start(4);
     order(6);
+    const time_point deadline = io::event_loop::now() + seconds{6};
     send_while([this] { return !recorded("running"); });
     m_runs = {};
     m_since_order = 0;
-    send_while([this] { return !recorded("completed"); });
+    send_while([this] { return !recorded("completed"); },
+               deadline - io::event_loop::now());
     EXPECT_GT(target_runs(), 0);
     settle(milliseconds{600}); // the watch delivers the status
     m_runs = {};
@@ -173,13 +177,15 @@
     // the next call.
     const std::size_t before = m_store.calls();
     order(8);
+    const time_point deadline = io::event_loop::now() + seconds{8};
     turn_until([&] { return m_store.calls() > before; });
     faults.m_losing = true;
     m_store.set_faults(faults);
     turn_until([this] { return recorded("running"); });
     settle(milliseconds{100});
     m_store.set_faults({});
-    send_while([this] { return !recorded("completed"); });
+    send_while([this] { return !recorded("completed"); },
+               deadline - io::event_loop::now());
 }
 
 // Nothing is recorded or restricted for a service without an order.
