Report the fault that ends an entry

An entry that ended by a fault left only its status, and the line of an assertion if there was one.

SIGABRT, SIGSEGV, SIGBUS, SIGFPE and SIGILL now write a line with the signal and the fault address or the sender, and the frames of the stack, to standard error; then the default action follows. The handler allocates nothing, polls before each write, blocks SIGPIPE, and has a stack of its own. Signals that are not at their default, and a signal stack that exists, are left alone.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -22,7 +22,7 @@
 # The entry as a library, so that tests can use its parts.
 add_library(skylark_entry STATIC
     src/entry/settings.cpp src/entry/settings_check.cpp src/entry/journal.cpp src/entry/log_line.cpp src/entry/log_sink.cpp
-    src/entry/forwarder_log.cpp src/entry/metrics.cpp
+    src/entry/fault_report.cpp src/entry/forwarder_log.cpp src/entry/metrics.cpp
     src/entry/fleet.cpp src/entry/fleet_tokens.cpp
     src/entry/allowance_service.cpp
     src/entry/forwarder_allowance.cpp src/entry/upstream_table.cpp src/entry/router.cpp
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -32,7 +32,7 @@
     test/io/http_server_held_answers.cpp
     test/io/lingering_connections.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/entry/retired_service.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
-    test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp
+    test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp test/entry/fault_report.cpp
     test/team/directory.cpp test/config/teams.cpp test/io/sha256.cpp
     test/platform/teams.cpp test/platform/team_keys.cpp
     test/platform/hidden_keys.cpp test/entry/team_keys.cpp
@@ -111,6 +111,8 @@
                  --stalled-s 3 --long-work --service-us 4000000)
 # SIGTERM and SIGHUP arrive while the process reads its settings.
 add_process_test(signal_in_start test/process/signal_in_start.py)
+# A fault leaves its last line, and the status of its signal.
+add_process_test(fault_report test/process/fault_report.py)
 # Callers end their input just before the entries handle SIGTERM.
 add_process_test(half_closed_at_stop test/process/half_closed_at_stop.py)
 # The same after a new start, while the stop still counts.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -13,6 +13,7 @@
 
 #include <skylark/config/config.hpp>
 
+#include "entry/fault_report.hpp"
 #include "entry/node.hpp"
 #include "entry/settings.hpp"
 #include "entry/stop_signal.hpp"
@@ -91,6 +92,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    skylark::entry::report_faults();
     handle_signals();
     CLI::App app{"Entry instance of skylarkspindle"};
     std::string path;
