Show memory, long iterations and endless answers in the metrics

Nothing told an entry that runs out of memory from one that stands still. New series: resident memory with its peak, and the machine's; the longest iteration of the event loop and how many worked for over 100 ms; bytes of answers that callers have not read; answers with no near end; answers that the entry broke off, by cause, which stood in `end` lines only.

/proc/self/status is read with the gauges, every 0.5 s. An iteration costs no reading of the clock more than before: its work is counted from when its wait had to end, so it may show up to 20 ms too little. Nothing runs per request or byte, but a counter for an answer that is broken off.

A trial that took h2o's time as the end of the wait is not used: h2o reads it again behind timers, and work of 150 ms showed as 0.4 ms.

--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -83,6 +83,8 @@
 
     /*! @brief Number of requests that have not ended, queued ones included. */
     [[nodiscard]] std::size_t active() const { return m_requests.size(); }
+    /*! @brief Answers in progress, as of the last sweep. */
+    [[nodiscard]] const answer_sums& answers() const { return m_answers; }
     /*! @brief Number of requests in the admission queues. */
     [[nodiscard]] std::size_t queued() const;
     /*! @brief Time since the last request that was admitted. */
@@ -289,6 +291,7 @@
     std::map<std::string, weighted_round_robin> m_splits;          // by rule
     ratio_budget m_hedge_budget;
     std::map<std::string, double> m_hedge_percent; // by service
+    answer_sums m_answers;
 };
 
 } // namespace skylark::entry
--- a/src/entry/forwarder_bounds.cpp
+++ b/src/entry/forwarder_bounds.cpp
@@ -10,6 +10,13 @@
 namespace {
 // How often an answer that outlasts its request's deadline is checked.
 constexpr auto answer_check_period = milliseconds{100};
+// Usual answers have fewer bytes to come.
+constexpr std::uint64_t unbounded_from = std::uint64_t{1} << 20U;
+
+bool unbounded(const request& req) {
+    return req.m_answering && !req.m_upstream_done &&
+           (!req.m_body_left || *req.m_body_left > unbounded_from);
+}
 } // namespace
 
 void forwarder::bound_answer(request_id key, request& req) {
@@ -45,6 +52,7 @@
     if (!req || !req->m_abort_cause.empty())
         return;
     req->m_abort_cause = why;
+    m_shared.m_metrics.broke_off(why);
     const actions list = req->m_machine.expired();
     if (!list.empty()) {
         apply(key, list);
@@ -67,16 +75,19 @@
 }
 
 void forwarder::limit_unread_answers() {
-    std::size_t sum = 0;
+    answer_sums found;
     std::vector<std::tuple<time_point, std::size_t, request_id>> waiting;
     for (const auto& [key, req] : m_requests) {
+        found.m_unbounded += unbounded(req) ? 1U : 0U;
         const std::size_t size =
             req.m_abort_cause.empty() ? unread_bytes(req) : 0;
         if (size == 0)
             continue;
-        sum += size;
+        found.m_unread_bytes += size;
         waiting.emplace_back(req.m_last_progress, size, key);
     }
+    m_answers = found;
+    std::size_t sum = found.m_unread_bytes;
     const std::size_t limit = m_shared.m_settings.m_answer_bytes;
     if (sum <= limit)
         return;
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -1,7 +1,9 @@
 // Counters and gauges of one entry, by prometheus-cpp.
 #include "entry/metrics.hpp"
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 #include <set>
 #include <vector>
 
@@ -26,8 +28,12 @@
 constexpr std::array outcomes{"answered", "not_run", "unknown", "broken",
                               "abandoned"};
 
+// The last one stands for all others.
+constexpr std::array<std::string_view, 4> break_off_causes{
+    "deadline", "stalled", "unread", "other"};
+
 // In the order of the enumerations.
-constexpr std::array<description, 23> counters{{
+constexpr std::array<description, 24> counters{{
     {"skylark_retries_total", "attempts after a failed one"},
     {"skylark_hedges_total", "second attempts beside a slow one"},
     {"skylark_hedges_won_total", "hedges that answered first"},
@@ -55,9 +61,11 @@
     {"skylark_unauthenticated_total",
      "requests refused without the key of a team"},
     {"skylark_allowance_messages_total", "messages sent about tokens"},
+    {"skylark_slow_iterations_total",
+     "iterations of the event loop that worked for over 100 ms"},
 }};
 
-constexpr std::array<description, 12> gauges{{
+constexpr std::array<description, 18> gauges{{
     {"skylark_requests", "requests at hand"},
     {"skylark_queued", "requests that wait for an upstream"},
     {"skylark_members", "entries in the view"},
@@ -71,6 +79,15 @@
     {"skylark_rollout_share", "percent of requests for a new version"},
     {"skylark_rollout_stage",
      "of roll-outs in progress: 1 ordered, 2 canary, 3 promoted; 0 none"},
+    {"skylark_resident_bytes", "resident memory of the process"},
+    {"skylark_resident_peak_bytes", "its largest value since the start"},
+    {"skylark_machine_memory_bytes", "memory of the machine; 0: not known"},
+    {"skylark_longest_iteration_ms",
+     "longest work of one iteration of the event loop in the last minute"},
+    {"skylark_unread_answer_bytes",
+     "bytes of answers that callers have not read"},
+    {"skylark_unbounded_answers",
+     "answers in progress without a length or with over 1 MB to come"},
 }};
 
 // Gauges, as a team that is not shown any more takes its series with it.
@@ -95,7 +112,8 @@
     std::vector<std::array<prometheus::Gauge*, 4>> m_teams;
     prometheus::Family<prometheus::Counter>* m_sent_to_other_zones{};
     prometheus::Family<prometheus::Gauge>* m_zone_shares{};
-    std::set<std::string> m_services; // with a label of their own
+    std::vector<prometheus::Counter*> m_broken_off; // by cause
+    std::set<std::string> m_services;               // with a label of their own
 };
 
 metrics::metrics() : m_store{std::make_unique<store>()} {
@@ -140,6 +158,13 @@
              .Name("skylark_zone_share")
              .Help("part of the requests that leaves the zone directly")
              .Register(registry);
+    auto& broken_off = prometheus::BuildCounter()
+                           .Name("skylark_broken_off_total")
+                           .Help("answers that this entry broke off")
+                           .Register(registry);
+    for (const std::string_view cause : break_off_causes)
+        m_store->m_broken_off.push_back(
+            &broken_off.Add({{"cause", std::string{cause}}}));
     for (const auto& item : counters)
         m_store->m_counters.push_back(&prometheus::BuildCounter()
                                            .Name(item.m_name)
@@ -205,6 +230,13 @@
     }
 }
 
+void metrics::broke_off(std::string_view cause) {
+    const auto* const found = std::find(
+        break_off_causes.begin(), std::prev(break_off_causes.end()), cause);
+    const auto place = std::distance(break_off_causes.begin(), found);
+    m_store->m_broken_off[static_cast<std::size_t>(place)]->Increment();
+}
+
 void metrics::count(counter which, std::uint64_t by) {
     m_store->m_counters[static_cast<std::size_t>(which)]->Increment(
         static_cast<double>(by));
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include <skylark/config/rule.hpp>
 #include <skylark/core/time.hpp>
@@ -45,7 +46,8 @@
     answered_instead,
     answers_skipped,
     unauthenticated,
-    allowance_messages
+    allowance_messages,
+    slow_iterations
 };
 
 /*! @brief Values that are set anew. */
@@ -61,7 +63,13 @@
     upstreams_warm,
     connections,
     rollout_share,
-    rollout_stage
+    rollout_stage,
+    resident_bytes,
+    resident_peak_bytes,
+    machine_memory_bytes,
+    longest_iteration_ms,
+    unread_answer_bytes,
+    unbounded_answers
 };
 
 /*! @brief What happened to the requests of a team that has a rate limit. */
@@ -101,6 +109,10 @@
     /*! @brief Part of a service's requests that leaves the zone directly. */
     void set_zone_share(const std::string& service, double share);
 
+    /*! @brief Counts an answer that this entry broke off.
+     *  @param cause deadline, stalled or unread; others count as "other" */
+    void broke_off(std::string_view cause);
+
     void count(counter which, std::uint64_t by = 1);
     void set(gauge which, std::int64_t value);
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -4,6 +4,7 @@
 #include <skylark/core/hash.hpp>
 
 #include "entry/entry_list.hpp"
+#include "entry/process_memory.hpp"
 
 namespace skylark::entry {
 
@@ -37,7 +38,8 @@
       m_configurator{m_shared, [this] { adopt(); }}, m_prober{m_shared,
                                                               m_forwarder},
       m_control{m_shared, m_forwarder, m_configurator}, m_lookup{m_shared},
-      m_rollout_coordinator{m_shared} {
+      m_rollout_coordinator{m_shared}, m_machine_memory{
+                                           read_machine_memory().value_or(0)} {
     m_callers.set_handlers(
         {[this](exchange_id key, const io::request_view& request) {
              serve_caller(key, request);
@@ -93,7 +95,10 @@
     if (m_shared.m_settings.m_deployment == deployment::native)
         m_prober.start();
     m_shared.m_loop.every(isolation_check, [this] { watch_isolation(); });
-    m_shared.m_loop.every(gauge_period, [this] { update_gauges(); });
+    m_shared.m_loop.every(gauge_period, [this] {
+        update_gauges();
+        observe_process();
+    });
     m_shared.m_journal.note(event_kind::started, m_shared.m_settings.m_name,
                             "callers on " +
                                 m_shared.m_settings.m_callers.text());
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -43,6 +43,10 @@
     void note_place(store::lease_event what);
     void watch_isolation();
     void update_gauges();
+    // Gauges that tell what the process does to its machine.
+    void observe_process();
+    void observe_memory();
+    void observe_work();
     void paused(duration gap);
     void finish_drain_when_idle();
     void finish_when_closed();
@@ -60,6 +64,8 @@
     std::optional<store::lease_holder> m_place; //!< in the store's list
     listing_policy m_listing_policy;
     hold_up_record m_hold_ups;
+    hold_up_record m_slow_iterations;
+    std::uint64_t m_machine_memory; //!< bytes; 0: not known
     time_point m_last_in_progress{}; //!< during the end of the shutdown
     //! Since when the loop turns only to read what is there.
     std::optional<time_point> m_last_turns;
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -51,6 +51,12 @@
     spent    //!< the request was sent
 };
 
+/*! @brief What the answers in progress are kept or awaited for. */
+struct answer_sums {
+    std::size_t m_unread_bytes{}; //!< that callers have not read
+    std::size_t m_unbounded{};    //!< answers with no near end, see metrics
+};
+
 /*! @brief One request of a caller. */
 struct request {
     exchange_id m_exchange; //!< invalid after the caller disconnected
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -106,11 +106,14 @@
 
 void event_loop::run_once(duration longest_wait) {
     arm_timer_fd();
+    const time_point began = now();
     // h2o does not wait if the phase is scheduled.
-    if (overdue())
+    const duration next_timer = until_next_timer(began);
+    if (next_timer == duration{0})
         m_phase->schedule();
     h2o_evloop_run(m_native, static_cast<std::int32_t>(to_ms(longest_wait)));
     const time_point present = now();
+    add_work(present - began - std::min(longest_wait, next_timer));
     if (!std::exchange(m_phase_ran, false)) {
         if (m_pause_handler && present - m_last_pause_check > m_pause_limit) {
             m_phase->schedule();
@@ -122,8 +125,16 @@
     m_iteration_pause = duration{0};
 }
 
-bool event_loop::overdue() const {
-    return !m_timers.empty() && m_timers.begin()->first.m_due <= now();
+// Zero if a timer is due, and the longest time if there is none.
+duration event_loop::until_next_timer(time_point present) const {
+    if (m_timers.empty())
+        return duration::max();
+    return std::max(duration{0}, m_timers.begin()->first.m_due - present);
+}
+
+void event_loop::add_work(duration work) {
+    m_work.m_longest = std::max(m_work.m_longest, work);
+    m_work.m_slow += work > slow_iteration ? 1U : 0U;
 }
 
 void event_loop::run_timer_phase() {
--- a/src/io/event_loop.hpp
+++ b/src/io/event_loop.hpp
@@ -3,9 +3,11 @@
 #ifndef SKYLARK_IO_EVENT_LOOP_HPP
 #define SKYLARK_IO_EVENT_LOOP_HPP
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 
 #include <skylark/core/id.hpp>
 #include <skylark/core/time.hpp>
@@ -14,6 +16,14 @@
 
 namespace skylark::io {
 
+/*! @brief Time that iterations of the loop worked, counted from the latest end
+ *  of the wait for an event: a wait that ended early makes it too short by what
+ *  was left until the next timer. */
+struct loop_work {
+    duration m_longest{};   //!< of one iteration
+    std::uint64_t m_slow{}; //!< iterations beyond event_loop::slow_iteration
+};
+
 /*! @brief Wraps h2o's event loop and adds timers with microsecond due times.
  *
  *  An iteration waits for events, runs the callbacks of sockets, then those of
@@ -28,6 +38,9 @@
     using task = std::function<void()>;
     using pause_handler = std::function<void(duration)>;
 
+    //! Work beyond which others are harmed: half of a heartbeat's period.
+    static constexpr duration slow_iteration = milliseconds{100};
+
     event_loop();
     ~event_loop();
     event_loop(const event_loop&) = delete;
@@ -76,6 +89,9 @@
      *  to milliseconds */
     void run_once(duration longest_wait);
 
+    /*! @brief Work of the iterations since the last call. */
+    loop_work take_work() { return std::exchange(m_work, {}); }
+
     /*! @brief Makes run() return after the current iteration. */
     void stop() { m_stopped = true; }
 
@@ -93,7 +109,8 @@
     // h2o's timeout in which due timers run.
     struct timer_phase;
 
-    [[nodiscard]] bool overdue() const;
+    [[nodiscard]] duration until_next_timer(time_point present) const;
+    void add_work(duration work);
     void run_timer_phase();
     void run_due_timers();
     void arm_timer_fd();
@@ -112,6 +129,7 @@
     pause_handler m_pause_handler;
     duration m_iteration_pause{}; // pause that ended in this iteration
     bool m_phase_ran{};           // in this iteration
+    loop_work m_work;
     bool m_stopped{};
 };
 
--- a/test/io/event_loop.cpp
+++ b/test/io/event_loop.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 #include <gtest/gtest.h>
@@ -111,3 +112,22 @@
     EXPECT_EQ(m_written, 1);
     EXPECT_LT(io::event_loop::now() - began, milliseconds{500});
 }
+
+// A process that stands still could not be told from one that waits.
+TEST_F(event_loop_test, work_is_measured_without_the_wait_for_an_event) {
+    m_loop.after(milliseconds{600},
+                 [] { std::this_thread::sleep_for(milliseconds{150}); });
+    const time_point began = io::event_loop::now();
+    while (io::event_loop::now() - began < milliseconds{700})
+        m_loop.run_once(seconds{1});
+    const io::loop_work work = m_loop.take_work();
+    EXPECT_GE(work.m_longest, milliseconds{140});
+    EXPECT_LT(work.m_longest, milliseconds{600});
+    EXPECT_GE(work.m_slow, 1U);
+    EXPECT_EQ(m_loop.take_work().m_slow, 0U);
+}
+
+TEST_F(event_loop_test, a_wait_is_no_work) {
+    m_loop.run_once(milliseconds{600});
+    EXPECT_LT(m_loop.take_work().m_longest, milliseconds{400});
+}
--- a/test/platform/endless_answers.cpp
+++ b/test/platform/endless_answers.cpp
@@ -133,6 +133,22 @@
     turn_until([this] { return m_upstream.m_ended == 1; });
 }
 
+// Its cause stood in log lines only, and nothing told how many there were.
+TEST_F(endless_answer, and_why_it_is_cut_show_in_the_metrics) {
+    start_with_streaming_upstream();
+    const auto shows = [this](const std::string& series) {
+        const auto got = get(m_settings.m_control, "/metrics");
+        const std::string& page = std::get<io::fetch_answer>(got).m_body;
+        return page.find("\nskylark_" + series + "\n") != std::string::npos;
+    };
+    test::raw_caller caller{m_settings.m_callers};
+    caller.write(head("GET", "5000"));
+    turn_until([&] { return shows("unbounded_answers 1"); });
+    EXPECT_LT(read_until_end(caller), latest_end);
+    EXPECT_TRUE(shows("broken_off_total{cause=\"deadline\"} 1"));
+    turn_until([&] { return shows("unbounded_answers 0"); });
+}
+
 TEST_F(endless_answer, is_cut_although_a_length_without_measure_is_declared) {
     m_upstream.m_length = std::uint64_t{1} << 40U;
     start_with_streaming_upstream();
