Log when memory passes levels and when iterations are slow

Metrics are lost with a process that ends between two scrapes. A `memory` line now tells when resident memory passes half and three quarters of the machine's memory, once for each crossing, with what the entry held; a `slow-iteration` line tells that the loop worked for over 100 ms, half of a heartbeat's period, at most every 0.5 s. Settings don't name the machine's memory, so it is MemTotal of /proc/meminfo, which the users' platform sets to the machine's.

Levels are tested as a decision (test/limit/memory_level.cpp); no process was grown up to them.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -33,7 +33,7 @@
     test/io/lingering_connections.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/entry/retired_service.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
     test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp test/entry/fault_report.cpp
-    test/entry/metrics.cpp test/entry/process_memory.cpp
+    test/entry/metrics.cpp test/entry/process_memory.cpp test/limit/memory_level.cpp
     test/team/directory.cpp test/config/teams.cpp test/io/sha256.cpp
     test/platform/teams.cpp test/platform/team_keys.cpp
     test/platform/hidden_keys.cpp test/entry/team_keys.cpp
--- a/include/skylark/limit/fwd.hpp
+++ b/include/skylark/limit/fwd.hpp
@@ -1,6 +1,7 @@
 /*! @file
  *  Declarations of the limit module: token bucket, ratio budget, drain
- *  schedule, hold-up record, signal span, arrival span and answer bound. */
+ *  schedule, hold-up record, signal span, arrival span, answer bound and memory
+ *  level. */
 #ifndef SKYLARK_LIMIT_FWD_HPP
 #define SKYLARK_LIMIT_FWD_HPP
 
@@ -13,6 +14,7 @@
 struct signal_span;
 struct arrival_span;
 class answer_bound;
+class memory_level;
 
 } // namespace skylark
 
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -3,6 +3,7 @@
 #define SKYLARK_ENTRY_NODE_HPP
 
 #include <skylark/limit/hold_up_record.hpp>
+#include <skylark/limit/memory_level.hpp>
 #include <skylark/member/listing_policy.hpp>
 
 #include "entry/configurator.hpp"
@@ -43,7 +44,7 @@
     void note_place(store::lease_event what);
     void watch_isolation();
     void update_gauges();
-    // Gauges that tell what the process does to its machine.
+    // Gauges and lines that tell what the process does to its machine.
     void observe_process();
     void observe_memory();
     void observe_work();
@@ -66,6 +67,7 @@
     hold_up_record m_hold_ups;
     hold_up_record m_slow_iterations;
     std::uint64_t m_machine_memory; //!< bytes; 0: not known
+    memory_level m_memory_level{m_machine_memory};
     time_point m_last_in_progress{}; //!< during the end of the shutdown
     //! Since when the loop turns only to read what is there.
     std::optional<time_point> m_last_turns;
--- a/src/entry/node_process.cpp
+++ b/src/entry/node_process.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::uint64_t bytes_in_mb = std::uint64_t{1} << 20U;
+
 std::int64_t to_signed(std::uint64_t value) {
     return static_cast<std::int64_t>(value);
 }
@@ -29,6 +31,19 @@
         return;
     out.set(gauge::resident_bytes, to_signed(use->m_resident));
     out.set(gauge::resident_peak_bytes, to_signed(use->m_peak));
+    const auto passed = m_memory_level.step(use->m_resident);
+    if (!passed)
+        return;
+    const answer_sums& answers = m_forwarder.answers();
+    log_line line{"memory"};
+    line.add("passed_percent", *passed)
+        .add("resident_mb", use->m_resident / bytes_in_mb)
+        .add("peak_mb", use->m_peak / bytes_in_mb)
+        .add("machine_mb", m_machine_memory / bytes_in_mb)
+        .add("requests", m_forwarder.active())
+        .add("unread_bytes", answers.m_unread_bytes)
+        .add("unbounded_answers", answers.m_unbounded);
+    m_shared.m_journal.decided(line, io::event_loop::now(), line_kind::change);
 }
 
 void node::observe_work() {
@@ -37,7 +52,15 @@
     m_slow_iterations.add(now, work.m_longest);
     metrics& out = m_shared.m_metrics;
     out.set(gauge::longest_iteration_ms, to_ms(m_slow_iterations.longest(now)));
+    if (work.m_slow == 0)
+        return;
     out.count(counter::slow_iterations, work.m_slow);
+    log_line line{"slow-iteration"};
+    line.add("count", work.m_slow)
+        .add_ms("longest_ms", work.m_longest)
+        .add("requests", m_forwarder.active())
+        .add("unbounded_answers", m_forwarder.answers().m_unbounded);
+    m_shared.m_journal.decided(line, now, line_kind::change);
 }
 
 } // namespace skylark::entry
