--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -22,7 +22,7 @@
 # The entry as a library, so that tests can use its parts.
 add_library(skylark_entry STATIC
     src/entry/settings.cpp src/entry/settings_check.cpp src/entry/journal.cpp src/entry/log_line.cpp src/entry/log_sink.cpp
-    src/entry/forwarder_log.cpp src/entry/metrics.cpp
+    src/entry/fault_report.cpp src/entry/forwarder_log.cpp src/entry/metrics.cpp
     src/entry/fleet.cpp src/entry/fleet_tokens.cpp
     src/entry/allowance_service.cpp
     src/entry/forwarder_allowance.cpp src/entry/upstream_table.cpp src/entry/router.cpp
@@ -45,7 +45,8 @@
     src/entry/packed_document.cpp
     src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
     src/entry/changer.cpp src/entry/inspector.cpp src/entry/inspector_explain.cpp src/entry/node.cpp
-    src/entry/node_drain.cpp)
+    src/entry/node_drain.cpp src/entry/node_process.cpp
+    src/entry/process_memory.cpp)
 target_link_libraries(skylark_entry PUBLIC
     skylark_store skylark_peer log4cplus prometheus-cpp-core
     Threads::Threads)
