Let the receiver of an exchange have its descriptor

The stand-in for a faulty server must write what is no valid HTTP, which the server itself cannot. A duplicate of the descriptor lets it do so on kept connections, without a second HTTP server in the stand-in.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <fcntl.h>
 #include <poll.h>
 #include <utility>
 
@@ -181,6 +182,13 @@
     return {entity.base, entity.len};
 }
 
+int http_server::duplicate_descriptor(exchange_id key) const {
+    const exchange* found = m_native->m_exchanges.find(key);
+    return found && found->m_request
+               ? fcntl(found->m_socket, F_DUPFD_CLOEXEC, 0)
+               : -1;
+}
+
 std::optional<duration> http_server::since_input(exchange_id key) const {
     const exchange* found = m_native->m_exchanges.find(key);
     return found ? internal::since_last_input(found->m_socket) : std::nullopt;
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -159,6 +159,13 @@
      *  @return the bytes, empty for a finished exchange */
     [[nodiscard]] std::string_view body(exchange_id key) const;
 
+    /*! @brief Duplicates the descriptor of an exchange's connection, for bytes
+     *  that are no valid answer. Nothing else may be sent in the exchange, and
+     *  the duplicate is the receiver's to close.
+     *  @return -1 for a finished exchange, one that was begun early, or without
+     *  a descriptor left */
+    [[nodiscard]] int duplicate_descriptor(exchange_id key) const;
+
     /*! @brief Time since the kernel received the last bytes of an exchange's
      *  request, or of what is behind it.
      *  @return none for a finished exchange, or if the kernel does not tell */
