Play answers without an end in the soak

The judge excuses exactly the requests that their server says it answered so, as one that broke off. EXIT names the last line of the log. Callers bound what they hold of an answer and parse chunks once.

--- a/cmake/standin.cmake
+++ b/cmake/standin.cmake
@@ -10,8 +10,9 @@
 add_executable(standin-store standin/kv_store.cpp standin/kv_restore.cpp
                standin/store_operator.cpp standin/store_main.cpp)
 target_link_libraries(standin-store PRIVATE skylark_store)
-add_executable(standin-server standin/server.cpp standin/registration.cpp
-               standin/server_main.cpp)
+add_executable(standin-server standin/server.cpp standin/server_answer.cpp
+               standin/endless_form.cpp standin/endless_writer.cpp
+               standin/registration.cpp standin/server_main.cpp)
 foreach(name standin-platform standin-upstream standin-load standin-wire
         standin-overload standin-store standin-server)
     target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -62,7 +62,8 @@
     test/rollout/fleet.cpp test/platform/rollout_records.cpp
     test/store/rollout_writer.cpp test/platform/rollouts.cpp test/entry/rollouts.cpp
     test/member/first_member.cpp
-    test/standin/overload.cpp test/standin/kv_store.cpp
+    test/standin/overload.cpp test/standin/kv_store.cpp test/standin/endless_writer.cpp
+    standin/endless_form.cpp standin/endless_writer.cpp
     standin/kv_store.cpp standin/kv_restore.cpp standin/platform.cpp
     standin/overload_model.cpp standin/service_model.cpp
     standin/entry_model.cpp)
@@ -144,5 +145,10 @@
 add_process_test(soak_restored scripts/soak.py
                  --seed 2 --runs 2 --seconds 18 --entries 4 --servers 9
                  --callers 30 --pace 0.3 --restores 1)
-set_tests_properties(soak_judge soak_short soak_restored PROPERTIES LABELS soak)
-set_tests_properties(soak_short soak_restored PROPERTIES TIMEOUT 400)
+# Servers answer without an end around planned stops.
+add_process_test(soak_endless scripts/soak.py
+                 --seed 55001 --runs 2 --seconds 12 --entries 3 --servers 9
+                 --callers 24 --endless 3)
+set_tests_properties(soak_judge soak_short soak_restored soak_endless PROPERTIES
+                     LABELS soak)
+set_tests_properties(soak_short soak_restored soak_endless PROPERTIES TIMEOUT 400)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -15,9 +15,11 @@
 import time
 
 from soaklib.bounds import Bounds
+from soaklib.endless import endless_scenes
 from soaklib.evidence import Evidence
 from soaklib.fleet import ROOT, ZONES, Fleet
 from soaklib.judge import judge, report, summary
+from soaklib.memory import MemoryWatch
 from soaklib.player import Player
 from soaklib.records import read_calls, read_ledgers
 from soaklib.schedule import Schedule
@@ -82,24 +84,28 @@
     return workers
 
 
+def scenes_of(args, fleet, shape):
+    schedule = Schedule(args.seed, args.seconds, fleet.entries, args.servers,
+                        args.pace, args.restores)
+    if not shape:
+        return schedule.scenes()
+    if args.all_scenes:
+        return shape.possible(schedule.scenes())
+    return shape.scenes(fleet.entries, args.seconds, args.retire)
+
+
 def play(args, out, bounds):
     """One run; returns evidence, its begin, and failures of the soak."""
     shape = SHAPES.get(args.shape)
     if shape:
         args.entries, args.servers = shape.entries, shape.places
-    with Fleet(args, out, bounds, shape) as fleet:
+    with Fleet(args, out, bounds, shape) as fleet, MemoryWatch(fleet) as watch:
         workers = start_workers(args, fleet)
         began = time.monotonic()
         player = Player(fleet, bounds)
-        schedule = Schedule(args.seed, args.seconds, fleet.entries,
-                            args.servers, args.pace, args.restores)
-        if not shape:
-            player.play(schedule.scenes())
-        elif args.all_scenes:
-            player.play(shape.possible(schedule.scenes()))
-        else:
-            player.play(shape.scenes(fleet.entries, args.seconds,
-                                     args.retire))
+        scenes = scenes_of(args, fleet, shape)
+        player.play(scenes + endless_scenes(
+            args.seed, args.endless, scenes, fleet.places, fleet.service_of))
         player.calm()
         time.sleep(args.calm)
         for worker in workers:
@@ -108,8 +114,8 @@
             worker.wait(timeout=60)
         for entry in fleet.entries:
             if not fleet.running(entry):
-                fleet.note("exit", entry,
-                           code=fleet.processes[entry].returncode)
+                fleet.note_exit(entry)
+        watch.finish()
         calls = read_calls(sorted(out.glob("callers-*.jsonl")))
         events = list(fleet.events)
         failures = player.failures + [
@@ -165,6 +171,10 @@
                         help="scenes a second")
     parser.add_argument("--restores", type=int, default=0,
                         help="returns of the store from a copy")
+    parser.add_argument("--endless", type=int, default=0,
+                        help="scenes in which servers answer without an end")
+    parser.add_argument("--memory-mb", type=float, default=Bounds.memory_mb,
+                        help="bound on the resident memory of an entry")
     parser.add_argument("--half-closed", type=int, default=0,
                         help="callers of each entry that shut their sending "
                         "side behind a GET")
@@ -193,7 +203,7 @@
     worst = 0
     for seed in range(args.seed, args.seed + args.runs):
         args.seed = seed
-        worst = max(worst, run_once(args, Bounds()))
+        worst = max(worst, run_once(args, Bounds(memory_mb=args.memory_mb)))
     return worst
 
 
--- a/scripts/soaklib/bounds.py
+++ b/scripts/soaklib/bounds.py
@@ -20,6 +20,7 @@
     held_share: float = 0.25
     cuts_at_any_time: int = 3   # of each entry, on kept connections
     served_share: float = 0.25  # in the calm phase
+    memory_mb: float = 160.0    # of an entry: the smallest machines of sites
 
     @property
     def last_sixth(self):
--- a/scripts/soaklib/evidence.py
+++ b/scripts/soaklib/evidence.py
@@ -50,11 +50,16 @@
         return [line for line in self.lines_of[name]
                 if line.word == "arrived" and not self.misdirected(line)]
 
+    def endless(self, call):
+        """Whether a server says that it answered a request without an end."""
+        return any(line.word == "endless" and line.at <= call.end
+                   for line in self.lines_of[call.id])
+
     def work_end(self, run):
         """When a server's work on a request was over; None: never."""
         for line in self.lines_of[run.id]:
             if line.instance == run.instance and line.at >= run.at and \
-                    line.word in ("answered", "dropped"):
+                    line.word in ("answered", "dropped", "endless"):
                 return line
         return None
 
--- a/scripts/soaklib/exchange.py
+++ b/scripts/soaklib/exchange.py
@@ -32,6 +32,7 @@
         self.name = name
         self.connection = None
         self.count = 0
+        self.unread = set()  # tasks that keep connections they don't read
 
     async def perform(self, entry, form):
         """One request with its repeats, each on a new connection."""
@@ -99,7 +100,7 @@
         if before and (before.closing or before.how == "behind_close"):
             # That answer has ended the connection for all behind it.
             note_end(call, "behind_close", max(before.end, call.sent))
-        elif before and before.how == "gave_up":
+        elif before and before.how in ("gave_up", "oversized"):
             note_end(call, "gave_up", 0.0)
         else:
             await self.receive(form, call, call.begin)
@@ -112,8 +113,8 @@
             return None
         try:
             connection.write(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
-            return await connection.answer(time.monotonic() + 1.0)
-        except (wire.Ended, wire.Garbage, TimeoutError):
+            return await connection.answer(time.monotonic() + 1.0, 0)
+        except (wire.Ended, wire.Garbage, wire.Oversized, TimeoutError):
             return None
         finally:
             connection.close()
@@ -198,7 +199,7 @@
         limit = begin + form.upload_time + form.read_time + call.deadline + \
             PATIENCE
         try:
-            answer = await connection.answer(limit)
+            answer = await connection.answer(limit, form.size)
         except wire.Ended as ended:
             note_end(call, str(ended), connection.ended_at)
         except wire.Garbage as garbage:
@@ -206,6 +207,9 @@
             call.wrong = str(garbage)
         except TimeoutError:
             note_end(call, "gave_up", 0.0)
+        except wire.Oversized:
+            call.oversized = True
+            await self.take_oversized(call, limit)
         else:
             note_answer(form, call, answer)
             try:
@@ -213,3 +217,22 @@
             except ValueError:
                 return 0.05
         return 0.05
+
+    async def take_oversized(self, call, limit):
+        """Goes on with an answer that has no end in one of three ways: reads
+        on, stops reading, or closes."""
+        connection = self.connection
+        way = self.count % 3
+        if way == 0:
+            try:
+                await connection.discard(limit)
+                note_end(call, "cut", connection.ended_at)
+            except TimeoutError:
+                note_end(call, "gave_up", 0.0)
+            return
+        note_end(call, "oversized", 0.0)
+        if way == 1:
+            self.connection = None
+            task = asyncio.create_task(connection.stop_reading(limit))
+            self.unread.add(task)
+            task.add_done_callback(self.unread.discard)
--- a/scripts/soaklib/fleet.py
+++ b/scripts/soaklib/fleet.py
@@ -223,6 +223,17 @@
             self.note(signal.Signals(number).name, name)
             self.processes[name].send_signal(number)
 
+    def note_exit(self, entry):
+        """Notes the end of an entry, with the last line of its log if it
+        failed."""
+        code = self.processes[entry].returncode
+        fields = {"code": code}
+        if code:
+            log = self.out / f"{entry}.log"
+            lines = log.read_text("utf-8", "replace").splitlines()
+            fields["last"] = lines[-1] if lines else ""
+        self.note("exit", entry, **fields)
+
     def handles(self, name, number):
         """Whether a process has a handler for a signal."""
         try:
--- a/scripts/soaklib/judge_requests.py
+++ b/scripts/soaklib/judge_requests.py
@@ -35,6 +35,8 @@
 def mixed(evidence):
     for call in evidence.calls:
         text = call.wrong
+        if call.oversized and not evidence.endless(call):
+            text = "more bytes than the server's answer has"
         if not text and call.stamp and call.how == "whole":
             given = server_answer(evidence, call)
             if given != call.status:
--- a/scripts/soaklib/judge_stops.py
+++ b/scripts/soaklib/judge_stops.py
@@ -30,7 +30,8 @@
 
 
 def server_broke(evidence, arrival, end):
-    broke = any(line.word == "broke" and line.instance == arrival.instance and
+    broke = any(line.word in ("broke", "endless") and
+                line.instance == arrival.instance and
                 arrival.at <= line.at <= end
                 for line in evidence.lines_of[arrival.id])
     return broke or bool(evidence.between(arrival.instance, {"server-end"},
@@ -211,7 +212,19 @@
             text = f"ended with code {code} after SIGTERM"
         else:
             continue
+        if event.fields.get("last"):
+            text += f", last line: {event.fields['last']}"
         yield Finding("EXIT", event.at, text, event.subject)
 
 
-RULES = [lost_in_stops, lost_by_configuration, lost_at_any_time, ends]
+def memory(evidence):
+    """Processes of entries that grew beyond the smallest machines."""
+    for event in evidence.events:
+        if event.word == "memory" and \
+                event.fields["mb"] > evidence.bounds.memory_mb:
+            yield Finding("MEMORY", event.at, f"{event.fields['mb']:.0f} MB "
+                          "resident at most, bound "
+                          f"{evidence.bounds.memory_mb:g}", event.subject)
+
+
+RULES = [lost_in_stops, lost_by_configuration, lost_at_any_time, ends, memory]
--- a/scripts/soaklib/player.py
+++ b/scripts/soaklib/player.py
@@ -80,7 +80,7 @@
         if process.poll() is None:
             self.fleet.signal(entry, signal.SIGKILL)
         process.wait()
-        self.fleet.note("exit", entry, code=process.returncode)
+        self.fleet.note_exit(entry)
 
     def stop_all(self, scene, during=()):
         with self.fleet.held(scene.entries):
@@ -166,7 +166,7 @@
             process = self.fleet.processes[entry]
             self.fleet.signal(entry, signal.SIGKILL)
             process.wait()
-            self.fleet.note("exit", entry, code=process.returncode)
+            self.fleet.note_exit(entry)
             time.sleep(0.3)
             self.fleet.start_entry(entry)
 
--- a/scripts/soaklib/player_servers.py
+++ b/scripts/soaklib/player_servers.py
@@ -72,6 +72,20 @@
         self.fleet.note("server-breaks", self.fleet.instances[place])
         self.fleet.admin(place, f"break?count={1 + int(20 * scene.amount)}")
 
+    def endless(self, scene):
+        """A part of the answers of one or two servers has no end."""
+        seconds = 1.5 + 4.5 * scene.amount
+        percent = 20 + int(60 * (scene.amount * 7 % 1.0))
+        checks = int(scene.amount * 13 % 1.0 < 0.5)
+        for place in scene.places:
+            self.fleet.note("server-endless", self.fleet.instances[place],
+                            percent=percent, checks=checks)
+            self.fleet.admin(
+                place, f"endless?percent={percent}&checks={checks}")
+        time.sleep(seconds)
+        for place in scene.places:
+            self.fleet.admin(place, "endless?percent=0")
+
     def server_freeze(self, scene):
         instance = self.fleet.instances[scene.places[0]]
         self.fleet.signal(instance, signal.SIGSTOP)
--- a/scripts/soaklib/records.py
+++ b/scripts/soaklib/records.py
@@ -24,13 +24,15 @@
     end: float = 0.0
     status: int = 0            # 0: no whole answer
     # whole, closed, reset, cut (an answer had begun), garbage, gave_up,
-    # behind_close (pipelined after an answer that closes the connection)
+    # behind_close (pipelined after an answer that closes the connection),
+    # oversized (left because the answer was)
     how: str = ""
     stamp: str = ""
     closing: bool = False      # the answer says Connection: close
     wrong: str = ""            # what is wrong with the answer
     lag: float = 0.0           # longest delay of the caller's own loop
     body: int = 0              # bytes of the request's body
+    oversized: bool = False    # more bytes came than a proper answer has
 
     @property
     def served(self):
--- a/scripts/soaklib/wire.py
+++ b/scripts/soaklib/wire.py
@@ -6,7 +6,8 @@
 import time
 
 SLOW_BUFFER = 32_768  # bytes that a slow reader's kernel holds
-
+# Bytes of an answer beyond twice its body: no more comes of a proper one.
+FRAMING = 65_536
 
 
 class Garbage(Exception):
@@ -17,6 +18,10 @@
     """The connection ended; the text says how."""
 
 
+class Oversized(Exception):
+    """More bytes than a proper answer has."""
+
+
 @dataclasses.dataclass
 class Answer:
     status: int
@@ -41,10 +46,20 @@
     return int(words[1]), fields
 
 
-def take_chunks(buffer, start):
+@dataclasses.dataclass
+class Chunks:
+    """What was taken of a chunked body that is not whole yet."""
+
+    start: int = 0     # of the next chunk in the buffer; 0: none was taken
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+def take_chunks(buffer, start, taken):
     """Body and end of a chunked body; None while it is not whole."""
-    body = bytearray()
+    start = taken.start or start
+    body = taken.body
     while True:
+        taken.start = start
         line_end = buffer.find(b"\r\n", start)
         if line_end < 0:
             return None
@@ -61,9 +76,9 @@
         start += size + 2
 
 
-def take_answer(buffer):
+def take_answer(buffer, chunks=None):
     """Removes the first whole answer from a buffer; None while it is not
-    whole."""
+    whole. Chunks that were taken for it before are not read again."""
     head_end = buffer.find(b"\r\n\r\n")
     if head_end < 0:
         if len(buffer) >= 5 and not buffer.startswith(b"HTTP/"):
@@ -72,7 +87,7 @@
     status, fields = parse_head(bytes(buffer[:head_end]))
     start = head_end + 4
     if fields.get("transfer-encoding", "").lower() == "chunked":
-        taken = take_chunks(buffer, start)
+        taken = take_chunks(buffer, start, chunks or Chunks())
         if taken is None:
             return None
         body, end = taken
@@ -103,6 +118,8 @@
         self.ended_at = 0.0
         self.changed = asyncio.Event()
         self.pace = 0.0     # bytes a second that it takes in; 0: all at once
+        self.discards = False  # what arrives from now on
+        self.stopped = False   # reads nothing any more
 
     def connection_made(self, transport):
         self.transport = transport
@@ -116,6 +133,8 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER)
 
     def data_received(self, data):
+        if self.discards:
+            return
         self.buffer += data
         self.changed.set()
         if self.pace:
@@ -124,7 +143,7 @@
                                                   self.read_on)
 
     def read_on(self):
-        if not self.ended:
+        if not self.ended and not self.stopped:
             self.transport.resume_reading()
 
     def eof_received(self):
@@ -151,20 +170,43 @@
         if self.ended:
             raise Ended(self.ended)
 
-    async def answer(self, limit):
-        """The next whole answer.
+    async def answer(self, limit, size):
+        """The next whole answer, to a request for a body of some size.
 
-        Raises Ended, Garbage, or TimeoutError at the limit (a time)."""
+        Raises Ended, Garbage, Oversized, or TimeoutError at the limit (a
+        time)."""
+        chunks = Chunks()
         while True:
             self.changed.clear()
-            answer = take_answer(self.buffer)
+            answer = take_answer(self.buffer, chunks)
             if answer:
                 return answer
             if self.ended:
                 raise Ended("cut" if self.buffer else self.ended)
+            if len(self.buffer) > FRAMING + 2 * size:
+                raise Oversized(f"{len(self.buffer)} bytes and no end of an "
+                                f"answer of {size}")
             await asyncio.wait_for(self.changed.wait(),
                                    limit - time.monotonic())
 
+    async def discard(self, limit):
+        """Reads on without keeping anything, until the end."""
+        self.discards = True
+        self.pace = 0.0
+        self.read_on()
+        while not self.ended:
+            self.changed.clear()
+            await asyncio.wait_for(self.changed.wait(),
+                                   limit - time.monotonic())
+
+    async def stop_reading(self, limit):
+        """Keeps the connection open and reads nothing, then closes it."""
+        self.stopped = True
+        if not self.ended:
+            self.transport.pause_reading()
+        await asyncio.sleep(max(0.0, limit - time.monotonic()))
+        self.close()
+
     def close(self):
         if self.transport:
             self.transport.abort()
--- a/standin/server.cpp
+++ b/standin/server.cpp
@@ -17,40 +17,13 @@
 constexpr auto abandon_check = milliseconds{10};
 constexpr std::size_t largest_body = std::size_t{8} << 20U;
 constexpr std::int64_t no_deadline_ms = 60'000;
-constexpr std::int64_t default_size = 512; // bytes of an answer
 constexpr int ms_in_s = 1000;
-constexpr double usual_slowness = 100; // in Server-Load
 
 std::int64_t read_number(std::string_view text, std::int64_t otherwise) {
     std::from_chars(text.data(), text.data() + text.size(), otherwise);
     return otherwise;
 }
 
-std::uint32_t adler32(std::string_view text) {
-    constexpr std::uint32_t modulus = 65521;
-    constexpr std::uint32_t half = 16;
-    std::uint32_t low = 1;
-    std::uint32_t high = 0;
-    for (const char byte : text) {
-        low = (low + static_cast<unsigned char>(byte)) % modulus;
-        high = (high + low) % modulus;
-    }
-    return (high << half) | low;
-}
-
-// Bytes that no other request and no other server gives.
-std::string unique_body(std::string_view id, std::string_view instance,
-                        std::size_t size) {
-    std::string line{id};
-    line.append(" ").append(instance).append("\n");
-    std::string out;
-    out.reserve(size + line.size());
-    while (out.size() < size)
-        out += line;
-    out.resize(size);
-    return out;
-}
-
 std::string seconds_text(duration time) {
     const std::int64_t ms = std::max<std::int64_t>(1, to_ms(time));
     std::string part = std::to_string(ms % ms_in_s);
@@ -62,7 +35,12 @@
 
 server::server(io::event_loop& loop, const server_shape& shape)
     : m_loop{loop}, m_server{loop, {largest_body, shape.m_idle}},
-      m_shape{shape}, m_random{shape.m_seed}, m_ledger{shape.m_ledger} {
+      m_shape{shape}, m_random{shape.m_seed}, m_endless{~shape.m_seed},
+      m_writer{loop, ~shape.m_seed,
+               [this](exchange_id key, std::uint64_t bytes) {
+                   end_endless(key, bytes);
+               }},
+      m_ledger{shape.m_ledger} {
     m_server.set_handlers(
         {[this](exchange_id key, const io::request_view& request) {
              serve(key, request);
@@ -86,26 +64,11 @@
     m_ledger.add("rests", "-", "ms=" + std::to_string(to_ms(time)));
 }
 
-std::string server::load() const {
-    return std::to_string(m_running) + ',' + std::to_string(m_queue.size()) +
-           ',' + std::to_string(m_shape.m_slots) + ',' +
-           std::to_string(std::lround(m_phase * usual_slowness));
-}
-
-std::vector<io::header> server::answer_headers(std::string_view id) const {
-    std::vector<io::header> out{{"Server-Load", load()}};
-    if (!id.empty())
-        out.push_back({"Request-Id", std::string{id}});
-    if (m_leaving)
-        out.push_back({"Server-Leaving", "1"});
-    return out;
-}
-
-std::string server::stamp(std::size_t size,
-                          std::string_view request_body) const {
-    return m_shape.m_instance + '.' + std::to_string(size) + '.' +
-           std::to_string(request_body.size()) + '.' +
-           std::to_string(adler32(request_body));
+void server::answer_without_end(std::int64_t percent, bool checks) {
+    m_endless.set(percent, checks);
+    m_ledger.add("faulty", "-",
+                 "percent=" + std::to_string(percent) +
+                     " checks=" + std::to_string(static_cast<int>(checks)));
 }
 
 void server::serve(exchange_id key, const io::request_view& request) {
@@ -122,6 +85,8 @@
 }
 
 void server::serve_health(exchange_id key) {
+    if (check_endlessly(key))
+        return;
     auto headers = answer_headers({});
     headers.push_back({"Instance-Id", m_shape.m_instance});
     m_server.answer(key, m_draining ? io::status::unavailable : io::status::ok,
@@ -215,46 +180,9 @@
                                 [this, key, status] { finish(key, status); });
 }
 
-void server::finish(exchange_id key, int status) {
-    const auto found = m_jobs.find(key);
-    if (found == m_jobs.end())
-        return;
-    job& item = found->second;
-    item.m_answered = true;
-    const query target{item.m_target};
-    const auto size =
-        status == io::status::ok
-            ? static_cast<std::size_t>(target.number("size", default_size))
-            : 0;
-    auto headers = answer_headers(item.m_id);
-    headers.push_back({"Response-Stamp", stamp(size, m_server.body(key))});
-    m_ledger.add("answered", item.m_id,
-                 "status=" + std::to_string(status) +
-                     (m_leaving ? " leaving=1" : ""));
-    std::optional<std::uint64_t> length{size};
-    if (target.has("chunked"))
-        length.reset();
-    const std::string body = unique_body(item.m_id, m_shape.m_instance, size);
-    item.m_broken = size > 1 && m_to_break > 0;
-    if (item.m_broken) {
-        --m_to_break;
-        m_ledger.add("broke", item.m_id);
-    }
-    const bool whole = !item.m_broken;
-    m_server.start(key, status, headers, length);
-    m_server.send(
-        key, std::string_view{body}.substr(0, whole ? size : size / 2), whole);
-}
-
-// Called when a part of an answer has been written.
-void server::break_off(exchange_id key) {
-    const auto found = m_jobs.find(key);
-    if (found != m_jobs.end() && found->second.m_broken)
-        m_server.abort(key);
-}
-
 // Called once the exchange is over, whoever ended it.
 void server::release(exchange_id key, bool complete) {
+    m_writer.drop(key);
     const auto found = m_jobs.find(key);
     if (found == m_jobs.end())
         return;
--- a/standin/server.hpp
+++ b/standin/server.hpp
@@ -16,6 +16,8 @@
 
 #include "io/event_loop.hpp"
 #include "io/http_server.hpp"
+#include "standin/endless_fault.hpp"
+#include "standin/endless_writer.hpp"
 #include "standin/ledger.hpp"
 #include "standin/query.hpp"
 #include "standin/service_times.hpp"
@@ -62,6 +64,11 @@
     /*! @brief Breaks off the next answers midway. */
     void break_answers(std::int64_t count) { m_to_break = count; }
 
+    /*! @brief Gives a part of the requests answers without an end.
+     *  @param percent share of those that run well, 0: off
+     *  @param checks whether status checks are among them */
+    void answer_without_end(std::int64_t percent, bool checks);
+
     /*! @brief Lets health answers fail, as a draining server does. */
     void set_draining() { m_draining = true; }
 
@@ -92,6 +99,13 @@
     void run(skylark::exchange_id key, job& item);
     void finish(skylark::exchange_id key, int status);
     void break_off(skylark::exchange_id key);
+    // False if the request is to be answered as usual.
+    bool answer_endlessly(skylark::exchange_id key, job& item);
+    bool check_endlessly(skylark::exchange_id key);
+    bool begin_endless(skylark::exchange_id key, std::string_view id,
+                       const endless_answer& answer,
+                       const std::string& stamped);
+    void end_endless(skylark::exchange_id key, std::uint64_t bytes);
     void refuse(skylark::exchange_id key, std::string_view id);
     void hang(skylark::exchange_id key, std::string_view id);
     void release(skylark::exchange_id key, bool complete);
@@ -106,6 +120,8 @@
     skylark::io::http_server m_server;
     server_shape m_shape;
     skylark::random_source m_random;
+    endless_fault m_endless;
+    endless_writer m_writer;
     ledger m_ledger;
     admin_handler m_admin;
     // Invariant: m_queue holds the keys of the jobs that do not run.
--- a/standin/server_main.cpp
+++ b/standin/server_main.cpp
@@ -69,7 +69,7 @@
 }
 
 // /standin/leave, /standin/rest?ms=N, /standin/break?count=N, /standin/drain,
-// /standin/withdraw
+// /standin/withdraw, /standin/endless?percent=N[&checks=1]
 void administer(standin::server& server,
                 std::optional<standin::registration>& record,
                 const standin::query& call,
@@ -89,6 +89,10 @@
     } else if (call.path() == "/standin/break") {
         server.break_answers(call.number("count", 0));
         done(skylark::io::status::ok);
+    } else if (call.path() == "/standin/endless") {
+        server.answer_without_end(call.number("percent", 0),
+                                  call.number("checks", 0) != 0);
+        done(skylark::io::status::ok);
     } else if (call.path() == "/standin/drain" && record) {
         server.set_draining();
         record->set_state("draining", note("draining"));
