Reset connections of answers without an end at a server's end

A reset shows that such an answer is not complete, so the check stays as it is and holds for these answers too.

--- a/standin/endless_writer.cpp
+++ b/standin/endless_writer.cpp
@@ -41,6 +41,9 @@
 
 void endless_writer::begin(exchange_id key, int descriptor, std::string head,
                            const endless_answer& answer) {
+    // A body without a length must not look complete if this process ends.
+    constexpr linger reset{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     head += answer.m_form->m_begin;
     m_streams.push_back(
         {key, descriptor, std::move(head), answer.m_form, answer.m_slow});
