--- a/scripts/soaklib/judge.py
+++ b/scripts/soaklib/judge.py
@@ -53,5 +53,9 @@
     kinds = collections.Counter(finding.rule for finding in findings)
     stops = len([e for e in evidence.events if e.word == "SIGTERM"])
     red = " ".join(f"{rule}={count}" for rule, count in sorted(kinds.items()))
-    return (f"{len(evidence.calls)} requests, {served} served, {stops} "
-            f"SIGTERM: {red or 'good'}")
+    endless = sum(1 for line in evidence.lines if line.word == "endless")
+    peak = max((e.fields["mb"] for e in evidence.events
+                if e.word == "memory"), default=0.0)
+    return (f"{len(evidence.calls)} requests, {served} served, {endless} "
+            f"without an end, {stops} SIGTERM, entries {peak:.0f} MB: "
+            f"{red or 'good'}")
