--- a/standin/endless_fault.hpp
+++ b/standin/endless_fault.hpp
@@ -1,32 +1,17 @@
-// Which requests of a server get an answer without an end, and which answer.
+// Which requests of a server get an answer without an end.
 #ifndef STANDIN_ENDLESS_FAULT_HPP
 #define STANDIN_ENDLESS_FAULT_HPP
 
 #include <cstdint>
 #include <optional>
-#include <string>
 
 #include <skylark/core/random.hpp>
 
 #include "io/http_status.hpp"
-#include "standin/endless_form.hpp"
+#include "standin/endless_answer.hpp"
 
 namespace standin {
 
-/*! @brief One answer without an end. */
-struct endless_answer {
-    const endless_form* m_form;
-    int m_status;
-    bool m_slow; //!< a few bytes at a time; else as fast as they are taken
-
-    /*! @brief Fields of its line in the ledger. */
-    [[nodiscard]] std::string text() const {
-        return "form=" + std::string{m_form->m_name} +
-               " status=" + std::to_string(m_status) +
-               " slow=" + std::to_string(static_cast<int>(m_slow));
-    }
-};
-
 /*! @brief A fault that is switched on and off. Its draws are a sequence of
  *  their own, so that the service times of a seed do not depend on it. */
 class endless_fault {
--- a/standin/endless_writer.hpp
+++ b/standin/endless_writer.hpp
@@ -12,7 +12,7 @@
 #include <skylark/core/random.hpp>
 
 #include "io/event_loop.hpp"
-#include "standin/endless_fault.hpp"
+#include "standin/endless_answer.hpp"
 
 namespace standin {
 
