Begin an answer with the first byte of its body, not with its head

Cause: the attempt machine took the head for the begin of the answer, so any later failure broke the answer off, although h2o writes the head with the first piece of the body and nothing of it had been sent.

Now the head is kept until there is something to pass on: the first bytes of the body, or its end. An attempt that fails before that is a lost one. An idempotent request is tried again within its attempts, the retry budget and its deadline; every other one gets 502, or 504 when its time has passed. Nothing of such an answer was sent, so no caller can see two. The lost attempt counts as possibly run, so no other request is sent twice, and no refusal says "not run".

Unchanged: the first head cancels the hedge, the bounds on answers count from the head, and bodies are passed on from their first byte on.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -12,7 +12,7 @@
     test/allowance/client.cpp test/allowance/fleet.cpp
     test/allowance/alternatives.cpp
     test/peer/allowance_codec.cpp test/platform/allowances.cpp
-    test/attempt/machine.cpp test/rule/classify.cpp
+    test/attempt/machine.cpp test/attempt/answer_heads.cpp test/attempt/answer_heads.cpp test/rule/classify.cpp
     test/load/availability.cpp test/load/availability_history.cpp
     test/load/report.cpp test/load/upstream_load.cpp
     test/load/service_time_estimator.cpp test/load/path_time.cpp
@@ -49,7 +49,7 @@
     test/platform/answer_lines.cpp test/platform/invalid_statuses.cpp test/platform/unproven_answers.cpp
     test/platform/stale_configuration.cpp test/platform/late_configuration.cpp
     test/platform/half_closed_callers.cpp test/platform/foreign_answers.cpp test/platform/silent_answers.cpp
-    test/platform/head_requests.cpp test/platform/failed_answers.cpp
+    test/platform/head_requests.cpp test/platform/failed_answers.cpp test/platform/malformed_bodies.cpp test/platform/late_bodies.cpp
     test/platform/hanging_upstreams.cpp test/platform/hanging_repeats.cpp
     test/platform/closed_idle_connections.cpp test/platform/pipelined_callers.cpp
     test/platform/leaving.cpp test/platform/restored.cpp
--- a/include/skylark/attempt/machine.hpp
+++ b/include/skylark/attempt/machine.hpp
@@ -32,9 +32,9 @@
 
     /*! @brief Whether a further attempt may begin now.
      *  @param now current time
-     *  @return false past the deadline, once an answer has begun, after the
-     *  largest number of attempts, or while a non-idempotent attempt is running
-     *  or may have run */
+     *  @return false past the deadline, while an attempt whose answer's head
+     *  was received is running, after the largest number of attempts, or while
+     *  a non-idempotent attempt is running or may have run */
     [[nodiscard]] bool may_start(time_point now) const;
 
     /*! @brief Records that an attempt has begun.
@@ -49,7 +49,15 @@
      *  attempt counts as sent */
     bool try_begin_send(attempt_id attempt, time_point now);
 
-    /*! @brief Handles the begin of an attempt's answer.
+    /*! @brief Handles the head of an attempt's answer. The caller gets this
+     *  answer if it begins, and no other attempt starts before this one ends.
+     *  @return cancel_attempt for each other running attempt; nothing for a
+     *  later head */
+    actions head_received(attempt_id attempt);
+
+    /*! @brief Handles that there is something of an attempt's answer to pass
+     *  on: the first bytes of its body, or its end. Until then the attempt is
+     *  lost if it fails, like one without an answer.
      *  @return begin_answer for the first answer and cancel_attempt for each
      *  other running attempt; nothing for a later answer */
     actions answer_begun(attempt_id attempt);
@@ -105,7 +113,10 @@
     attempt_terms m_terms;
     // Invariant: holds no attempt that has ended or was cancelled.
     std::vector<attempt_id> m_running;
-    attempt_id m_answering;
+    // Running attempt whose answer's head was received. Invariant: no other
+    // attempt is running beside it.
+    attempt_id m_selected;
+    attempt_id m_answering; // m_selected once its answer has begun
     std::uint32_t m_count{};
     // Invariant: true once an attempt ended without proof that it did not
     // run, or was cancelled after it was sent. Then no refusal says "not run".
--- a/src/attempt/machine.cpp
+++ b/src/attempt/machine.cpp
@@ -18,7 +18,7 @@
 }
 
 bool attempt_machine::may_start(time_point now) const {
-    if (m_done || m_answering || now >= m_terms.m_deadline)
+    if (m_done || m_selected || now >= m_terms.m_deadline)
         return false;
     if (m_count >= m_terms.m_max_attempts)
         return false;
@@ -33,7 +33,7 @@
 }
 
 bool attempt_machine::try_begin_send(attempt_id attempt, time_point now) {
-    if (m_done || m_answering || now >= m_terms.m_deadline)
+    if (m_done || m_selected || now >= m_terms.m_deadline)
         return false;
     if (!internal::contains(m_running, attempt))
         return false;
@@ -55,11 +55,18 @@
     return out;
 }
 
+actions attempt_machine::head_received(attempt_id attempt) {
+    if (m_done || m_selected || !internal::contains(m_running, attempt))
+        return {};
+    m_selected = attempt;
+    return cancel_running(attempt);
+}
+
 actions attempt_machine::answer_begun(attempt_id attempt) {
     if (m_done || m_answering || !internal::contains(m_running, attempt))
         return {};
+    actions out = head_received(attempt);
     m_answering = attempt;
-    actions out = cancel_running(attempt);
     out.emplace_back(begin_answer{attempt});
     return out;
 }
@@ -75,6 +82,8 @@
             return {finish_answer{}};
         return {abort_answer{}};
     }
+    if (attempt == m_selected)
+        m_selected = {};
     bool repeat = true;
     if (const auto* refused = std::get_if<not_run>(&result)) {
         m_last_proof = refused->m_proof;
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -249,8 +249,10 @@
     void cancel(request& req, attempt_id which);
     void handle_body(request_id key, attempt_id which, std::string_view piece);
     void handle_complete(request_id key, attempt_id which, bool reusable);
-    // Bounds the time of the answer that has begun.
+    // Bounds the time of a request, and of an answer whose head was received.
+    void bound_request(request_id key, request& req);
     void bound_answer(request_id key, request& req);
+    void start_answer(request& req, attempt_id which);
     void check_answer(request_id key);
     // Passes a part of the body to the caller's connection.
     void send_piece(request& req, std::string_view piece, bool last);
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -174,10 +174,7 @@
     if (requested)
         req.m_caller_leaves = now + *requested - span.m_least;
     m_by_exchange[key] = admitted;
-    req.m_deadline_timer = m_shared.m_loop.after(time_left, [this, admitted] {
-        if (request* found = m_requests.find(admitted))
-            apply(admitted, found->m_machine.expired());
-    });
+    bound_request(admitted, req);
     request_token(admitted);
 }
 
--- a/src/entry/forwarder_answer.cpp
+++ b/src/entry/forwarder_answer.cpp
@@ -31,7 +31,9 @@
                        [&](const cancel_attempt& what) {
                            cancel(*req, what.m_attempt);
                        },
-                       [](const begin_answer&) {},
+                       [&](const begin_answer& what) {
+                           start_answer(*req, what.m_attempt);
+                       },
                        [&](const abort_answer&) {
                            req->m_outcome = outcome::broken;
                            m_callers.abort(req->m_exchange);
@@ -54,8 +56,9 @@
 void forwarder::handle_body(request_id key, attempt_id which,
                             std::string_view piece) {
     request& req = *m_requests.find(key);
-    if (req.m_answering != which || !req.m_exchange)
+    if (!req.m_exchange)
         return;
+    apply(key, req.m_machine.answer_begun(which));
     req.m_last_progress = io::event_loop::now();
     if (req.m_body_left)
         *req.m_body_left -= piece.size();
@@ -77,6 +80,7 @@
 void forwarder::handle_complete(request_id key, attempt_id which,
                                 bool reusable) {
     request& req = *m_requests.find(key);
+    apply(key, req.m_machine.answer_begun(which));
     req.m_upstream_done = true;
     end_attempt(key, which, answered{}, reusable);
 }
--- a/src/entry/forwarder_attempt.cpp
+++ b/src/entry/forwarder_attempt.cpp
@@ -159,6 +159,12 @@
         target.m_load.discard_report();
     }
     release(ended, lost && ended.m_sent);
+    // The answer has not begun, so the request has its time again.
+    if (req->m_kept_head.has_value()) {
+        req->m_kept_head.reset();
+        req->m_body_left.reset();
+        bound_request(key, *req);
+    }
     const bool retry = req->m_machine.terms().m_idempotent &&
                        !req->m_machine.answer_has_begun() &&
                        req->m_attempts.empty() && withdraw_retry(*req, how);
--- a/src/entry/forwarder_bounds.cpp
+++ b/src/entry/forwarder_bounds.cpp
@@ -1,4 +1,4 @@
-// Bounds on answers that have begun, in time and in bytes.
+// Bounds on requests and answers, in time and in bytes.
 #include <algorithm>
 #include <tuple>
 #include <vector>
@@ -12,6 +12,16 @@
 constexpr auto answer_check_period = milliseconds{100};
 } // namespace
 
+void forwarder::bound_request(request_id key, request& req) {
+    m_shared.m_loop.cancel(req.m_deadline_timer);
+    req.m_answer_bound.reset();
+    req.m_deadline_timer = m_shared.m_loop.after(
+        req.m_machine.terms().m_deadline - io::event_loop::now(), [this, key] {
+            if (request* found = m_requests.find(key))
+                apply(key, found->m_machine.expired());
+        });
+}
+
 void forwarder::bound_answer(request_id key, request& req) {
     m_shared.m_loop.cancel(req.m_deadline_timer);
     const time_point now = io::event_loop::now();
@@ -33,7 +43,11 @@
         req->m_answer_bound->held_back(io::event_loop::now());
     if (!req->m_answer_bound->may_go_on(io::event_loop::now(),
                                         req->m_body_left.value_or(0))) {
-        break_off_answer(key, "deadline");
+        // Nothing was sent of an answer that has not begun.
+        if (req->m_machine.answer_has_begun())
+            break_off_answer(key, "deadline");
+        else
+            apply(key, req->m_machine.expired());
         return;
     }
     req->m_deadline_timer = m_shared.m_loop.after(
--- a/src/entry/forwarder_head.cpp
+++ b/src/entry/forwarder_head.cpp
@@ -1,4 +1,6 @@
 // Heads of upstream responses: what they say, and whose answer they begin.
+#include <utility>
+
 #include "entry/forwarder.hpp"
 #include "entry/request_head.hpp"
 #include "io/http_status.hpp"
@@ -85,22 +87,27 @@
                     false);
         return;
     }
-    const actions list = req.m_machine.answer_begun(which);
-    apply(key, list);
-    if (list.empty())
-        return;
-    req.m_answering = which;
-    req.m_status = head.m_status;
-    req.m_answerer = target.m_instance;
+    apply(key, req.m_machine.head_received(which));
+    req.m_kept_head = {head.m_status, answer_headers(head, m_shared.m_dialect),
+                       head.m_length};
     req.m_body_left =
         req.m_head_only ? std::optional<std::uint64_t>{0} : head.m_length;
-    req.m_last_progress = now;
     bound_answer(key, req);
+}
+
+void forwarder::start_answer(request& req, attempt_id which) {
+    const attempt& current = req.m_attempts.at(which);
+    const answer_head head =
+        std::exchange(req.m_kept_head, std::nullopt).value();
+    req.m_answering = which;
+    req.m_status = head.m_status;
+    req.m_answerer = m_shared.m_upstreams.find(current.m_upstream)->m_instance;
+    req.m_last_progress = io::event_loop::now();
     m_shared.m_loop.cancel(req.m_hedge_timer);
     if (current.m_hedge)
         m_shared.m_metrics.count(counter::hedges_won);
-    m_callers.start(req.m_exchange, head.m_status,
-                    answer_headers(head, m_shared.m_dialect), head.m_length);
+    m_callers.start(req.m_exchange, head.m_status, head.m_headers,
+                    head.m_length);
 }
 
 } // namespace skylark::entry
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -18,6 +18,7 @@
 #include <skylark/share/kind.hpp>
 #include <skylark/team/rank.hpp>
 
+#include "entry/answer_head.hpp"
 #include "entry/metrics.hpp"
 #include "entry/version_choice.hpp"
 
@@ -67,8 +68,9 @@
     std::vector<upstream_id> m_tried; //!< upstreams of earlier attempts
     //! The last attempt that this entry ended after it was sent.
     std::optional<attempt> m_cut;
-    attempt_id m_answering;    //!< attempt whose answer is relayed
-    timer_id m_deadline_timer; //!< from the begin of the answer on: of its end
+    attempt_id m_answering; //!< attempt whose answer is relayed
+    //! From the head of an answer on, of the answer's end.
+    timer_id m_deadline_timer;
     //! When the caller stops waiting; none if it does not say.
     std::optional<time_point> m_caller_leaves;
     std::optional<answer_bound> m_answer_bound; //!< of the answer in progress
@@ -101,6 +103,9 @@
     bool m_finishing{};     //!< finish() is running
     bool m_withdrawn{};     //!< may not be passed on as the entry shuts down
 
+    //! Of the one attempt that is running, until its answer begins.
+    std::optional<answer_head> m_kept_head;
+
     // Relay of the answer to the caller.
     std::optional<std::uint64_t> m_body_left; //!< body bytes not received yet
     std::string m_buffered;                   //!< sent once m_sending is false
--- a/test/attempt/machine.cpp
+++ b/test/attempt/machine.cpp
@@ -154,6 +154,8 @@
         running& chosen = m_running[m_random(m_running.size())];
         if (!chosen.m_sent)
             send_or_fail(chosen);
+        else if (m_random(4) == 0)
+            apply(m_machine.head_received(chosen.m_id));
         else if (m_random(3) == 0)
             end(chosen); // otherwise it keeps running
     }
