--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -123,8 +123,8 @@
                            std::optional<duration> retry_after,
                            std::optional<address> other_entry = std::nullopt,
                            line_kind kind = line_kind::decision);
-    // Whether no configuration that may be in force differs from the one here,
-    // so that what it does not hold may be denied for good.
+    // Whether what the configuration does not hold may be denied for good, as
+    // none that may be in force differs from it.
     [[nodiscard]] bool may_deny() const;
     // Refuses a request that no rule matches; as unknown for now if a newer
     // configuration may allow it.
@@ -149,8 +149,7 @@
     };
     [[nodiscard]] authentication authenticate(const io::request_view& from,
                                               const rule& matched) const;
-    // Refuses a request without the key of a team; as unknown for now if a
-    // newer configuration may hold its key.
+    // As refuse_unmatched(), for a request without the key of a team.
     void refuse_unauthenticated(exchange_id key, const io::request_view& from);
     // Header that a response with status 401 needs (RFC 9110, 15.5.2).
     [[nodiscard]] io::header key_challenge() const;
@@ -260,8 +259,7 @@
     void send_piece(request& req, std::string_view piece, bool last);
     // Bytes that are kept because the caller has not read them.
     [[nodiscard]] std::size_t unread_bytes(const request& req) const;
-    // Cuts the answers that wait longest for their callers until the rest are
-    // within the limit on bytes.
+    // Cuts answers, longest unread first, until the rest are within the limit.
     void limit_unread_answers();
     // Ends an answer that has begun before it is whole.
     void break_off_answer(request_id key, std::string_view why);
