--- a/bench/endless.py
+++ b/bench/endless.py
@@ -17,6 +17,7 @@
 from endless_servers import FORMS, PACES
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+METHODS = ("GET", "POST")
 CALLERS = (12, 100, 400)
 SHARES = (1.0, 0.2, 0.1)
 MEMORY_MB = (160, 260)
@@ -31,23 +32,25 @@
     for number, (form, status, pace) in enumerate(cells[:args.plays]):
         yield endless_play.Play(
             [form], [status], [pace],
-            reading=args.reading or draw.choice(READINGS),
-            method=args.method or draw.choice(("GET", "POST")),
+            args.reading or [draw.choice(READINGS)],
+            args.method or [draw.choice(METHODS)],
             callers=args.callers or draw.choice(CALLERS),
             share=args.share or draw.choice(SHARES),
             memory_mb=args.memory_mb or draw.choice(MEMORY_MB),
             stop=args.stop or (args.stops and draw.random() < 0.2),
-            seconds=args.seconds, seed=args.seed * 1000 + number)
+            seconds=args.seconds, deadline_s=args.deadline_s,
+            seed=args.seed * 1000 + number)
 
 
 def single(args):
     """All the given forms at once."""
     yield endless_play.Play(
         args.form or ["event-pieces"], args.status or [200],
-        args.pace or ["fast"], reading=args.reading or "read",
-        method=args.method or "GET", callers=args.callers or 12,
+        args.pace or ["fast"], args.reading or ["read"],
+        args.method or ["GET"], callers=args.callers or 12,
         share=args.share or 1.0, memory_mb=args.memory_mb or 160,
-        stop=args.stop, seconds=args.seconds, seed=args.seed)
+        stop=args.stop, seconds=args.seconds,
+        deadline_s=args.deadline_s, seed=args.seed)
 
 
 def main():
@@ -62,14 +65,16 @@
     parser.add_argument("--form", nargs="+", choices=sorted(FORMS))
     parser.add_argument("--status", nargs="+", type=int)
     parser.add_argument("--pace", nargs="+", choices=PACES)
-    parser.add_argument("--reading", choices=READINGS)
-    parser.add_argument("--method", choices=("GET", "POST"))
+    parser.add_argument("--reading", nargs="+", choices=READINGS)
+    parser.add_argument("--method", nargs="+", choices=METHODS)
     parser.add_argument("--callers", type=int)
     parser.add_argument("--share", type=float, help="of a processor")
     parser.add_argument("--memory-mb", type=int, choices=MEMORY_MB)
     parser.add_argument("--stop", action="store_true",
                         help="SIGTERM meanwhile, and a start behind it")
     parser.add_argument("--seconds", type=float, default=4)
+    parser.add_argument("--deadline-s", type=float, default=3,
+                        help="of endless answers")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--net", type=int, default=0,
                         help="the entry listens on 127.NET.1.1")
--- a/bench/endless_callers.py
+++ b/bench/endless_callers.py
@@ -16,6 +16,7 @@
 HOST = "jepu9.example"
 READINGS = ("read", "slow", "none", "leave")
 RETURN_S = 0.05      # until a caller of an endless answer asks again
+OWN_STATUSES = (b"429", b"502", b"503", b"504")
 PACE_S = 0.03        # between small requests of one caller
 CONNECT_S = 1.0
 # The users' rules: a request that was not passed on may be cut so soon.
@@ -137,10 +138,7 @@
         if self.reading == "leave":
             end = min(end, time.monotonic() + self.random.uniform(0.05, 1))
         if self.reading == "none":
-            # Until the end of the play or a little behind the deadline.
-            time.sleep(max(0, min(end - time.monotonic(),
-                                  self.deadline_s + 0.5)))
-            return "not read"
+            return self.leave_unread(connection, end)
         size = 4096 if self.reading == "slow" else 65536
         head, got = b"", 0
         while time.monotonic() < end:
@@ -156,12 +154,26 @@
             head = (head + piece)[:12]
             got += len(piece)
             self.taken += len(piece)
-            if not got or head[9:12] in (b"502", b"503", b"504", b"429"):
+            if head[9:12] in OWN_STATUSES:
                 return head[9:12].decode()
             if self.reading == "slow":
                 time.sleep(0.05)
         return f"{head[9:12].decode() or 'nothing'} left"
 
+    def leave_unread(self, connection, end):
+        """Leaves an answer in the kernel until a little behind the
+        deadline."""
+        end = min(end, time.monotonic() + self.deadline_s + 0.5)
+        connection.settimeout(max(0.01, end - time.monotonic()))
+        try:
+            status = connection.recv(12, socket.MSG_PEEK)[9:12]
+        except TimeoutError:
+            return "nothing left"
+        if not status or status in OWN_STATUSES:
+            return status.decode() or "nothing then cut"
+        time.sleep(max(0.0, end - time.monotonic()))
+        return f"{status.decode()} not read"
+
 
 def run_endless(pipe, callers):
     """Body of the process of the callers of endless answers."""
--- a/bench/endless_machine.py
+++ b/bench/endless_machine.py
@@ -17,19 +17,29 @@
 
 
 def run_time_s(pid):
-    """Run time of all threads."""
+    """Run time of all threads that have not ended."""
     total = 0
     for task in os.listdir(f"/proc/{pid}/task"):
-        with open(f"/proc/{pid}/task/{task}/schedstat",
-                  encoding="ascii") as file:
-            total += int(file.read().split()[0])
+        try:
+            with open(f"/proc/{pid}/task/{task}/schedstat",
+                      encoding="ascii") as file:
+                total += int(file.read().split()[0])
+        except (FileNotFoundError, ProcessLookupError):
+            pass  # the thread ended meanwhile
     return total / 1e9
 
 
+def queued_s(pid):
+    """Time in which the main thread was ready to run and got no processor."""
+    with open(f"/proc/{pid}/schedstat", encoding="ascii") as file:
+        return int(file.read().split()[1]) / 1e9
+
+
 def hold_to_share(pid, share):
     """Body of a process: stops another one for the rest of each window in
     which it has used its share of a processor. What it ran too long in one
     window is taken off the next ones."""
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
     handle = os.pidfd_open(pid)
     used, left, stopped = run_time_s(pid), 0.0, False
     window_ends = time.monotonic()
@@ -40,7 +50,7 @@
                 left = min(0.0, left) + share * WINDOW_S
                 window_ends = now + WINDOW_S
             ran = run_time_s(pid)
-            left -= ran - used
+            left -= max(0.0, ran - used)
             used = ran
             if (left <= 0) != stopped:
                 stopped = left <= 0
@@ -66,6 +76,7 @@
         self.holder = None
         self.peak_mb = 0.0
         self.cpu_before_s = self.cpu_now_s = 0.0
+        self.queued_s = 0.0  # of the process that runs now
         self.ends = []  # findings on processes that ended by themselves
         self.starts = 0
 
@@ -127,6 +138,7 @@
                         self.peak_mb = max(self.peak_mb,
                                            int(line.split()[1]) / 1024)
             self.cpu_now_s = run_time_s(self.process.pid)
+            self.queued_s = queued_s(self.process.pid)
         except (FileNotFoundError, ProcessLookupError):
             return False
         return True
--- a/bench/endless_play.py
+++ b/bench/endless_play.py
@@ -19,6 +19,7 @@
 SETTLE_S = 1.0
 FAULTY_PER_CALLERS = 150  # max_conns of a service is 220 for each server
 KEPT, NEW = 8, 2  # other callers
+CONTROL = "direct"  # a caller that asks a server without the entry
 
 
 @dataclasses.dataclass
@@ -28,8 +29,8 @@
     forms: list
     statuses: list
     paces: list
-    reading: str = "read"
-    method: str = "GET"
+    readings: list  # the callers take them in turn, as methods
+    methods: list
     callers: int = 12
     share: float = 1.0
     memory_mb: int = 160
@@ -41,8 +42,8 @@
 
     def title(self):
         return (f"{'+'.join(self.forms)} {'/'.join(map(str, self.statuses))} "
-                f"{'+'.join(self.paces)} {self.reading} {self.method} "
-                f"callers={self.callers} share={self.share} "
+                f"{'+'.join(self.paces)} {'+'.join(self.readings)} "
+                f"{'+'.join(self.methods)} callers={self.callers} share={self.share} "
                 f"memory={self.memory_mb}{' stop' if self.stop else ''} "
                 f"seed={self.seed}")
 
@@ -55,6 +56,17 @@
     line: str
 
 
+def raise_exit(*_):
+    """Handler of SIGTERM: ends the play and what it started."""
+    raise SystemExit(128 + signal.SIGTERM)
+
+
+def run_child(target, *args):
+    """Body of each process of a play."""
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
+    target(*args)
+
+
 def run_store(pipe, folder, items):
     """Body of the process of the platform's store."""
     async def serve():
@@ -115,8 +127,8 @@
     def launch(self, target, *args):
         """Starts a process that reports on a pipe."""
         here, there = self.context.Pipe(duplex=False)
-        process = self.context.Process(target=target, args=(there, *args),
-                                       daemon=True)
+        process = self.context.Process(
+            target=run_child, args=(target, there, *args), daemon=True)
         process.start()
         self.processes.append(process)
         there.close()
@@ -133,6 +145,7 @@
                               self.folder / f"arrived-{service}-{index}")
                 items.append((f"servers/{server.id}", server.entry_value()))
                 self.launch(lambda _, one=server: one.run())
+                self.sound_port = server.port
                 server.listener.close()
         port = self.launch(run_store, self.folder, items).recv()
         self.machine = machines.Machine(self.folder, port, self.program,
@@ -174,14 +187,19 @@
         end = begin + 0.5 + play.seconds
         if play.stop:
             end += GRACE_S + 2.0 + play.seconds / 2
-        methods = ("GET", "POST")
         others = [callers.OtherCaller(
-            place, f"other{index}", index < KEPT, methods[index % 2],
+            place, f"other{index}", index < KEPT, ("GET", "POST")[index % 2],
             play.other_deadline_s, end) for index in range(KEPT + NEW)]
+        # Shows how slow the stand-ins are themselves.
+        others.append(callers.OtherCaller(
+            ("127.0.0.1", self.sound_port), CONTROL, True, "GET",
+            play.other_deadline_s, end))
         asked = [f"{form}/{status}/{pace}" for form in play.forms
                  for status in play.statuses for pace in play.paces]
         endless = [callers.EndlessCaller(
-            place, f"endless{index}", play.method, asked, play.reading,
+            place, f"endless{index}",
+            play.methods[index // len(play.readings) % len(play.methods)],
+            asked, play.readings[index % len(play.readings)],
             play.deadline_s, end, play.seed * 1000 + index)
             for index in range(play.callers)]
         from_others = self.launch(callers.run_others, others)
@@ -202,6 +220,9 @@
 
     def result(self, calls, unreached, ends, taken, used, stopped):
         machine, play = self.machine, self.play
+        direct = callers.judge([call for call in calls if
+                                call.name.startswith(CONTROL)], (), ())
+        calls = [call for call in calls if not call.name.startswith(CONTROL)]
         passed_on = self.passed_on()
         kept = callers.judge([call for call in calls if call.kept],
                              passed_on, self.stops)
@@ -225,7 +246,8 @@
         if unreached:
             findings.append(f"no connection {len(unreached)} times")
         line = (f"{play.title()}: {machine.peak_mb:.0f} MB, cpu {used:.2f} s, "
-                f"others kept {kept.asked} lost {len(kept.lost)} refused "
+                f"queued {machine.queued_s:.2f} s, direct slowest "
+                f"{direct.slowest_ms:.0f} ms; others kept {kept.asked} lost {len(kept.lost)} refused "
                 f"{kept.refused} failed {kept.failed} p50 {kept.p50_ms:.1f} "
                 f"slowest {kept.slowest_ms:.0f} ms; new {new.asked} lost "
                 f"{len(new.lost)}; endless {dict(ends.most_common(4))} "
@@ -236,7 +258,6 @@
 
 def run_play(play, program, net=0):
     """Runs one play to its end; ends each process that it started."""
-    signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(
-        SystemExit(143)))
+    signal.signal(signal.SIGTERM, raise_exit)
     with Stage(play, program, net) as stage:
         return stage.run()
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -134,6 +134,10 @@
                  --stalled-s 2 --running-again-s 1 --held-up-at 3.7
                  --deadline-ms 2000 --service-us 1200000)
 
+# Faulty servers send without an end: the entry neither ends nor runs out of
+# memory, and others lose nothing on kept connections.
+add_process_test(endless_answers test/process/endless_answers.py)
+
 # Real processes on the platform's interface. The schedule is seeded; the judge
 # has tests of its own.
 add_test(NAME soak_judge
--- /dev/null
+++ b/test/process/endless_answers.py
@@ -0,0 +1,62 @@
+"""Faulty servers send answers without an end while others use the entry.
+
+Guards against an entry that ends by itself, runs out of memory or loses other
+callers' requests on kept connections. Exit code 1 in these cases.
+"""
+
+import argparse
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "bench"))
+
+import endless_play  # noqa: E402
+from endless_callers import READINGS  # noqa: E402
+from endless_servers import FORMS  # noqa: E402
+
+# Of the machines in the users' site files; the smallest memory.
+MEMORY_MB = 160
+SHARE = 0.2
+OTHER_DEADLINE_S = 5.0
+METHODS = ["GET", "POST"]
+STATUSES = [200, 500]
+
+
+def plays(seed):
+    """Name of what each play guards against, and the play."""
+    common = {"memory_mb": MEMORY_MB, "other_deadline_s": OTHER_DEADLINE_S,
+              "seed": seed}
+    yield "an abort behind a partial write", endless_play.Play(
+        ["one-chunk", "huge-length", "one-byte-chunks", "event-pieces"],
+        STATUSES, ["fast"], ["read", "slow"], METHODS, callers=24, seconds=4,
+        **common)
+    yield "memory kept for callers that do not read", endless_play.Play(
+        ["one-chunk", "event-pieces", "events", "huge-length", "no-length"],
+        STATUSES, ["fast"], ["none"], METHODS, callers=400, seconds=6,
+        deadline_s=6.0, **common)
+    yield "others that wait beside many small pieces", endless_play.Play(
+        list(FORMS), STATUSES, ["pieces", "paced"], list(READINGS), METHODS,
+        callers=48, share=SHARE, seconds=4, **common)
+    yield "requests lost in a planned stop", endless_play.Play(
+        list(FORMS), STATUSES, ["fast", "pieces"], list(READINGS), METHODS,
+        callers=24, share=SHARE, stop=True, seconds=2, **common)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default=ROOT / "build")
+    parser.add_argument("--net", type=int, default=95)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    program = (pathlib.Path(args.build) / "bin" / "skylark-entry").resolve()
+    broken = 0
+    for guards, play in plays(args.seed):
+        result = endless_play.run_play(play, program, args.net)
+        broken += bool(result.findings)
+        print(f"{guards}: {result.line}", flush=True)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
