Bound what the kernel keeps for callers that do not read

Machines ran out of memory beside answers without an end.

Accepted connections inherit TCP_NOTSENT_LOWAT of 64 KB, which leaves the window to the kernel.

--- a/src/io/listener.cpp
+++ b/src/io/listener.cpp
@@ -3,18 +3,28 @@
 
 #include <cerrno>
 #include <cstring>
+#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include "io/native.hpp"
 
 namespace skylark::io::internal {
 
+namespace {
+// Bytes that the kernel keeps for a caller behind what it has sent. Without a
+// limit its buffer grows to megabytes for each caller that reads nothing, which
+// no limit of the process counts.
+constexpr int unsent_limit = 64 << 10;
+} // namespace
+
 parsed<int> open_listener(address local, int send_buffer) {
     const int fd =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     constexpr int on = 1;
     constexpr int backlog = 1024;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_limit,
+               sizeof unsent_limit);
     if (send_buffer > 0)
         setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer);
     const sockaddr_in name = to_native(local);
--- a/src/io/listener.hpp
+++ b/src/io/listener.hpp
@@ -6,7 +6,8 @@
 
 namespace skylark::io::internal {
 
-/*! @brief Opens a non-blocking listening socket.
+/*! @brief Opens a non-blocking listening socket. Accepted connections keep a
+ *  bounded number of bytes that were written and not sent.
  *  @param local address to bind; port 0 selects a free one
  *  @param send_buffer SO_SNDBUF of accepted connections in bytes; 0: kernel's
  *  default
--- a/test/io/http_server_callers.cpp
+++ b/test/io/http_server_callers.cpp
@@ -49,3 +49,27 @@
     caller.reset();
     run_until([this] { return m_server.caller_unreachable(asked()); });
 }
+
+// The kernel took 4 MB for each, beyond all limits on unread answers.
+TEST_F(http_server_callers_test, that_read_nothing_hold_few_bytes_of_answers) {
+    constexpr int small_buffer = 4096;
+    constexpr std::size_t most_taken = std::size_t{256} << 10U;
+    const std::string piece(std::size_t{16} << 10U, 'x');
+    raw_caller caller{m_where, small_buffer};
+    caller.write(m_get);
+    run_until_received(1);
+    m_server.start(asked(), 200, {}, std::nullopt);
+    std::size_t taken = 0;
+    for (int idle = 0; idle < 50; ++idle) {
+        const int before = m_ready;
+        m_server.send(asked(), piece, false);
+        for (int i = 0; i < 5 && m_ready == before; ++i)
+            m_loop.run_once(milliseconds{1});
+        if (m_ready > before) {
+            taken += piece.size();
+            idle = 0;
+        }
+    }
+    EXPECT_GE(taken, piece.size());
+    EXPECT_LE(taken, most_taken);
+}
