--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -118,9 +118,10 @@
         if (m_pause_handler && present - m_last_pause_check > m_pause_limit) {
             m_phase->schedule();
             h2o_evloop_run(m_native, 0);
-            m_phase_ran = false;
         }
-        m_last_pause_check = present;
+        // The phase has set it otherwise.
+        if (!std::exchange(m_phase_ran, false))
+            m_last_pause_check = present;
     }
     m_iteration_pause = duration{0};
 }
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -1,5 +1,6 @@
 // Read path of client connections: turns received bytes into events.
 #include <cerrno>
+#include <cstring>
 #include <sys/socket.h>
 #include <utility>
 
@@ -58,7 +59,7 @@
     socklen_t size = sizeof result;
     getsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_ERROR, &result, &size);
     if (error || result != 0) {
-        owner.fail(*self, "connection refused or timed out");
+        owner.fail(*self, error ? error : std::strerror(result));
         return;
     }
     self->m_phase = phase::idle;
