Name the process tests of endless answers after what they guard against

endless_pieces_of_a_stream: 400 answers in small pieces of a stream, 0.2 of a processor, others on kept connections.

endless_answers: an abort behind a partial write, memory for answers that are not read, and a planned stop with a start behind it.

New entries: plays of the matrix that lost requests.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -136,7 +136,12 @@
 
 # Faulty servers send without an end: the entry neither ends nor runs out of
 # memory, and others lose nothing on kept connections.
-add_process_test(endless_answers test/process/endless_answers.py)
+add_process_test(endless_answers test/process/endless_answers.py --plays
+                 abort-behind-partial-write memory-for-unread-answers
+                 lost-in-planned-stop)
+# Many answers in small pieces at once, on a fifth of a processor.
+add_process_test(endless_pieces_of_a_stream test/process/endless_answers.py
+                 --plays lost-behind-pieces-of-a-stream)
 
 # Real processes on the platform's interface. The schedule is seeded; the judge
 # has tests of its own.
--- a/test/process/endless_answers.py
+++ b/test/process/endless_answers.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import dataclasses
 import pathlib
 import sys
 
@@ -22,23 +23,22 @@
 STATUSES = [200, 500]
 
 
-def plays(seed):
-    """Name of what each play guards against, and the play."""
-    common = {"memory_mb": MEMORY_MB, "seed": seed}
-    yield "abort behind a partial write", endless_play.Play(
+# Each is named after what it guards against.
+PLAYS = {
+    "abort-behind-partial-write": endless_play.Play(
         ["one-chunk", "huge-length", "one-byte-chunks", "event-pieces"],
-        STATUSES, ["fast"], ["read", "slow"], METHODS, callers=24, seconds=3,
-        **common)
-    yield "memory for callers that do not read", endless_play.Play(
+        STATUSES, ["fast"], ["read", "slow"], METHODS, callers=24, seconds=3),
+    "memory-for-unread-answers": endless_play.Play(
         ["one-chunk", "huge-length", "no-length", "events"],
         STATUSES, ["fast"], ["none"], METHODS, callers=400, seconds=5,
-        deadline_s=5.0, **common)
-    yield "others wait behind pieces of a stream", endless_play.Play(
-        ["event-pieces"], STATUSES, ["fast"], ["read", "none"], METHODS,
-        callers=400, share=SHARE, seconds=5, deadline_s=5.0, **common)
-    yield "requests lost in a planned stop", endless_play.Play(
+        deadline_s=5.0),
+    "lost-in-planned-stop": endless_play.Play(
         list(FORMS), STATUSES, ["fast", "pieces", "paced"], list(READINGS),
-        METHODS, callers=48, share=SHARE, stop=True, seconds=2, **common)
+        METHODS, callers=48, share=SHARE, stop=True, seconds=2),
+    "lost-behind-pieces-of-a-stream": endless_play.Play(
+        ["event-pieces"], STATUSES, ["fast"], ["read", "none"], METHODS,
+        callers=400, share=SHARE, seconds=5, deadline_s=5.0),
+}
 
 
 def main():
@@ -46,13 +46,17 @@
     parser.add_argument("--build", default=ROOT / "build")
     parser.add_argument("--net", type=int, default=95)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--plays", nargs="+", choices=PLAYS,
+                        default=list(PLAYS))
     args = parser.parse_args()
     program = (pathlib.Path(args.build) / "bin" / "skylark-entry").resolve()
     broken = 0
-    for guards, play in plays(args.seed):
+    for name in args.plays:
+        play = dataclasses.replace(PLAYS[name], seed=args.seed,
+                                   memory_mb=MEMORY_MB)
         result = endless_play.run_play(play, program, args.net)
         broken += bool(result.findings)
-        print(f"{guards}: {result.line}", flush=True)
+        print(f"{name}: {result.line}", flush=True)
     return 1 if broken else 0
 
 
