Bound the time that an iteration spends on input

Others' requests ended without an answer beside 400 small pieces of a stream, on a fifth of a processor. Each connection with input took 16 KB of tiny chunks in each iteration of the loop, 0.65 to 0.85 s for all of them, and others had their turn between.

Once reads have taken 5 ms of an iteration, further connections take 1 KB each. The budget is one of time, as plain bodies cost far less for each byte.

--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -105,6 +105,7 @@
 }
 
 void event_loop::run_once(duration longest_wait) {
+    ++m_iteration;
     arm_timer_fd();
     const time_point began = now();
     // h2o does not wait if the phase is scheduled.
--- a/src/io/event_loop.hpp
+++ b/src/io/event_loop.hpp
@@ -95,6 +95,9 @@
     /*! @brief Makes run() return after the current iteration. */
     void stop() { m_stopped = true; }
 
+    /*! @brief Number of the current iteration. */
+    [[nodiscard]] std::uint64_t iteration() const { return m_iteration; }
+
     /*! @brief The underlying h2o loop; for use in the io module only. */
     st_h2o_evloop_t* native() { return m_native; }
 
@@ -128,7 +131,8 @@
     duration m_pause_limit{};
     pause_handler m_pause_handler;
     duration m_iteration_pause{}; // pause that ended in this iteration
-    bool m_phase_ran{};           // in this iteration
+    std::uint64_t m_iteration{};
+    bool m_phase_ran{}; // in this iteration
     loop_work m_work;
     bool m_stopped{};
 };
--- a/src/io/http_client_native.hpp
+++ b/src/io/http_client_native.hpp
@@ -11,6 +11,7 @@
 #include "io/http_client.hpp"
 #include "io/native.hpp"
 #include "io/peer_silence.hpp"
+#include "io/read_budget.hpp"
 #include "io/response_parser.hpp"
 
 namespace skylark::io {
@@ -64,6 +65,7 @@
     id_map<connection_id, internal::connection> m_connections;
     timer_id m_watch{}; // runs while a request is in progress
     std::vector<char> m_read_buffer;
+    read_budget m_budget{};
 
     static void on_connect(h2o_socket_t* socket, const char* error);
     static void on_write(h2o_socket_t* socket, const char* error);
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -92,12 +92,16 @@
 // other connections have their turn first.
 void http_client::native::receive(connection& conn) {
     const connection_id key = conn.m_key;
-    const auto count = recv(h2o_socket_get_fd(conn.m_socket),
-                            m_read_buffer.data(), m_read_buffer.size(), 0);
+    const time_point began = event_loop::now();
+    const std::size_t most =
+        m_budget.next(m_loop->iteration(), m_read_buffer.size());
+    const auto count =
+        recv(h2o_socket_get_fd(conn.m_socket), m_read_buffer.data(), most, 0);
     if (count > 0) {
         conn.m_input.append(m_read_buffer.data(),
                             static_cast<std::size_t>(count));
         process_input(key);
+        m_budget.add(event_loop::now() - began);
         return;
     }
     if (count < 0 && (errno == EAGAIN || errno == EINTR))
