--- a/test/platform/rollouts.cpp
+++ b/test/platform/rollouts.cpp
@@ -177,13 +177,15 @@
     // the next call.
     const std::size_t before = m_store.calls();
     order(8);
+    const time_point deadline = io::event_loop::now() + seconds{8};
     turn_until([&] { return m_store.calls() > before; });
     faults.m_losing = true;
     m_store.set_faults(faults);
     turn_until([this] { return recorded("running"); });
     settle(milliseconds{100});
     m_store.set_faults({});
-    send_while([this] { return !recorded("completed"); });
+    send_while([this] { return !recorded("completed"); },
+               deadline - io::event_loop::now());
 }
 
 // Nothing is recorded or restricted for a service without an order.
