Bound how long the kernel keeps output that nobody takes

Callers saw nothing of it; the machine did: an answer that was broken off, or whose caller stays and reads nothing, left its sent part with the kernel for minutes behind the close, where no limit of the process counts it.

TCP_USER_TIMEOUT bounds it: 30 s on a caller's connection, 2 s once its answer is broken off. The kernel then resets the connection and frees its buffers.

--- a/src/io/http_client_watch.cpp
+++ b/src/io/http_client_watch.cpp
@@ -8,6 +8,7 @@
 
 #include "io/event_loop.hpp"
 #include "io/http_client_native.hpp"
+#include "io/socket_queue.hpp"
 
 namespace skylark::io {
 
@@ -18,13 +19,6 @@
 
 constexpr duration watch_period = milliseconds{250};
 
-// Ends attempts to connect. On an established connection it would also end
-// one whose peer replies and keeps its window closed.
-void set_kernel_limit(int fd, duration limit) {
-    const auto value = static_cast<unsigned>(to_ms(limit));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
-}
-
 // Nothing where the network does not tell.
 std::optional<transport_figures> figures_of(int fd) {
     tcp_info info{};
@@ -43,14 +37,17 @@
 void http_client::native::set_socket_options(int fd) const {
     constexpr int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    set_kernel_limit(fd, m_limits.m_silence_limit);
+    // Ends attempts to connect. On an established connection it would also end
+    // one whose peer replies and keeps its window closed.
+    internal::limit_unacknowledged_time(fd, m_limits.m_silence_limit);
     if (m_limits.m_receive_buffer_bytes > 0)
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &m_limits.m_receive_buffer_bytes,
                    sizeof m_limits.m_receive_buffer_bytes);
 }
 
 void http_client::native::end_kernel_limit(const connection& conn) {
-    set_kernel_limit(h2o_socket_get_fd(conn.m_socket), duration{0});
+    internal::limit_unacknowledged_time(h2o_socket_get_fd(conn.m_socket),
+                                        duration{0});
 }
 
 void http_client::native::watch(connection& conn) {
--- a/src/io/http_server_answer.cpp
+++ b/src/io/http_server_answer.cpp
@@ -5,6 +5,7 @@
 
 #include "io/http_server_native.hpp"
 #include "io/request_input.hpp"
+#include "io/socket_queue.hpp"
 
 namespace skylark::io {
 
@@ -13,6 +14,8 @@
 namespace {
 // Bytes that a caller receives at once, before it can send another request.
 constexpr std::size_t short_answer = std::size_t{16} << 10U;
+// Time for which the kernel keeps the sent part of an answer that is broken off.
+constexpr duration broken_output_time = seconds{2};
 } // namespace
 
 void http_server::native::start(exchange& item, int status,
@@ -62,8 +65,10 @@
     end_early(connection, 0);
     // h2o would otherwise go on with the next request of the connection.
     item.m_request->http1_is_persistent = 0;
-    if (send_pending || !item.m_complete)
+    if (send_pending || !item.m_complete) {
+        internal::limit_unacknowledged_time(item.m_socket, broken_output_time);
         shutdown(item.m_socket, SHUT_RDWR);
+    }
     if (!send_pending && !item.m_complete)
         h2o_send(item.m_request, nullptr, 0, H2O_SEND_STATE_ERROR);
 }
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -16,6 +16,9 @@
 using internal::accepted_connection;
 
 namespace {
+// Time for which the kernel keeps output that a caller does not take. No limit
+// of the process counts it once the connection is closed.
+constexpr duration output_time = seconds{30};
 // Connections accepted in one loop iteration, so that a burst does not keep
 // open connections waiting.
 constexpr int accept_batch = 64;
@@ -46,6 +49,7 @@
     constexpr int on = 1;
     const int fd = h2o_socket_get_fd(socket);
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    internal::limit_unacknowledged_time(fd, output_time);
     const connection_id key = m_connections.emplace(
         accepted_connection{this, socket, event_loop::now(), {}});
     accepted_connection& added = *m_connections.find(key);
--- a/src/io/socket_queue.hpp
+++ b/src/io/socket_queue.hpp
@@ -30,6 +30,14 @@
     return ioctl(fd, SIOCOUTQ, &count) == 0 ? count : 0;
 }
 
+/*! @brief Limits the time for which the kernel keeps output that the peer does
+ *  not acknowledge, also behind the close of the socket; then it resets the
+ *  connection. */
+inline void limit_unacknowledged_time(int fd, duration limit) {
+    const auto value = static_cast<unsigned>(to_ms(limit));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
+}
+
 /*! @brief Time since the kernel received data on the connection last, in steps
  *  of its timer; none if it does not tell. */
 inline std::optional<duration> since_last_input(int fd) {
--- a/test/io/http_server_callers.cpp
+++ b/test/io/http_server_callers.cpp
@@ -1,5 +1,8 @@
 // Callers that end their input or their connection under an exchange.
+#include <fstream>
+#include <iomanip>
 #include <memory>
+#include <sstream>
 
 #include "test/io/http_server_fixture.hpp"
 
@@ -20,6 +23,27 @@
     exchange_id asked() const { return m_exchanges.front(); }
 };
 
+// Whether the kernel has a socket whose remote end is a local port.
+bool socket_remains(address remote) {
+    std::ostringstream wanted;
+    wanted << std::uppercase << std::hex << std::setw(4) << std::setfill('0')
+           << remote.m_port;
+    std::ifstream sockets{"/proc/net/tcp"};
+    std::string line;
+    while (std::getline(sockets, line)) {
+        std::istringstream fields{line};
+        std::string slot;
+        std::string local;
+        std::string peer;
+        std::string state;
+        fields >> slot >> local >> peer >> state;
+        constexpr const char* time_wait = "06";
+        if (peer.ends_with(":" + wanted.str()) && state != time_wait)
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 TEST_F(http_server_callers_test, the_end_of_the_input_alone_is_no_failure) {
@@ -73,3 +97,22 @@
     EXPECT_GE(taken, piece.size());
     EXPECT_LE(taken, most_taken);
 }
+
+TEST_F(http_server_callers_test, that_stay_do_not_keep_broken_answers) {
+    constexpr int small_buffer = 4096;
+    constexpr auto limit = seconds{5};
+    raw_caller caller{m_where, small_buffer};
+    caller.write(m_get);
+    run_until_received(1);
+    m_server.start(asked(), 200, {}, std::nullopt);
+    m_server.send(asked(), std::string(std::size_t{64} << 10U, 'x'), false);
+    for (int i = 0; i < 20; ++i)
+        m_loop.run_once(milliseconds{1});
+    ASSERT_TRUE(socket_remains(caller.local()));
+    m_server.abort(asked());
+    const time_point begin = io::event_loop::now();
+    while (socket_remains(caller.local()) &&
+           io::event_loop::now() - begin < limit)
+        m_loop.run_once(milliseconds{50});
+    EXPECT_FALSE(socket_remains(caller.local()));
+}
