Fail a health check whose body has no end

The body of a health check was read at full speed until the check's time was over: 245 of 250 pieces of an endless body, one every millisecond. The load stands in the head, so that a body beyond 4 KB is a fault of the upstream: the check fails at once and its connection closes.

endless_answer.to_a_health_check_is_not_read_until_its_time_is_over: 245 pieces before (red, bound 20), within the bound now.

--- a/src/entry/on_demand_prober.cpp
+++ b/src/entry/on_demand_prober.cpp
@@ -12,6 +12,7 @@
 // A probe without a response within this time has failed. Far longer than a
 // round trip between zones plus the time to open a connection.
 constexpr auto probe_timeout = milliseconds{250};
+constexpr std::size_t max_body = 4096; // bytes
 } // namespace
 
 void on_demand_prober::probe(upstream& target, std::string_view path,
@@ -70,7 +71,11 @@
                                   finish(key, false, false);
                           },
                           // The load is in the head.
-                          [](const io::body_received&) {},
+                          [&](const io::body_received& event) {
+                              pending->m_body_size += event.m_piece.size();
+                              if (pending->m_body_size > max_body)
+                                  finish(key, false, false);
+                          },
                           [&](const io::response_complete& event) {
                               finish(key, pending->m_usable, event.m_reusable);
                           },
--- a/test/platform/endless_answers.cpp
+++ b/test/platform/endless_answers.cpp
@@ -39,6 +39,8 @@
     duration m_pause{milliseconds{20}};    // between two pieces
     duration m_thinking{0};                // before the head
     std::optional<std::uint64_t> m_length; // none: without an end
+    bool m_endless_checks{};               // answers to health checks
+    int m_most_pieces{};                   // of one of them
     int m_begun{};                         // answers to requests
     int m_ended{};                         // all answers
 
@@ -47,6 +49,12 @@
         if (request.m_path == "/health") {
             const std::array headers{io::header{"Instance-Id", "i-stream"},
                                      io::header{"Server-Load", "0,0,6,100"}};
+            if (m_endless_checks) {
+                m_pieces = 0;
+                m_server.start(key, 200, headers, std::nullopt);
+                send_piece(key);
+                return;
+            }
             m_server.answer(key, 200, headers, "");
             --m_ended;
             return;
@@ -65,6 +73,7 @@
     }
 
     void send_piece(exchange_id key) {
+        m_most_pieces = std::max(m_most_pieces, ++m_pieces);
         if (!m_length) {
             m_server.send(key, m_piece, false);
             return;
@@ -80,6 +89,7 @@
     address m_where;
     std::string m_id;
     std::uint64_t m_left{};
+    int m_pieces{};
 };
 
 class endless_answer : public test::platform_node {
@@ -238,3 +248,17 @@
     EXPECT_GT(m_upstream.m_begun, 1);
     EXPECT_GE(m_upstream.m_ended, m_upstream.m_begun - 1);
 }
+
+TEST_F(endless_answer, to_a_health_check_is_not_read_until_its_time_is_over) {
+    constexpr int most = 20; // of 1 KB
+    m_upstream.m_pause = milliseconds{1};
+    m_upstream.m_endless_checks = true;
+    start_with_streaming_upstream();
+    test::raw_caller caller{m_settings.m_callers};
+    const time_point began = io::event_loop::now();
+    caller.write(head("GET", "1000"));
+    while (io::event_loop::now() - began < milliseconds{600})
+        m_loop.run_once(milliseconds{1});
+    EXPECT_GT(m_upstream.m_most_pieces, 1);
+    EXPECT_LE(m_upstream.m_most_pieces, most);
+}
