--- a/bench/kernel_memory.py
+++ b/bench/kernel_memory.py
@@ -24,8 +24,9 @@
 MESSAGE = struct.Struct("=BBBB2s2s44xIIIII")
 ATTRIBUTE = struct.Struct("=HH")
 # Input, its limit, output below TCP, its limit, reserved, output of TCP,
-# options, input that waits for a lock, drops.
-BUFFERS = struct.Struct("=IIIIIIIII")
+# options, input that waits for a lock, drops. What is reserved is below zero
+# for a moment while the kernel frees buffers.
+BUFFERS = struct.Struct("=IIIIiIIII")
 RECEIVE_BYTES = 1 << 20
 
 
@@ -39,6 +40,16 @@
     unsent: int = 0    # buffers of what the peers have not acknowledged
     reserved: int = 0  # not in use
 
+    def add(self, buffers, unread):
+        """Adds the buffers of one socket."""
+        received, _, _, _, reserved, unsent, _, backlog, _ = (
+            BUFFERS.unpack_from(buffers))
+        self.sockets += 1
+        self.unread += unread
+        self.received += received + backlog
+        self.unsent += unsent
+        self.reserved += reserved
+
     def total(self):
         return self.received + self.unsent + self.reserved
 
@@ -105,11 +116,5 @@
             for kind, value in attributes(data[MESSAGE.size:]):
                 if kind != INET_DIAG_SKMEMINFO:
                     continue
-                received, _, _, _, reserved, unsent, _, backlog, _ = (
-                    BUFFERS.unpack_from(value))
-                out.sockets += 1
-                out.unread += unread
-                out.received += received + backlog
-                out.unsent += unsent
-                out.reserved += reserved
+                out.add(value, unread)
     return out
