Wait for ports that the process before still holds

What callers saw: an entry that was killed and started again did not come back.

Cause: the kernel releases the ports of a killed process with a delay, longer beside load and many connections. A start tried to bind each port once and ended.

Evidence: test/process/start_on_held_port.py on the code before: callers, control, peer, lookup and ready, each held for 1 s, ended the start with status 2, and so did a start right behind the kill of an entry with 400 connections.

Change: before anything is opened, the start probes all of its ports by bind(), without listen(), and tries again every 20 ms for up to 15 s on EADDRINUSE and EADDRNOTAVAIL. One line tells that it waits and for what, another that it goes on; behind 15 s it ends with status 2 as before, and says so. SIGTERM ends the wait with status 0, SIGHUP does not.

Why it works: a predecessor that has ended opens no port again, so ports that were all free stay so until they are bound. No port is open in the wait, so callers go to other entries instead of waiting in a listen queue. The wait comes before the loop and the node, so it counts neither as a pause nor as a part of the time after a start.

--- a/cmake/product.cmake
+++ b/cmake/product.cmake
@@ -46,7 +46,7 @@
     src/entry/prober.cpp src/entry/entry_list.cpp src/entry/control.cpp
     src/entry/changer.cpp src/entry/inspector.cpp src/entry/inspector_explain.cpp src/entry/node.cpp
     src/entry/node_drain.cpp src/entry/node_process.cpp
-    src/entry/process_memory.cpp)
+    src/entry/port_wait.cpp src/entry/process_memory.cpp)
 target_link_libraries(skylark_entry PUBLIC
     skylark_store skylark_peer log4cplus prometheus-cpp-core
     Threads::Threads)
--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -113,6 +113,8 @@
                  --stalled-s 3 --long-work --service-us 4000000)
 # SIGTERM and SIGHUP arrive while the process reads its settings.
 add_process_test(signal_in_start test/process/signal_in_start.py)
+# The ports of the process before are released a while after its end.
+add_process_test(start_on_held_port test/process/start_on_held_port.py)
 # A fault leaves its last line, and the status of its signal.
 add_process_test(fault_report test/process/fault_report.py)
 # Callers end their input just before the entries handle SIGTERM.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -15,6 +15,7 @@
 
 #include "entry/fault_report.hpp"
 #include "entry/node.hpp"
+#include "entry/port_wait.hpp"
 #include "entry/settings.hpp"
 #include "entry/stop_signal.hpp"
 
@@ -53,6 +54,11 @@
 }
 
 int run(const skylark::entry::settings& from, const std::string& path) {
+    const auto free = skylark::entry::wait_for_ports(from);
+    if (!free) {
+        std::cerr << free.error().text() << '\n';
+        return exit_bad_settings;
+    }
     // Nobody can have reached this process yet.
     if (stop_signalled_us != 0) {
         std::cout << "told to end before the start\n";
