--- a/bench/endless.py
+++ b/bench/endless.py
@@ -39,7 +39,7 @@
             share=args.share or draw.choice(SHARES),
             memory_mb=args.memory_mb or draw.choice(MEMORY_MB),
             stop=args.stop or (args.stops and draw.random() < 0.2),
-            seconds=args.seconds, deadline_s=args.deadline_s,
+            kill=args.kill, seconds=args.seconds, deadline_s=args.deadline_s,
             other_deadline_s=args.other_deadline_s,
             seed=args.seed * 1000 + number)
 
@@ -51,7 +51,7 @@
         args.pace or ["fast"], args.reading or ["read"],
         args.method or ["GET"], callers=args.callers or 12,
         share=args.share or 1.0, memory_mb=args.memory_mb or 160,
-        stop=args.stop, seconds=args.seconds,
+        stop=args.stop, kill=args.kill, seconds=args.seconds,
         deadline_s=args.deadline_s, other_deadline_s=args.other_deadline_s,
         seed=args.seed)
 
@@ -72,9 +72,11 @@
     parser.add_argument("--method", nargs="+", choices=METHODS)
     parser.add_argument("--callers", type=int)
     parser.add_argument("--share", type=float, help="of a processor")
-    parser.add_argument("--memory-mb", type=int, choices=MEMORY_MB)
+    parser.add_argument("--memory-mb", type=int, choices=(*MEMORY_MB, 512))
     parser.add_argument("--stop", action="store_true",
                         help="SIGTERM meanwhile, and a start behind it")
+    parser.add_argument("--kill", action="store_true",
+                        help="SIGKILL meanwhile, and a start right behind it")
     parser.add_argument("--seconds", type=float, default=4)
     parser.add_argument("--deadline-s", type=float, default=3,
                         help="of endless answers")
--- a/bench/endless_callers.py
+++ b/bench/endless_callers.py
@@ -209,10 +209,11 @@
     slowest_ms: float
 
 
-def judge(calls, passed_on, stops):
+def judge(calls, passed_on, stops, kills=()):
     """`passed_on` holds the names of requests that a server got, `stops` the
     spans between a SIGTERM and the next start. A request that crosses the
-    close of such a span and was not passed on is not lost."""
+    close of such a span and was not passed on is not lost; nor is one that
+    ends with a SIGKILL, in one of `kills`."""
     lost = []
     for call in calls:
         if call.status:
@@ -220,7 +221,8 @@
         crossed = (call.name not in passed_on and
                    call.ended - call.sent <= LOSS_SLACK_S and
                    any(begin <= call.ended <= end for begin, end in stops))
-        if not crossed:
+        killed = any(begin <= call.ended <= end for begin, end in kills)
+        if not crossed and not killed:
             lost.append(call)
     took = [(call.ended - call.sent) * 1000 for call in calls if call.status]
     return Verdict(
--- a/bench/endless_machine.py
+++ b/bench/endless_machine.py
@@ -201,6 +201,12 @@
         self.note_end((0,) if in_time else (0, -signal.SIGKILL))
         return in_time
 
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+        self.release()
+        self.note_end((-signal.SIGKILL,))
+
     def finish(self):
         """Ends the process behind a play."""
         if not self.observe():
