Notice a reset of a caller that has sent bytes behind its request

A caller that had sent more behind its request and then reset its connection was not seen to have left: a peek returns the bytes, which stay in the kernel behind a reset. Its request kept an upstream at work up to the deadline. The state of the connection is asked first now, by poll, which tells a reset whatever has been read.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -196,7 +196,8 @@
 
 bool http_server::caller_disconnected(exchange_id key) {
     const exchange* found = m_native->m_exchanges.find(key);
-    if (!found)
+    // Input that is left hides a reset from a peek.
+    if (!found || caller_unreachable(key))
         return true;
     char byte{};
     const auto count = recv(found->m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/test/io/http_server_callers.cpp
+++ b/test/io/http_server_callers.cpp
@@ -50,6 +50,17 @@
     run_until([this] { return m_server.caller_unreachable(asked()); });
 }
 
+TEST_F(http_server_callers_test, a_reset_behind_unread_input_is_noticed) {
+    auto caller = ask();
+    caller->write("more");
+    for (int i = 0; i < 20; ++i)
+        m_loop.run_once(milliseconds{1});
+    EXPECT_FALSE(m_server.caller_disconnected(asked()));
+    caller->reset_at_end();
+    caller.reset();
+    run_until([this] { return m_server.caller_disconnected(asked()); });
+}
+
 // The kernel took 4 MB for each, beyond all limits on unread answers.
 TEST_F(http_server_callers_test, that_read_nothing_hold_few_bytes_of_answers) {
     constexpr int small_buffer = 4096;
