Bound the bytes of responses that are skipped

A response that names another request is skipped. One without an end was read until the deadline of the request behind it, so that a faulty upstream could keep the loop busy for as long with bytes that nobody wants.

A connection now fails once 4 MB of skipped input, framing included, have been read on it. Its request is then treated like one whose connection was cut, which it was about to be at the deadline anyway; a skipped connection is not kept either.

--- a/src/io/http_client_native.hpp
+++ b/src/io/http_client_native.hpp
@@ -43,6 +43,7 @@
     peer_silence m_silence;         // of the request in progress
     std::size_t m_overhead_bytes{}; // input of the response besides its body
     std::size_t m_body_bytes{};     // of the response
+    std::size_t m_skipped_bytes{};  // input of responses that were skipped
     bool m_bytes_sent{};
     bool m_writing{};      // h2o has not reported the write as done
     bool m_write_failed{}; // what has arrived is still handled
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -12,6 +12,11 @@
 using internal::connection;
 using internal::phase;
 
+namespace {
+// Beyond this a new connection costs less than reading on.
+constexpr std::size_t most_skipped_bytes = std::size_t{4} << 20U;
+} // namespace
+
 // Processes what pause() left and goes on reading.
 void http_client::native::continue_reading(connection_id key) {
     process_input(key);
@@ -201,6 +206,11 @@
     const connection_id key = conn.m_key;
     conn.m_overhead_bytes += taken - rest - size;
     conn.m_body_bytes += size;
+    conn.m_skipped_bytes += conn.m_skipping ? taken - rest : 0;
+    if (conn.m_skipped_bytes > most_skipped_bytes) {
+        fail(conn, "skipped response without an end");
+        return false;
+    }
     if (size > 0 && !conn.m_skipping)
         report(conn, body_received{{conn.m_input.data(), size}});
     if (!m_connections.find(key) || !conn.m_socket)
--- a/test/io/http_client_skip.cpp
+++ b/test/io/http_client_skip.cpp
@@ -172,6 +172,23 @@
     EXPECT_LE(written, 2 * limit);
 }
 
+// Reading on until the deadline would cost a processor for as long.
+TEST_F(skipping_client, bodies_without_an_end_fail_after_bounded_bytes) {
+    constexpr std::size_t most = std::size_t{8} << 20U;
+    begin_skipping();
+    m_server.write(other + "Transfer-Encoding: chunked\r\n\r\n");
+    std::size_t written = 0;
+    while (!m_log.m_failed && written < 2 * most) {
+        m_server.write("1f40\r\n" + filler + "\r\n");
+        written += filler.size();
+        turn();
+    }
+    EXPECT_TRUE(m_log.m_failed);
+    EXPECT_TRUE(m_log.m_bytes_sent);
+    EXPECT_FALSE(m_log.m_head_received);
+    EXPECT_LE(written, most);
+}
+
 // What is skipped must not widen the bounds of the response itself.
 TEST_F(skipping_client, framing_after_a_skipped_body_is_bounded) {
     constexpr std::size_t limit = io::http_client::limits{}.m_head_bytes;
