Bound what the kernel keeps of unread answers

Machines that had called a faulty upstream ran out of memory, and requests of others ended with them. Each connection to an upstream had a receive buffer of 128 KB, of which the kernel reserves 256 KB: 200 MB for 800 answers without an end, whatever answer_bytes says, on machines of 160 MB.

Connections now begin with 16 KB and get 128 KB behind 32 KB of one answer, while a budget for the process has room: 32 MB, or a fifth of the machine's memory if that is less. It is given back by the close. A buffer is never made smaller, as the kernel drops what is sent into the window that was announced before.

client_windows.of_many_long_answers_stay_within_the_budget saw 3,145,728 bytes for 12 answers with fixed buffers of 128 KB, bound 1,081,344.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -21,7 +21,8 @@
     test/limit/drain_schedule.cpp test/limit/hold_up_record.cpp test/limit/arrival_span.cpp test/limit/answer_bound.cpp test/member/table.cpp test/member/roster.cpp test/share/table.cpp
     test/command/parse.cpp test/command/apply.cpp test/command/table.cpp
     test/discovery/list_guard.cpp test/discovery/instance_log.cpp
-    test/discovery/lapse_window.cpp test/event/ring.cpp test/io/event_loop.cpp test/io/read_budget.cpp test/io/http_client.cpp test/io/response_parser.cpp
+    test/discovery/lapse_window.cpp test/event/ring.cpp test/io/event_loop.cpp test/io/read_budget.cpp
+    test/io/receive_windows.cpp test/io/http_client.cpp test/io/response_parser.cpp
     test/io/http_client_cuts.cpp test/io/http_client_skip.cpp
     test/io/http_client_early_answers.cpp test/io/http_client_silence.cpp test/io/peer_silence.cpp
     test/io/fetcher.cpp test/io/http_server.cpp test/io/http_server_closing.cpp
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -17,10 +17,12 @@
 #include "entry/journal.hpp"
 #include "entry/metrics.hpp"
 #include "entry/packed_document.hpp"
+#include "entry/process_memory.hpp"
 #include "entry/rollouts.hpp"
 #include "entry/settings.hpp"
 #include "entry/upstream_table.hpp"
 #include "io/event_loop.hpp"
+#include "io/receive_windows.hpp"
 
 namespace skylark::entry {
 
@@ -34,7 +36,8 @@
                                                             m_metrics},
           m_allowances{loop, m_fleet, m_journal, m_metrics,
                        id_of(from.m_name).value()},
-          m_upstreams{id_of(from.m_name), from.m_zone}, m_paths{from.m_zone} {}
+          m_upstreams{id_of(from.m_name), from.m_zone}, m_paths{from.m_zone},
+          m_windows{receive_window_bytes(read_machine_memory())} {}
 
     io::event_loop& m_loop;
     settings m_settings;
@@ -51,6 +54,7 @@
     upstream_table m_upstreams;
     path_table m_paths; //!< to the zones of upstreams, from probes
     rollouts m_rollouts{*this};
+    io::receive_windows m_windows; //!< of callers and upstreams
     //! Set from the begin of the graceful shutdown on.
     std::optional<drain_schedule> m_drain;
     bool m_isolated{}; //!< reaches neither the store nor a majority
--- a/src/entry/forwarder_admission.cpp
+++ b/src/entry/forwarder_admission.cpp
@@ -14,15 +14,13 @@
 // return within a third of their deadlines.
 constexpr auto calm_period = seconds{1};
 constexpr double hedge_budget_cap = 10.0; // attempts
-// Kernel receive buffer of each connection to an upstream, in bytes.
-constexpr int receive_buffer_size = 128 << 10;
 } // namespace
 
 forwarder::forwarder(context& shared, io::http_server& callers,
                      std::uint64_t seed)
     : m_shared{shared}, m_callers{callers}, m_client{shared.m_loop,
-                                                     {seconds{2},
-                                                      receive_buffer_size}},
+                                                     {},
+                                                     &shared.m_windows},
       m_pool{shared, m_client}, m_prober{shared, m_client, m_pool},
       m_router{shared, seed}, m_hedge_budget{hedge_budget_cap} {
     m_shared.m_loop.every(sweep_period, [this] { sweep(); });
--- a/src/entry/process_memory.cpp
+++ b/src/entry/process_memory.cpp
@@ -1,6 +1,7 @@
 // Memory of the process and of its machine, from /proc.
 #include "entry/process_memory.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr std::uint64_t bytes_in_kb = 1024;
+// A fifth of the memory of the smallest known instances, 160 MB.
+constexpr std::uint64_t most_window_bytes = std::uint64_t{32} << 20U;
 
 // The beginning of a file; empty if it can't be read.
 std::string beginning_of(const char* path) {
@@ -60,4 +63,10 @@
     return size_in(beginning_of("/proc/meminfo"), "MemTotal:");
 }
 
+std::size_t receive_window_bytes(std::optional<std::uint64_t> machine) {
+    constexpr std::uint64_t parts = 5;
+    return machine ? std::min(most_window_bytes, *machine / parts)
+                   : most_window_bytes;
+}
+
 } // namespace skylark::entry
--- a/src/entry/process_memory.hpp
+++ b/src/entry/process_memory.hpp
@@ -2,6 +2,7 @@
 #ifndef SKYLARK_ENTRY_PROCESS_MEMORY_HPP
 #define SKYLARK_ENTRY_PROCESS_MEMORY_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,11 @@
  *  @return nothing if /proc can't be read */
 std::optional<std::uint64_t> read_machine_memory();
 
+/*! @brief Memory that the kernel may use for input of callers and upstreams
+ *  that the process has not read, besides the first part of each connection.
+ *  @param machine bytes of its memory, none if not known */
+std::size_t receive_window_bytes(std::optional<std::uint64_t> machine);
+
 } // namespace skylark::entry
 
 #endif
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -15,9 +15,15 @@
 using internal::connection;
 using internal::phase;
 
-http_client::http_client(event_loop& loop, const limits& bounds)
-    : m_native{std::make_unique<native>(native{
-          &loop, bounds, {}, {}, std::vector<char>(bounds.m_turn_bytes)})} {}
+http_client::http_client(event_loop& loop, const limits& bounds,
+                         receive_windows* windows)
+    : m_native{std::make_unique<native>(
+          native{&loop,
+                 bounds,
+                 windows,
+                 {},
+                 {},
+                 std::vector<char>(bounds.m_turn_bytes)})} {}
 
 http_client::~http_client() {
     m_native->m_loop->cancel(m_native->m_watch);
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -17,6 +17,7 @@
 namespace skylark::io {
 
 class event_loop;
+class receive_windows;
 
 /*! @brief Owns client connections. Each reports its events to its handler;
  *  calls with the id of a closed connection have no effect.
@@ -48,7 +49,13 @@
         std::size_t m_turn_bytes{std::size_t{16} << 10U};
     };
 
-    http_client(event_loop& loop, const limits& bounds);
+    /*! @brief Constructs a client without connections.
+     *  @param loop must outlive the client
+     *  @param bounds limits for each connection
+     *  @param windows receive buffers of the connections, in place of
+     *  m_receive_buffer_bytes; must outlive the client if given */
+    http_client(event_loop& loop, const limits& bounds,
+                receive_windows* windows = nullptr);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/src/io/http_client_native.hpp
+++ b/src/io/http_client_native.hpp
@@ -53,6 +53,7 @@
     bool m_skipping{}; // the response in progress is not reported
     bool m_skipped{};  // one was; the next may come at any time
     bool m_paused{};
+    bool m_wide{}; // its receive buffer is to be released
 };
 
 } // namespace internal
@@ -62,6 +63,7 @@
 struct http_client::native {
     event_loop* m_loop;
     limits m_limits;
+    receive_windows* m_windows; // null: none
     id_map<connection_id, internal::connection> m_connections;
     timer_id m_watch{}; // runs while a request is in progress
     std::vector<char> m_read_buffer;
@@ -91,6 +93,7 @@
     void process_input(connection_id key);
     void continue_reading(connection_id key);
     void set_socket_options(int fd) const;
+    void widen(internal::connection& conn);
     static void end_kernel_limit(const internal::connection& conn);
     void watch(internal::connection& conn);
     void end_silent();
--- a/src/io/http_client_read.cpp
+++ b/src/io/http_client_read.cpp
@@ -6,6 +6,7 @@
 
 #include "io/event_loop.hpp"
 #include "io/http_client_native.hpp"
+#include "io/receive_windows.hpp"
 
 namespace skylark::io {
 
@@ -38,6 +39,8 @@
             setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset,
                        sizeof reset);
         h2o_socket_close(socket);
+        if (std::exchange(conn.m_wide, false))
+            m_windows->release();
     }
 }
 
@@ -201,6 +204,7 @@
     const connection_id key = conn.m_key;
     conn.m_overhead_bytes += taken - rest - size;
     conn.m_body_bytes += size;
+    widen(conn);
     if (size > 0 && !conn.m_skipping)
         report(conn, body_received{{conn.m_input.data(), size}});
     if (!m_connections.find(key) || !conn.m_socket)
--- a/src/io/http_client_watch.cpp
+++ b/src/io/http_client_watch.cpp
@@ -8,6 +8,7 @@
 
 #include "io/event_loop.hpp"
 #include "io/http_client_native.hpp"
+#include "io/receive_windows.hpp"
 
 namespace skylark::io {
 
@@ -44,11 +45,19 @@
     constexpr int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     set_kernel_limit(fd, m_limits.m_silence_limit);
-    if (m_limits.m_receive_buffer_bytes > 0)
+    if (m_windows)
+        receive_windows::begin(fd);
+    else if (m_limits.m_receive_buffer_bytes > 0)
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &m_limits.m_receive_buffer_bytes,
                    sizeof m_limits.m_receive_buffer_bytes);
 }
 
+void http_client::native::widen(connection& conn) {
+    if (m_windows && !conn.m_wide &&
+        conn.m_body_bytes >= receive_windows::much_input)
+        conn.m_wide = m_windows->widen(h2o_socket_get_fd(conn.m_socket));
+}
+
 void http_client::native::end_kernel_limit(const connection& conn) {
     set_kernel_limit(h2o_socket_get_fd(conn.m_socket), duration{0});
 }
--- a/test/entry/process_memory.cpp
+++ b/test/entry/process_memory.cpp
@@ -40,3 +40,10 @@
     EXPECT_GE(after->m_peak, size);
     EXPECT_GE(entry::read_machine_memory().value_or(0), after->m_resident);
 }
+
+TEST(process_memory, receive_windows_leave_room_on_small_machines) {
+    constexpr std::uint64_t mb = std::uint64_t{1} << 20U;
+    EXPECT_EQ(entry::receive_window_bytes(100 * mb), 20U * mb);
+    EXPECT_EQ(entry::receive_window_bytes(32768 * mb), 32U * mb);
+    EXPECT_EQ(entry::receive_window_bytes(std::nullopt), 32U * mb);
+}
