Bound what the kernel keeps of uploads

Connections of callers had no receive buffer of their own, and the kernel's default grows to megabytes for each upload that the process does not read as fast as it comes, which input_bytes does not count.

The listening socket passes a buffer of 16 KB on to the connections that it accepts; one that has sent 32 KB of a request gets 128 KB from the budget that upstreams use, seen at the checks on input every 100 ms, and gives it back when it closes.

The growth to megabytes and uploads over long paths were not measured.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -33,7 +33,8 @@
 } // namespace
 
 node::node(io::event_loop& loop, const settings& from)
-    : m_shared{loop, from}, m_callers{loop, starting_limits(from)},
+    : m_shared{loop, from}, m_callers{loop, starting_limits(from),
+                                      &m_shared.m_windows},
       m_forwarder{m_shared, m_callers, seed_of(from)},
       m_configurator{m_shared, [this] { adopt(); }}, m_prober{m_shared,
                                                               m_forwarder},
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -10,6 +10,7 @@
 #include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
 #include "io/listener.hpp"
+#include "io/receive_windows.hpp"
 #include "io/request_input.hpp"
 #include "io/socket_queue.hpp"
 
@@ -27,8 +28,10 @@
 constexpr auto no_time_limit = std::chrono::hours{24 * 365};
 } // namespace
 
-http_server::http_server(event_loop& loop, const server_limits& limits)
+http_server::http_server(event_loop& loop, const server_limits& limits,
+                         receive_windows* windows)
     : m_native{std::make_unique<native>(loop)} {
+    m_native->m_windows = windows;
     auto& config = m_native->m_config;
     h2o_config_init(&config);
     config.http1.req_timeout = static_cast<std::uint64_t>(to_ms(no_time_limit));
@@ -58,6 +61,7 @@
         native->widen_bounds();
         native->close_oversized();
         native->limit_total_input();
+        native->widen_windows();
     });
     m_native->m_accept.ctx = &m_native->m_context;
     m_native->m_accept.hosts = config.hosts;
@@ -67,11 +71,14 @@
     stop_listening();
     // Leaks the state on purpose: h2o keeps pointers to it, and connections
     // stay open until the process ends.
+    m_native->m_windows = nullptr;
     static_cast<void>(m_native.release());
 }
 
 void http_server::set_limits(const server_limits& limits) {
-    m_native->m_send_buffer = limits.m_send_buffer_bytes;
+    m_native->m_buffers = {limits.m_send_buffer_bytes,
+                           m_native->m_windows ? receive_windows::narrow
+                                               : limits.m_receive_buffer_bytes};
     m_native->m_total_input_limit = limits.m_input_bytes;
     m_native->set_bounds({limits.m_head_bytes, limits.m_body_bytes});
     m_native->m_idle_timeout = limits.m_idle_timeout;
@@ -84,8 +91,7 @@
 }
 
 parsed<address> http_server::listen(address local) {
-    BOOST_OUTCOME_TRY(fd,
-                      internal::open_listener(local, m_native->m_send_buffer));
+    BOOST_OUTCOME_TRY(fd, internal::open_listener(local, m_native->m_buffers));
     auto* socket = h2o_evloop_socket_create(m_native->m_loop->native(), fd,
                                             H2O_SOCKET_FLAG_DONT_READ);
     socket->data = m_native.get();
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -22,6 +22,7 @@
 namespace skylark::io {
 
 class event_loop;
+class receive_windows;
 
 /*! @brief Limits on the requests that a server accepts. */
 struct server_limits {
@@ -38,6 +39,10 @@
     //! SO_SNDBUF, read by listen(); 0: kernel's default. Bounds what counts as
     //! written although the caller has not received it.
     int m_send_buffer_bytes{};
+    //! SO_RCVBUF, read by listen(); 0: kernel's default, which grows to
+    //! megabytes for each connection. Without effect if the server has
+    //! receive_windows.
+    int m_receive_buffer_bytes{};
     //! Requests of one connection that are in progress at a time, see
     //! handlers::m_may_begin_early; 0 and 1: one begins when the one before it
     //! was answered.
@@ -81,7 +86,13 @@
         std::function<bool(const request_view&)> m_may_begin_early;
     };
 
-    http_server(event_loop& loop, const server_limits& limits);
+    /*! @brief Constructs a server that does not listen yet.
+     *  @param loop must outlive the server
+     *  @param limits on what is accepted
+     *  @param windows receive buffers of its connections; must outlive the
+     *  server if given */
+    http_server(event_loop& loop, const server_limits& limits,
+                receive_windows* windows = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -9,6 +9,7 @@
 #include "io/event_loop.hpp"
 #include "io/http_server_native.hpp"
 #include "io/http_status.hpp"
+#include "io/receive_windows.hpp"
 #include "io/socket_queue.hpp"
 
 namespace skylark::io {
@@ -125,6 +126,8 @@
     if (self->m_kept >= 0)
         server.m_lingering.add(self->m_kept);
     server.end_early(*server.m_connections.find(self->m_key), 0);
+    if (self->m_wide && server.m_windows)
+        server.m_windows->release();
     server.m_connections.erase(self->m_key);
 }
 
@@ -207,4 +210,13 @@
     }
 }
 
+void http_server::native::widen_windows() {
+    if (!m_windows)
+        return;
+    for (auto& [key, item] : m_connections)
+        if (!item.m_wide &&
+            item.m_socket->input->size >= receive_windows::much_input)
+            item.m_wide = m_windows->widen(h2o_socket_get_fd(item.m_socket));
+}
+
 } // namespace skylark::io
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -16,6 +16,7 @@
 #include "io/held_bounds.hpp"
 #include "io/http_server.hpp"
 #include "io/lingering_connections.hpp"
+#include "io/listener.hpp"
 #include "io/native.hpp"
 
 namespace skylark::io {
@@ -77,6 +78,7 @@
     connection_id m_key;
     bool m_ended{};      // shut down while idle; requests are not passed on
     bool m_broken_off{}; // its last answer was broken off
+    bool m_wide{};       // its receive buffer is to be released
     held_bounds m_held;  // of what had arrived when limits were lowered
     // Duplicate of its descriptor after a request was rejected and until the
     // next one is whole, as h2o closes on input that never becomes one.
@@ -117,7 +119,8 @@
     request_bounds m_bounds;           // in force
     request_bounds m_widest;           // in force or held for any connection
     std::size_t m_total_input_limit{}; // bytes of all requests
-    int m_send_buffer{};               // bytes, see server_limits
+    internal::buffer_sizes m_buffers;  // see server_limits
+    receive_windows* m_windows{};      // null: none
     duration m_idle_timeout{};
     std::vector<header_view>
         m_headers; // of the present request; reused to save allocations
@@ -140,6 +143,8 @@
     void widen_bounds();
     void close_oversized();
     void limit_total_input();
+    // Gives wide receive buffers to connections with long uploads.
+    void widen_windows();
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
     static void on_accept(h2o_socket_t* listener, const char* error);
     static void on_socket_close(void* data);
--- a/src/io/listener.cpp
+++ b/src/io/listener.cpp
@@ -17,7 +17,7 @@
 constexpr int unsent_limit = 128 << 10;
 } // namespace
 
-parsed<int> open_listener(address local, int send_buffer) {
+parsed<int> open_listener(address local, const buffer_sizes& buffers) {
     const int fd =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     constexpr int on = 1;
@@ -25,8 +25,13 @@
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_limit,
                sizeof unsent_limit);
-    if (send_buffer > 0)
-        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer);
+    // Before listen(): what a connection announces follows from it.
+    if (buffers.m_send > 0)
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffers.m_send,
+                   sizeof buffers.m_send);
+    if (buffers.m_receive > 0)
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffers.m_receive,
+                   sizeof buffers.m_receive);
     const sockaddr_in name = to_native(local);
     const auto* generic = reinterpret_cast<const sockaddr*>(&name);
     if (bind(fd, generic, sizeof name) == 0 && listen(fd, backlog) == 0)
