Bound what the kernel keeps of answers to fetches and of operators' requests

Connections to store, peers and probed upstreams, and those of the control port, had the kernel's default, which grows to megabytes for each. They are few, so their receive buffers are fixed: 128 KB, or as much as the longest answer that is accepted if that is less (16 KB at least), and 64 KB on the control port.

fetcher_test.the_kernel_keeps_little_of_an_answer_that_is_too_large saw 131,072 bytes for answers of at most 1,000 bytes, now 32,768.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -35,9 +35,11 @@
 // A transfer to a peer counts until nearly all of it has arrived.
 io::server_limits control_limits() {
     constexpr int send_buffer = 64 << 10;
+    constexpr int receive_buffer = 64 << 10;
     io::server_limits out;
     out.m_body_bytes = defaults::document_bytes;
     out.m_send_buffer_bytes = send_buffer;
+    out.m_receive_buffer_bytes = receive_buffer;
     return out;
 }
 
--- a/src/io/fetcher.cpp
+++ b/src/io/fetcher.cpp
@@ -1,10 +1,12 @@
 // Buffered HTTP requests, each on its own connection.
 #include "io/fetcher.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/overloaded.hpp"
 #include "io/event_loop.hpp"
+#include "io/receive_windows.hpp"
 
 namespace skylark::io {
 
@@ -28,8 +30,23 @@
     return out + "\r\n" + request.m_body;
 }
 
+namespace {
+// Large enough for a document to arrive without pauses, and small where only
+// short answers are accepted.
+http_client::limits limits_for(std::size_t body_limit) {
+    constexpr std::size_t least = receive_windows::narrow;
+    constexpr std::size_t most = receive_windows::wide;
+    http_client::limits out;
+    out.m_receive_buffer_bytes =
+        static_cast<int>(std::clamp(body_limit, least, most));
+    return out;
+}
+} // namespace
+
 fetcher::fetcher(event_loop& loop, std::size_t body_limit)
-    : m_loop{loop}, m_body_limit{body_limit}, m_client{loop, {}} {}
+    : m_loop{loop}, m_body_limit{body_limit}, m_client{loop,
+                                                       limits_for(body_limit)} {
+}
 
 fetcher::fetch_id fetcher::run(const fetch_request& request, callback done,
                                std::function<void()> on_input) {
--- a/test/io/fetcher.cpp
+++ b/test/io/fetcher.cpp
@@ -3,7 +3,9 @@
 
 #include <optional>
 
+#include "io/receive_windows.hpp"
 #include "test/io/client_fixture.hpp"
+#include "test/io/receive_buffer.hpp"
 
 using namespace skylark;
 using skylark::test::client_test;
@@ -108,3 +110,13 @@
     run_until([&] { return io::event_loop::now() >= end; });
     EXPECT_FALSE(reported);
 }
+
+TEST_F(fetcher_test, the_kernel_keeps_little_of_an_answer_that_is_too_large) {
+    io::fetcher small{m_loop, 1000};
+    io::fetch_request request;
+    request.m_to = m_server.where();
+    small.run(request, [](const io::fetch_result&) {});
+    m_server.accept_one();
+    EXPECT_EQ(test::receive_buffer_to(m_server.where()),
+              std::size_t{2 * io::receive_windows::narrow});
+}
