--- a/src/io/http_client_watch.cpp
+++ b/src/io/http_client_watch.cpp
@@ -8,6 +8,7 @@
 
 #include "io/event_loop.hpp"
 #include "io/http_client_native.hpp"
+#include "io/receive_windows.hpp"
 #include "io/socket_queue.hpp"
 
 namespace skylark::io {
@@ -40,11 +41,19 @@
     // Ends attempts to connect. On an established connection it would also end
     // one whose peer replies and keeps its window closed.
     internal::limit_unacknowledged_time(fd, m_limits.m_silence_limit);
-    if (m_limits.m_receive_buffer_bytes > 0)
+    if (m_windows)
+        receive_windows::begin(fd);
+    else if (m_limits.m_receive_buffer_bytes > 0)
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &m_limits.m_receive_buffer_bytes,
                    sizeof m_limits.m_receive_buffer_bytes);
 }
 
+void http_client::native::widen(connection& conn) {
+    if (m_windows && !conn.m_wide &&
+        conn.m_body_bytes >= receive_windows::much_input)
+        conn.m_wide = m_windows->widen(h2o_socket_get_fd(conn.m_socket));
+}
+
 void http_client::native::end_kernel_limit(const connection& conn) {
     internal::limit_unacknowledged_time(h2o_socket_get_fd(conn.m_socket),
                                         duration{0});
