Handle signals before libraries are initialized

What callers saw: none of theirs; a process told to end, or to read its settings again, right behind its start ended by the signal's default (status -15 or -1 in place of 0 or of a start), which a supervisor may count as an end by itself.

Cause: the handlers were set at the begin of main(), behind the static initialization of all libraries.

Evidence: test/process/signal_in_start.py, where a preloaded library now raises the signal in its constructor. On the code before: "SIGTERM before main(): code -15" and "SIGHUP before main(): code -1"; now both hold.

Change: the handlers are set from .preinit_array of the program, which the dynamic linker runs before any library's initialization. The test opens its named pipe without a wait, as a process that ended before would leave it waiting for ever; its checks are the same and two more.

What remains is exec and the dynamic linker's own work, mostly relocations, in which no code of the program runs: a part of the window only is closed.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -111,7 +111,11 @@
 # The process did not run until just before the signal.
 add_process_test(planned_stop_after_a_stall test/process/planned_stop.py
                  --stalled-s 3 --long-work --service-us 4000000)
-# SIGTERM and SIGHUP arrive while the process reads its settings.
+# SIGTERM and SIGHUP arrive while libraries are initialized, and while the process
+# reads its settings.
+add_library(raise_in_constructor MODULE test/process/raise_in_constructor.cpp)
+set_target_properties(raise_in_constructor PROPERTIES
+                      LIBRARY_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/lib)
 add_process_test(signal_in_start test/process/signal_in_start.py)
 # The ports of the process before are released a while after its end.
 add_process_test(start_on_held_port test/process/start_on_held_port.py)
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -53,6 +53,13 @@
     std::signal(SIGHUP, request_reload);
 }
 
+// Libraries take milliseconds to initialize, in which a signal would end the
+// process by its default. The dynamic linker calls this before it starts them.
+using initializer = void (*)();
+[[gnu::used,
+  gnu::section(".preinit_array")]] const initializer handle_signals_early =
+    handle_signals;
+
 int run(const skylark::entry::settings& from, const std::string& path) {
     const auto free = skylark::entry::wait_for_ports(from);
     if (!free) {
@@ -99,7 +106,6 @@
 
 int main(int argc, char** argv) {
     skylark::entry::report_faults();
-    handle_signals();
     CLI::App app{"Entry instance of skylarkspindle"};
     std::string path;
     bool check_only = false;
--- a/test/process/signal_in_start.py
+++ b/test/process/signal_in_start.py
@@ -1,8 +1,9 @@
 """Signals to an entry that has not read its settings yet.
 
 The settings come through a named pipe, so the process waits in their midst
-until the signal was sent. SIGTERM must end it with code 0, without a port that
-was open; SIGHUP must not end it. Exit code 1 otherwise.
+until the signal was sent; or a preloaded library raises it before main().
+SIGTERM must end it with code 0, without a port that was open; SIGHUP must not
+end it. Exit code 1 otherwise.
 """
 
 import argparse
@@ -48,25 +49,41 @@
 class Start:
     """An entry that is held in its start; a context manager."""
 
-    def __init__(self, args, folder):
+    def __init__(self, args, folder, before_main=None):
         self.net = args.net
         self.path = pathlib.Path(folder) / "entry.toml"
         self.log = pathlib.Path(folder) / "entry.log"
         os.mkfifo(self.path)
-        entry = pathlib.Path(args.build or ROOT / "build") / "bin" / \
-            "skylark-entry"
+        build = pathlib.Path(args.build or ROOT / "build").absolute()
+        entry = build / "bin" / "skylark-entry"
+        environment = dict(os.environ)
+        if before_main is not None:
+            environment["LD_PRELOAD"] = str(
+                build / "lib" / "libraise_in_constructor.so")
+            environment["RAISED_SIGNAL"] = str(before_main.value)
         with open(self.log, "w", encoding="utf-8") as log:
             self.process = subprocess.Popen(
                 [str(entry), "--settings", str(self.path)], stdout=log,
-                stderr=log, stdin=subprocess.DEVNULL)
-        # Returns once the process has opened the other end.
-        self.pipe = open(self.path, "w", encoding="utf-8")
+                stderr=log, stdin=subprocess.DEVNULL, env=environment)
+        self.pipe = self.open_pipe()
+
+    def open_pipe(self):
+        """The writing end once the process reads, None if it ended before."""
+        while self.process.poll() is None:
+            try:
+                return os.fdopen(
+                    os.open(self.path, os.O_WRONLY | os.O_NONBLOCK), "w",
+                    encoding="utf-8")
+            except OSError:  # no reader yet
+                time.sleep(0.005)
+        return None
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
-        self.pipe.close()
+        if self.pipe is not None:
+            self.pipe.close()
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
@@ -77,6 +94,8 @@
         plain = self.path.with_suffix(".new")
         plain.write_text(text, encoding="utf-8")
         plain.replace(self.path)
+        if self.pipe is None:
+            return  # it has ended; its code is judged
         try:
             self.pipe.write(text)
             self.pipe.close()
@@ -84,31 +103,34 @@
             pass  # it has ended; its code is judged
 
 
-def terminated(args, folder):
-    with Start(args, folder) as start:
-        start.process.send_signal(signal.SIGTERM)
+def terminated(args, folder, early):
+    when = "before main()" if early else "before the settings were read"
+    with Start(args, folder, signal.SIGTERM if early else None) as start:
+        if not early:
+            start.process.send_signal(signal.SIGTERM)
         start.go_on()
         code = start.process.wait(timeout=LIMIT_S)
         text = start.log.read_text("utf-8")
     if code != 0:
-        return [f"SIGTERM before the settings were read: code {code}"]
+        return [f"SIGTERM {when}: code {code}"]
     if "drain" in text:
-        return ["SIGTERM before the settings were read: it listened"]
+        return [f"SIGTERM {when}: it listened"]
     return []
 
 
-def reloaded(args, folder):
-    with Start(args, folder) as start:
-        start.process.send_signal(signal.SIGHUP)
+def reloaded(args, folder, early):
+    when = "before main()" if early else "before the settings were read"
+    with Start(args, folder, signal.SIGHUP if early else None) as start:
+        if not early:
+            start.process.send_signal(signal.SIGHUP)
         start.go_on()
         end = time.monotonic() + LIMIT_S
         while start.process.poll() is None and not answers(args.net):
             if time.monotonic() > end:
-                return ["SIGHUP before the settings were read: no start"]
+                return [f"SIGHUP {when}: no start"]
             time.sleep(0.02)
         if start.process.poll() is not None:
-            return ["SIGHUP before the settings were read: code "
-                    f"{start.process.returncode}"]
+            return [f"SIGHUP {when}: code {start.process.returncode}"]
         start.process.send_signal(signal.SIGTERM)
         code = start.process.wait(timeout=LIMIT_S)
     return [f"SIGTERM after it: code {code}"] if code else []
@@ -121,8 +143,9 @@
     args = parser.parse_args()
     findings = []
     for case in (terminated, reloaded):
-        with tempfile.TemporaryDirectory() as folder:
-            findings += case(args, folder)
+        for early in (False, True):
+            with tempfile.TemporaryDirectory() as folder:
+                findings += case(args, folder, early)
     for line in findings:
         print(line)
     return 1 if findings else 0
