Start with an output that is closed or has lost its reader

What callers saw: none of theirs yet. A start that waits for a port and logs it to a pipe whose reader is gone ended by SIGPIPE; one with closed standard descriptors gave their numbers to its own epoll, timer and sockets, into which log lines were then written.

Cause: SIGPIPE was ignored only from the event loop's begin on, behind the first lines, and nothing kept the numbers of closed standard descriptors.

Evidence: test/process/start_without_output.py on the code before: "output without a reader: code -13", and descriptors 0, 1 and 2 were an eventpoll, a timerfd and a pipe. Now both cases serve, and the three are /dev/null.

Change: SIGPIPE is ignored together with the other handlers, before main(), and main() first opens /dev/null in place of each standard descriptor that is not open.

Why it works: the kernel gives out the lowest free number, and nothing else is opened before.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -119,6 +119,8 @@
 add_process_test(signal_in_start test/process/signal_in_start.py)
 # The ports of the process before are released a while after its end.
 add_process_test(start_on_held_port test/process/start_on_held_port.py)
+# Standard output and error are closed, or have lost their reader.
+add_process_test(start_without_output test/process/start_without_output.py)
 # A fault leaves its last line, and the status of its signal.
 add_process_test(fault_report test/process/fault_report.py)
 # Callers end their input just before the entries handle SIGTERM.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -6,9 +6,11 @@
 #include <iostream>
 #include <string>
 #include <system_error>
-#include <unistd.h>
 #include <utility>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 
 #include <skylark/config/config.hpp>
@@ -51,6 +53,8 @@
     std::signal(SIGTERM, request_drain);
     std::signal(SIGINT, request_drain);
     std::signal(SIGHUP, request_reload);
+    // A reader of the output that has gone must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 // Libraries take milliseconds to initialize, in which a signal would end the
@@ -60,6 +64,16 @@
   gnu::section(".preinit_array")]] const initializer handle_signals_early =
     handle_signals;
 
+// Lines would be written to the sockets that took the numbers of standard
+// descriptors.
+void fill_standard_descriptors() {
+    constexpr int not_open = -1;
+    for (const int number : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
+        // The lowest number that is free is this one.
+        if (fcntl(number, F_GETFD) == not_open)
+            static_cast<void>(open("/dev/null", O_RDWR) < 0);
+}
+
 int run(const skylark::entry::settings& from, const std::string& path) {
     const auto free = skylark::entry::wait_for_ports(from);
     if (!free) {
@@ -105,6 +119,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    fill_standard_descriptors();
     skylark::entry::report_faults();
     CLI::App app{"Entry instance of skylarkspindle"};
     std::string path;
--- a/test/process/start_on_held_port.py
+++ b/test/process/start_on_held_port.py
@@ -50,9 +50,12 @@
         binary = pathlib.Path(args.build or ROOT / "build") / "bin" / \
             "skylark-entry"
         with open(self.log, "a", encoding="utf-8") as log:
-            self.process = subprocess.Popen(
-                [str(binary), "--settings", str(path)], stdout=log, stderr=log,
-                stdin=subprocess.DEVNULL)
+            self.process = self.start(
+                [str(binary), "--settings", str(path)], log)
+
+    def start(self, command, log):
+        return subprocess.Popen(command, stdout=log, stderr=log,
+                                stdin=subprocess.DEVNULL)
 
     def __enter__(self):
         return self
