--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -6,9 +6,11 @@
 #include <iostream>
 #include <string>
 #include <system_error>
-#include <unistd.h>
 #include <utility>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 
 #include <skylark/config/config.hpp>
@@ -51,6 +53,25 @@
     std::signal(SIGTERM, request_drain);
     std::signal(SIGINT, request_drain);
     std::signal(SIGHUP, request_reload);
+    // A reader of the output that has gone must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+// Libraries take milliseconds to initialize, in which a signal would end the
+// process by its default. The dynamic linker calls this before it starts them.
+using initializer = void (*)();
+[[gnu::used,
+  gnu::section(".preinit_array")]] const initializer handle_signals_early =
+    handle_signals;
+
+// Lines would be written to the sockets that took the numbers of standard
+// descriptors.
+void fill_standard_descriptors() {
+    constexpr int not_open = -1;
+    for (const int number : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
+        // The lowest number that is free is this one.
+        if (fcntl(number, F_GETFD) == not_open)
+            static_cast<void>(open("/dev/null", O_RDWR) < 0);
 }
 
 int run(const skylark::entry::settings& from, const std::string& path) {
@@ -98,8 +119,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    fill_standard_descriptors();
     skylark::entry::report_faults();
-    handle_signals();
     CLI::App app{"Entry instance of skylarkspindle"};
     std::string path;
     bool check_only = false;
