Show what the kernel keeps for connections, and count it as used memory

Callers saw nothing of it; operators could not tell an entry whose machine runs out of memory from a small one.

`memory` lines judge the sum of both and give `kernel_mb`. Sockets of the store, the peers and the control port are not counted.

Tests: socket_memory.holds_what_neither_end_has_read and endless_answer.what_the_kernel_keeps_of_it_shows_in_the_metrics, which names a gauge that was not there before.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -30,7 +30,7 @@
     test/io/http_server_idle.cpp test/io/http_server_callers.cpp test/io/http_server_head.cpp
     test/io/http_server_pipelining.cpp test/io/http_server_early.cpp
     test/io/http_server_held_answers.cpp
-    test/io/lingering_connections.cpp test/entry/settings.cpp
+    test/io/lingering_connections.cpp test/io/socket_memory.cpp test/entry/settings.cpp
     test/entry/request_head.cpp test/entry/retired_service.cpp test/entry/native_dialect.cpp test/entry/resting.cpp
     test/entry/availability_info.cpp test/entry/upstream_table.cpp test/entry/log.cpp test/entry/fault_report.cpp
     test/entry/metrics.cpp test/entry/process_memory.cpp test/limit/memory_level.cpp
--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -11,7 +11,6 @@
 #include <skylark/limit/ratio_budget.hpp>
 #include <skylark/limit/retry_after.hpp>
 #include <skylark/limit/token_bucket.hpp>
-#include <skylark/load/room_estimator.hpp>
 #include <skylark/load/service_time_estimator.hpp>
 #include <skylark/route/zone_share.hpp>
 #include <skylark/rule/deadline_range.hpp>
@@ -24,6 +23,7 @@
 #include "entry/request.hpp"
 #include "entry/request_stage.hpp"
 #include "entry/router.hpp"
+#include "entry/service_state.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
 
@@ -85,6 +85,7 @@
     [[nodiscard]] std::size_t active() const { return m_requests.size(); }
     /*! @brief Answers in progress, as of the last sweep. */
     [[nodiscard]] const answer_sums& answers() const { return m_answers; }
+    const io::http_client& client() const { return m_client; }
     /*! @brief Number of requests in the admission queues. */
     [[nodiscard]] std::size_t queued() const;
     /*! @brief Time since the last request that was admitted. */
@@ -110,12 +111,6 @@
                       time_point taken);
 
 private:
-    // What this entry observes of the load on a service.
-    struct service_state {
-        room_estimator m_room;
-        time_point m_last_refusal; // by this entry
-    };
-
     // Refusals.
     void refuse_on_arrival(exchange_id key, const io::request_view& from,
                            int status, std::string_view reason,
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -65,7 +65,7 @@
      "iterations of the event loop that worked for over 100 ms"},
 }};
 
-constexpr std::array<description, 18> gauges{{
+constexpr std::array<description, 19> gauges{{
     {"skylark_requests", "requests at hand"},
     {"skylark_queued", "requests that wait for an upstream"},
     {"skylark_members", "entries in the view"},
@@ -88,6 +88,8 @@
      "bytes of answers that callers have not read"},
     {"skylark_unbounded_answers",
      "answers in progress without a length or with over 1 MB to come"},
+    {"skylark_socket_buffer_bytes",
+     "memory that the kernel keeps for connections of callers and upstreams"},
 }};
 
 // Gauges, as a team that is not shown any more takes its series with it.
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -69,7 +69,8 @@
     machine_memory_bytes,
     longest_iteration_ms,
     unread_answer_bytes,
-    unbounded_answers
+    unbounded_answers,
+    socket_buffer_bytes
 };
 
 /*! @brief What happened to the requests of a team that has a rate limit. */
--- a/src/entry/node_process.cpp
+++ b/src/entry/node_process.cpp
@@ -26,18 +26,22 @@
 void node::observe_memory() {
     metrics& out = m_shared.m_metrics;
     out.set(gauge::machine_memory_bytes, to_signed(m_machine_memory));
+    const std::uint64_t kernel =
+        m_callers.kernel_bytes() + m_forwarder.client().kernel_bytes();
+    out.set(gauge::socket_buffer_bytes, to_signed(kernel));
     const auto use = read_memory_use();
     if (!use)
         return;
     out.set(gauge::resident_bytes, to_signed(use->m_resident));
     out.set(gauge::resident_peak_bytes, to_signed(use->m_peak));
-    const auto passed = m_memory_level.step(use->m_resident);
+    const auto passed = m_memory_level.step(use->m_resident + kernel);
     if (!passed)
         return;
     const answer_sums& answers = m_forwarder.answers();
     log_line line{"memory"};
     line.add("passed_percent", *passed)
         .add("resident_mb", use->m_resident / bytes_in_mb)
+        .add("kernel_mb", kernel / bytes_in_mb)
         .add("peak_mb", use->m_peak / bytes_in_mb)
         .add("machine_mb", m_machine_memory / bytes_in_mb)
         .add("requests", m_forwarder.active())
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -9,6 +9,7 @@
 
 #include "io/event_loop.hpp"
 #include "io/http_client_native.hpp"
+#include "io/socket_memory.hpp"
 
 namespace skylark::io {
 
@@ -137,6 +138,21 @@
     return found ? found->m_input.size() : 0;
 }
 
+std::size_t http_client::kernel_bytes(connection_id key) const {
+    const connection* found = m_native->m_connections.find(key);
+    return found && found->m_socket
+               ? internal::socket_memory(h2o_socket_get_fd(found->m_socket))
+               : 0;
+}
+
+std::size_t http_client::kernel_bytes() const {
+    std::size_t sum = 0;
+    for (const auto& [key, item] : m_native->m_connections)
+        if (item.m_socket)
+            sum += internal::socket_memory(h2o_socket_get_fd(item.m_socket));
+    return sum;
+}
+
 std::size_t http_client::size() const {
     return m_native->m_connections.size();
 }
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -107,6 +107,10 @@
     /*! @brief Bytes that were received on a connection and not reported yet. */
     [[nodiscard]] std::size_t unreported(connection_id key) const;
 
+    /*! @brief Bytes that the kernel keeps for a connection, or for all. */
+    [[nodiscard]] std::size_t kernel_bytes(connection_id key) const;
+    [[nodiscard]] std::size_t kernel_bytes() const;
+
     /*! @brief Number of connections, including those being opened. */
     [[nodiscard]] std::size_t size() const;
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -11,6 +11,7 @@
 #include "io/http_server_native.hpp"
 #include "io/listener.hpp"
 #include "io/request_input.hpp"
+#include "io/socket_memory.hpp"
 #include "io/socket_queue.hpp"
 
 namespace skylark::io {
@@ -225,6 +226,18 @@
     return m_native->m_connections.size() + m_native->m_lingering.size();
 }
 
+std::size_t http_server::kernel_bytes(exchange_id key) const {
+    const exchange* found = m_native->m_exchanges.find(key);
+    return found ? internal::socket_memory(found->m_socket) : 0;
+}
+
+std::size_t http_server::kernel_bytes() const {
+    std::size_t sum = m_native->m_lingering.kernel_bytes();
+    for (const auto& [key, item] : m_native->m_connections)
+        sum += internal::socket_memory(h2o_socket_get_fd(item.m_socket));
+    return sum;
+}
+
 std::size_t http_server::active() const {
     return m_native->m_exchanges.size();
 }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -188,6 +188,11 @@
      *  answer that ended them. */
     [[nodiscard]] std::size_t connections() const;
 
+    /*! @brief Bytes that the kernel keeps for an exchange's connection, or for
+     *  all connections. 0 for a finished exchange. */
+    [[nodiscard]] std::size_t kernel_bytes(exchange_id key) const;
+    [[nodiscard]] std::size_t kernel_bytes() const;
+
     /*! @brief Number of unfinished exchanges. */
     [[nodiscard]] std::size_t active() const;
 
--- a/src/io/lingering_connections.cpp
+++ b/src/io/lingering_connections.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cerrno>
 
+#include "io/socket_memory.hpp"
 #include "io/socket_queue.hpp"
 
 namespace skylark::io {
@@ -47,6 +48,13 @@
     return true;
 }
 
+std::size_t lingering_connections::kernel_bytes() const {
+    std::size_t sum = 0;
+    for (const auto& [key, item] : m_connections)
+        sum += internal::socket_memory(h2o_socket_get_fd(item.m_socket));
+    return sum;
+}
+
 bool lingering_connections::delivered() const {
     return std::all_of(
         m_connections.begin(), m_connections.end(), [](const auto& item) {
--- a/src/io/lingering_connections.hpp
+++ b/src/io/lingering_connections.hpp
@@ -45,6 +45,9 @@
     /*! @brief Number of connections that are not closed yet. */
     [[nodiscard]] std::size_t size() const { return m_connections.size(); }
 
+    /*! @brief Bytes that the kernel keeps for all connections. */
+    [[nodiscard]] std::size_t kernel_bytes() const;
+
     /*! @brief Whether all connections could be closed without loss: everything
      *  sent was acknowledged, and no caller has been sending. */
     [[nodiscard]] bool delivered() const;
--- a/test/entry/metrics.cpp
+++ b/test/entry/metrics.cpp
@@ -30,11 +30,11 @@
 TEST(metrics, the_last_counter_and_gauge_have_their_names) {
     entry::metrics metrics;
     metrics.count(entry::counter::slow_iterations, 3);
-    metrics.set(entry::gauge::unbounded_answers, 4);
+    metrics.set(entry::gauge::socket_buffer_bytes, 4);
     const std::string page = metrics.page();
     EXPECT_NE(page.find("\nskylark_slow_iterations_total 3\n"),
               std::string::npos)
         << page;
-    EXPECT_NE(page.find("\nskylark_unbounded_answers 4\n"), std::string::npos)
+    EXPECT_NE(page.find("\nskylark_socket_buffer_bytes 4\n"), std::string::npos)
         << page;
 }
--- a/test/platform/endless_answers.cpp
+++ b/test/platform/endless_answers.cpp
@@ -11,6 +11,9 @@
 constexpr auto route_timeout = milliseconds{1000}; // of the configuration
 // Callers may be kept waiting for half a second beyond it.
 constexpr auto latest_end = route_timeout + milliseconds{500};
+// Requests on one connection, sent at once by a caller that reads nothing.
+constexpr int pipelined = 400;
+constexpr int small_buffer = 4096;
 
 // An upstream that sends a piece of its body at a time, without an end or up to
 // a declared length.
@@ -159,6 +162,22 @@
     turn_until([&] { return shows("unbounded_answers 0"); });
 }
 
+// The resident size alone is small while the machine runs out of memory.
+TEST_F(endless_answer, what_the_kernel_keeps_of_it_shows_in_the_metrics) {
+    m_upstream.m_piece.resize(std::size_t{64} << 10U);
+    m_upstream.m_pause = duration{0};
+    start_with_streaming_upstream();
+    const auto kept = [this] {
+        const auto got = get(m_settings.m_control, "/metrics");
+        const std::string& page = std::get<io::fetch_answer>(got).m_body;
+        const std::string name = "\nskylark_socket_buffer_bytes ";
+        return std::stod(page.substr(page.find(name) + name.size()));
+    };
+    const test::raw_caller caller{m_settings.m_callers};
+    caller.write(head("GET", "5000"));
+    turn_until([&] { return kept() > 64 << 10U; });
+}
+
 TEST_F(endless_answer, is_cut_although_a_length_without_measure_is_declared) {
     m_upstream.m_length = std::uint64_t{1} << 40U;
     start_with_streaming_upstream();
@@ -193,14 +212,6 @@
     EXPECT_LT(io::event_loop::now() - began, latest_end);
 }
 
-namespace {
-
-// Requests on one connection, sent at once by a caller that reads nothing.
-constexpr int pipelined = 400;
-constexpr int small_buffer = 4096;
-
-} // namespace
-
 // The rest of an answer whose upstream has ended its part was kept for ever.
 TEST_F(endless_answer, an_answer_whose_caller_reads_nothing_is_given_up) {
     m_upstream.m_piece.resize(std::size_t{64} << 10U);
