Take the limit of a control group for the machine's memory

Callers saw nothing of it; an entry in a container judged its memory by that of the host, so that its `memory` lines came too late or never. Only MemTotal was read.

The least of MemTotal and of the limits of the own control group and those around it (version 2 memory.max, version 1 memory.limit_in_bytes) counts. In a container the path of the group may be the host's, so that the root of the mount is looked at as well.

Tests: the three of memory_limits. With MemTotal alone all three failed, such as 1048576 for 700000.

--- a/src/entry/process_memory.cpp
+++ b/src/entry/process_memory.cpp
@@ -1,8 +1,11 @@
-// Memory of the process and of its machine, from /proc.
+// Memory of the process and of its machine, from /proc and control groups.
 #include "entry/process_memory.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
+#include <sstream>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -14,9 +17,9 @@
 constexpr std::uint64_t bytes_in_kb = 1024;
 
 // The beginning of a file; empty if it can't be read.
-std::string beginning_of(const char* path) {
+std::string beginning_of(const std::string& path) {
     std::array<char, 4096> buffer{};
-    const int descriptor = open(path, O_RDONLY | O_CLOEXEC);
+    const int descriptor = open(path.c_str(), O_RDONLY | O_CLOEXEC);
     if (descriptor < 0)
         return {};
     const auto size = read(descriptor, buffer.data(), buffer.size());
@@ -26,6 +29,53 @@
                : std::string{buffer.data(), static_cast<std::size_t>(size)};
 }
 
+constexpr std::uint64_t unlimited = std::numeric_limits<std::uint64_t>::max();
+
+// A file without a number, such as "max", sets no limit.
+std::uint64_t limit_in(const std::string& path) {
+    const std::string text = beginning_of(path);
+    std::uint64_t limit = unlimited;
+    const auto read =
+        std::from_chars(text.data(), text.data() + text.size(), limit);
+    return read.ec == std::errc{} ? limit : unlimited;
+}
+
+// A group is bound by those around it as well. In a container its path may be
+// that of the host, of which only the last part is mounted.
+std::uint64_t least_limit(const std::string& mount, std::string_view group,
+                          const char* file) {
+    std::uint64_t least = unlimited;
+    while (!group.empty()) {
+        least =
+            std::min(least, limit_in(mount + std::string{group} + "/" + file));
+        group = group.substr(0, std::min(group.rfind('/'), group.size() - 1));
+    }
+    return std::min(least, limit_in(mount + "/" + file));
+}
+
+// Lines are "number:controllers:path"; version 2 names no controllers.
+std::uint64_t group_limit(const std::string& root) {
+    const std::string mount = root + "/sys/fs/cgroup";
+    std::istringstream groups{beginning_of(root + "/proc/self/cgroup")};
+    std::uint64_t least = unlimited;
+    std::string line;
+    while (std::getline(groups, line)) {
+        const std::size_t first = line.find(':');
+        const std::size_t second = line.find(':', first + 1);
+        if (first == std::string::npos || second == std::string::npos)
+            continue;
+        const std::string names = line.substr(first + 1, second - first - 1);
+        const std::string_view group =
+            std::string_view{line}.substr(second + 1);
+        if (names.empty())
+            least = std::min(least, least_limit(mount, group, "memory.max"));
+        else if (("," + names + ",").find(",memory,") != std::string::npos)
+            least = std::min(least, least_limit(mount + "/memory", group,
+                                                "memory.limit_in_bytes"));
+    }
+    return least;
+}
+
 } // namespace
 
 std::optional<std::uint64_t> size_in(std::string_view text,
@@ -56,8 +106,12 @@
     return memory_use{*resident, *peak};
 }
 
-std::optional<std::uint64_t> read_machine_memory() {
-    return size_in(beginning_of("/proc/meminfo"), "MemTotal:");
+std::optional<std::uint64_t> read_machine_memory(const std::string& root) {
+    const auto machine =
+        size_in(beginning_of(root + "/proc/meminfo"), "MemTotal:");
+    const std::uint64_t least =
+        std::min(machine.value_or(unlimited), group_limit(root));
+    return least == unlimited ? std::nullopt : std::optional{least};
 }
 
 } // namespace skylark::entry
--- a/src/entry/process_memory.hpp
+++ b/src/entry/process_memory.hpp
@@ -1,4 +1,4 @@
-// Memory of the process and of its machine, from /proc.
+// Memory of the process and of its machine, from /proc and control groups.
 #ifndef SKYLARK_ENTRY_PROCESS_MEMORY_HPP
 #define SKYLARK_ENTRY_PROCESS_MEMORY_HPP
 
@@ -26,9 +26,11 @@
  *  @return nothing if /proc can't be read */
 std::optional<memory_use> read_memory_use();
 
-/*! @brief Reads the memory of the machine, in bytes.
- *  @return nothing if /proc can't be read */
-std::optional<std::uint64_t> read_machine_memory();
+/*! @brief Reads the memory that this process may use, in bytes: the machine's,
+ *  or less where a control group (version 1 or 2) limits it.
+ *  @param root folder that holds /proc and /sys
+ *  @return nothing if neither can be read */
+std::optional<std::uint64_t> read_machine_memory(const std::string& root = {});
 
 } // namespace skylark::entry
 
--- a/test/entry/process_memory.cpp
+++ b/test/entry/process_memory.cpp
@@ -2,12 +2,42 @@
 #include "entry/process_memory.hpp"
 
 #include <cstring>
+#include <filesystem>
+#include <fstream>
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 using namespace skylark;
 
+namespace {
+
+// A folder with files of /proc and /sys.
+class memory_limits : public testing::Test {
+protected:
+    memory_limits() {
+        m_root = std::filesystem::path{testing::TempDir()} /
+                 ("memory-limits-" + std::to_string(getpid()));
+        write("proc/meminfo", "MemTotal:\t 1024 kB\n");
+    }
+    ~memory_limits() override { std::filesystem::remove_all(m_root); }
+
+    void write(const std::string& path, const std::string& text) const {
+        const std::filesystem::path file = m_root / path;
+        std::filesystem::create_directories(file.parent_path());
+        std::ofstream{file} << text;
+    }
+
+    std::optional<std::uint64_t> read() const {
+        return entry::read_machine_memory(m_root.string());
+    }
+
+    std::filesystem::path m_root;
+};
+
+} // namespace
+
 TEST(process_memory, sizes_are_found_at_the_begin_of_a_line) {
     constexpr std::string_view text = "Name:\tVmRSS: 1 kB\n"
                                       "VmHWM:\t    2048 kB\n"
@@ -40,3 +70,33 @@
     EXPECT_GE(after->m_peak, size);
     EXPECT_GE(entry::read_machine_memory().value_or(0), after->m_resident);
 }
+
+TEST_F(memory_limits,
+       a_limit_of_the_control_group_is_not_taken_for_the_machine) {
+    write("proc/self/cgroup", "0::/site/entry\n");
+    EXPECT_EQ(read(), 1024U * 1024U);
+    write("sys/fs/cgroup/site/entry/memory.max", "max\n");
+    EXPECT_EQ(read(), 1024U * 1024U);
+    write("sys/fs/cgroup/site/entry/memory.max", "700000\n");
+    EXPECT_EQ(read(), 700'000U);
+    write("sys/fs/cgroup/site/memory.max", "600000\n");
+    EXPECT_EQ(read(), 600'000U);
+    write("sys/fs/cgroup/site/memory.max", "9223372036854771712\n");
+    EXPECT_EQ(read(), 700'000U);
+}
+
+TEST_F(memory_limits, a_limit_of_version_1_counts) {
+    write("proc/self/cgroup", "5:cpu,cpuacct:/a\n4:hugetlb,memory:/host/a\n");
+    write("sys/fs/cgroup/memory/memory.limit_in_bytes", "800000\n");
+    EXPECT_EQ(read(), 800'000U);
+    write("sys/fs/cgroup/memory/host/a/memory.limit_in_bytes", "500000\n");
+    EXPECT_EQ(read(), 500'000U);
+}
+
+TEST_F(memory_limits, a_limit_counts_where_the_machine_is_not_known) {
+    write("proc/meminfo", "");
+    write("proc/self/cgroup", "0::/\n");
+    EXPECT_EQ(read(), std::nullopt);
+    write("sys/fs/cgroup/memory.max", "800000\n");
+    EXPECT_EQ(read(), 800'000U);
+}
