Let the default bounds on buffers be a fifth of a small machine at most

input_bytes and answer_bytes had a default of 32 MB each whatever the machine has: on one of 64 MB, or in a control group of that size, both together are all of it.

A default is now at most a fifth of the memory that the process may use, and 32 MB as before from 160 MB on. An explicit setting wins.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -4,7 +4,6 @@
 #include <skylark/core/hash.hpp>
 
 #include "entry/entry_list.hpp"
-#include "entry/process_memory.hpp"
 
 namespace skylark::entry {
 
@@ -38,8 +37,7 @@
       m_configurator{m_shared, [this] { adopt(); }}, m_prober{m_shared,
                                                               m_forwarder},
       m_control{m_shared, m_forwarder, m_configurator}, m_lookup{m_shared},
-      m_rollout_coordinator{m_shared}, m_machine_memory{
-                                           read_machine_memory().value_or(0)} {
+      m_rollout_coordinator{m_shared}, m_memory_level{from.m_machine_memory} {
     m_callers.set_handlers(
         {[this](exchange_id key, const io::request_view& request) {
              serve_caller(key, request);
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -66,8 +66,7 @@
     listing_policy m_listing_policy;
     hold_up_record m_hold_ups;
     hold_up_record m_slow_iterations;
-    std::uint64_t m_machine_memory; //!< bytes; 0: not known
-    memory_level m_memory_level{m_machine_memory};
+    memory_level m_memory_level;
     time_point m_last_in_progress{}; //!< during the end of the shutdown
     //! Since when the loop turns only to read what is there.
     std::optional<time_point> m_last_turns;
--- a/src/entry/node_process.cpp
+++ b/src/entry/node_process.cpp
@@ -25,7 +25,8 @@
 
 void node::observe_memory() {
     metrics& out = m_shared.m_metrics;
-    out.set(gauge::machine_memory_bytes, to_signed(m_machine_memory));
+    out.set(gauge::machine_memory_bytes,
+            to_signed(m_shared.m_settings.m_machine_memory));
     const std::uint64_t kernel =
         m_callers.kernel_bytes() + m_forwarder.client().kernel_bytes();
     out.set(gauge::socket_buffer_bytes, to_signed(kernel));
@@ -43,7 +44,7 @@
         .add("resident_mb", use->m_resident / bytes_in_mb)
         .add("kernel_mb", kernel / bytes_in_mb)
         .add("peak_mb", use->m_peak / bytes_in_mb)
-        .add("machine_mb", m_machine_memory / bytes_in_mb)
+        .add("machine_mb", m_shared.m_settings.m_machine_memory / bytes_in_mb)
         .add("requests", m_forwarder.active())
         .add("unread_bytes", answers.m_unread_bytes)
         .add("unbounded_answers", answers.m_unbounded);
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -56,9 +56,12 @@
     //! Time after a start in which a supervisor may still count the stop
     //! before.
     duration m_settling_time{seconds{3}};
+    //! Memory that the process may use, in bytes; 0: not known. Not from the
+    //! file.
+    std::uint64_t m_machine_memory{};
     //! Received bytes of all requests that are not over.
     std::size_t m_input_bytes{defaults::input_bytes};
-    //! Bytes of all answers that callers have not read.
+    //! Bytes of all answers that callers have not read, here and in the kernel.
     std::size_t m_answer_bytes{defaults::answer_bytes};
     //! Requests of one caller's connection that are in progress at a time; 0
     //! and 1: one after another.
@@ -68,8 +71,10 @@
 /*! @brief Reads settings.
  *  @param text TOML
  *  @param file name for messages
+ *  @param machine_memory that the process may use, in bytes; 0: not known
  *  @return the settings, or the first error with file and line */
-parsed<settings> parse_settings(std::string_view text, std::string_view file);
+parsed<settings> parse_settings(std::string_view text, std::string_view file,
+                                std::uint64_t machine_memory = 0);
 
 /*! @brief Reads a settings file.
  *  @param path where it is
--- a/test/entry/settings.cpp
+++ b/test/entry/settings.cpp
@@ -114,3 +114,21 @@
     EXPECT_EQ(price("zone_price = 0\n"), duration{0});
     EXPECT_EQ(price("zone_price = 20\n"), milliseconds{20});
 }
+
+// 32 MB for each kind are most of what a machine of 64 MB has.
+TEST(settings, buffers_leave_room_on_a_small_machine) {
+    constexpr std::uint64_t mb = std::uint64_t{1} << 20U;
+    const auto bytes = [](std::uint64_t machine, const std::string& lines) {
+        const auto read =
+            entry::parse_settings(good + lines, "e.toml", machine);
+        EXPECT_TRUE(read) << read.error().text();
+        return std::pair{read.value().m_input_bytes,
+                         read.value().m_answer_bytes};
+    };
+    const std::size_t most = defaults::answer_bytes;
+    EXPECT_EQ(bytes(0, ""), std::pair(defaults::input_bytes, most));
+    EXPECT_EQ(bytes(50 * mb, ""), std::pair(10 * mb, 10 * mb));
+    EXPECT_EQ(bytes(1000 * mb, ""), std::pair(defaults::input_bytes, most));
+    EXPECT_EQ(bytes(50 * mb, "answer_bytes = 30000000\n"),
+              std::pair(10 * mb, std::uint64_t{30'000'000}));
+}
