Count what the kernel keeps for callers that do not read

Machines with little memory could run out of it: answer_bytes bounds what the process holds of unread answers, while the kernel keeps 128 KB and more for each caller. Cutting such an answer did not free them either: the connection lingered, and what was sent stayed with the kernel.

What a caller's kernel has not acknowledged (SIOCOUTQ, every 200 ms, only of connections that take no more) counts toward answer_bytes. It includes what is on its way to a caller that reads, so for it only answers are cut whose caller has taken nothing for 0.5 s, longest first; what the process holds is bounded as before. The connection of an answer that is cut as unread is reset, unless an answer before it is not acknowledged yet.

Tests: endless_answer.unread_answers_are_cut_for_what_the_kernel_keeps: 0 cut with the kernel's bytes left out, bound 1. http_server_closing_test. a_caller_that_reads_nothing_can_be_reset: without the reset no error in place of ECONNRESET, and all 65676 bytes arrive. a_reset_takes_no_answer_before_it fails without the look at answers before.

--- a/src/entry/forwarder.hpp
+++ b/src/entry/forwarder.hpp
@@ -254,6 +254,8 @@
     void send_piece(request& req, std::string_view piece, bool last);
     // Bytes that are kept because the caller has not read them.
     [[nodiscard]] std::size_t unread_bytes(const request& req) const;
+    // The same, kept by the kernel.
+    [[nodiscard]] std::size_t unacknowledged_bytes(request& req);
     // Cuts answers, longest unread first, until the rest are within the limit.
     void limit_unread_answers();
     // Ends an answer that has begun before it is whole.
--- a/src/entry/forwarder_bounds.cpp
+++ b/src/entry/forwarder_bounds.cpp
@@ -1,6 +1,5 @@
 // Bounds on requests and answers, in time and in bytes.
 #include <algorithm>
-#include <tuple>
 #include <vector>
 
 #include "entry/forwarder.hpp"
@@ -8,8 +7,13 @@
 namespace skylark::entry {
 
 namespace {
+constexpr std::string_view unread = "unread"; // cause of an end
 // How often an answer that outlasts its request's deadline is checked.
 constexpr auto answer_check_period = milliseconds{100};
+// How often the kernel is asked what it keeps for a caller; a system call each.
+constexpr auto kernel_look_period = milliseconds{200};
+// Longer than a round trip and a repeat of what was lost in it.
+constexpr auto least_unread_time = milliseconds{500};
 // Usual answers have fewer bytes to come.
 constexpr std::uint64_t unbounded_from = std::uint64_t{1} << 20U;
 
@@ -66,6 +70,8 @@
     if (!req || !req->m_abort_cause.empty())
         return;
     req->m_abort_cause = why;
+    if (why == unread)
+        m_callers.reset_at_end(req->m_exchange);
     m_shared.m_metrics.broke_off(why);
     const actions list = req->m_machine.expired();
     if (!list.empty()) {
@@ -88,29 +94,57 @@
     return req.m_sending_bytes + req.m_buffered.size() + input;
 }
 
+std::size_t forwarder::unacknowledged_bytes(request& req) {
+    const time_point now = io::event_loop::now();
+    if (!req.m_sending) {
+        req.m_unacknowledged = 0;
+    } else if (now - req.m_unacknowledged_at >= kernel_look_period) {
+        req.m_unacknowledged = m_callers.unacknowledged(req.m_exchange);
+        req.m_unacknowledged_at = now;
+    }
+    return req.m_unacknowledged;
+}
+
 void forwarder::limit_unread_answers() {
+    struct unread_answer {
+        time_point m_since;
+        std::size_t m_held;           // bytes in this process
+        std::size_t m_unacknowledged; // bytes in the kernel
+        request_id m_key;
+    };
     answer_sums found;
-    std::vector<std::tuple<time_point, std::size_t, request_id>> waiting;
-    for (const auto& [key, req] : m_requests) {
+    std::vector<unread_answer> waiting;
+    for (auto& [key, req] : m_requests) {
         found.m_unbounded += unbounded(req) ? 1U : 0U;
-        const std::size_t size =
+        const std::size_t held =
             req.m_abort_cause.empty() ? unread_bytes(req) : 0;
-        if (size == 0)
+        if (held == 0)
             continue;
-        found.m_unread_bytes += size;
-        waiting.emplace_back(req.m_last_progress, size, key);
+        const std::size_t kept = unacknowledged_bytes(req);
+        found.m_unread_bytes += held;
+        found.m_unacknowledged_bytes += kept;
+        waiting.push_back({req.m_last_progress, held, kept, key});
     }
     m_answers = found;
-    std::size_t sum = found.m_unread_bytes;
+    std::size_t held = found.m_unread_bytes;
+    std::size_t all = held + found.m_unacknowledged_bytes;
     const std::size_t limit = m_shared.m_settings.m_answer_bytes;
-    if (sum <= limit)
+    if (all <= limit)
         return;
-    std::sort(waiting.begin(), waiting.end());
-    for (const auto& [since, size, key] : waiting) {
-        if (sum <= limit)
+    std::sort(waiting.begin(), waiting.end(),
+              [](const unread_answer& left, const unread_answer& right) {
+                  return left.m_since < right.m_since;
+              });
+    const time_point taken_before = io::event_loop::now() - least_unread_time;
+    for (const unread_answer& item : waiting) {
+        // What is on its way to a caller that reads counts as well, so it takes
+        // a caller that has taken nothing for a while.
+        const bool stuck = item.m_since <= taken_before;
+        if (held <= limit && (all <= limit || !stuck))
             return;
-        break_off_answer(key, "unread");
-        sum -= size;
+        break_off_answer(item.m_key, unread);
+        held -= item.m_held;
+        all -= item.m_held + item.m_unacknowledged;
     }
 }
 
--- a/src/entry/node_process.cpp
+++ b/src/entry/node_process.cpp
@@ -17,7 +17,8 @@
 void node::observe_process() {
     const answer_sums& answers = m_forwarder.answers();
     metrics& out = m_shared.m_metrics;
-    out.set(gauge::unread_answer_bytes, to_signed(answers.m_unread_bytes));
+    out.set(gauge::unread_answer_bytes,
+            to_signed(answers.m_unread_bytes + answers.m_unacknowledged_bytes));
     out.set(gauge::unbounded_answers, to_signed(answers.m_unbounded));
     observe_memory();
     observe_work();
@@ -47,6 +48,7 @@
         .add("machine_mb", m_shared.m_settings.m_machine_memory / bytes_in_mb)
         .add("requests", m_forwarder.active())
         .add("unread_bytes", answers.m_unread_bytes)
+        .add("unacknowledged_bytes", answers.m_unacknowledged_bytes)
         .add("unbounded_answers", answers.m_unbounded);
     m_shared.m_journal.decided(line, io::event_loop::now(), line_kind::change);
 }
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -54,8 +54,9 @@
 
 /*! @brief What the answers in progress are kept or awaited for. */
 struct answer_sums {
-    std::size_t m_unread_bytes{}; //!< that callers have not read
-    std::size_t m_unbounded{};    //!< answers with no near end, see metrics
+    std::size_t m_unread_bytes{}; //!< that callers have not read, held here
+    std::size_t m_unacknowledged_bytes{}; //!< the same, held by the kernel
+    std::size_t m_unbounded{}; //!< answers with no near end, see metrics
 };
 
 /*! @brief One request of a caller. */
@@ -117,7 +118,10 @@
     std::string m_buffered;                   //!< sent once m_sending is false
     bool m_sending{};              //!< a part of the body is being sent
     std::size_t m_sending_bytes{}; //!< of that part
-    bool m_upstream_done{};        //!< the upstream's response has ended
+    //! Bytes that the kernel keeps for the caller, when it was asked last.
+    std::size_t m_unacknowledged{};
+    time_point m_unacknowledged_at;
+    bool m_upstream_done{};     //!< the upstream's response has ended
     bool m_final_sent{};        //!< the last part was given to the connection
     time_point m_last_progress; //!< when a part was last received or sent
 };
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -164,6 +164,23 @@
         m_native->break_off(*found);
 }
 
+void http_server::reset_at_end(exchange_id key) {
+    const exchange* found = m_native->m_exchanges.find(key);
+    auto* connection =
+        found ? m_native->m_connections.find(found->m_connection) : nullptr;
+    if (!connection)
+        return;
+    // Answers before it may still be on their way.
+    const std::size_t written =
+        connection->m_socket->bytes_written - connection->m_answer_bytes;
+    if (!found->m_request || unacknowledged(key) > written)
+        return;
+    connection->m_reset_at_end = true;
+    constexpr linger at_once{1, 0};
+    setsockopt(found->m_socket, SOL_SOCKET, SO_LINGER, &at_once,
+               sizeof at_once);
+}
+
 void http_server::answer(exchange_id key, int status,
                          std::span<const header> headers,
                          std::string_view body) {
@@ -213,6 +230,14 @@
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) != 0;
 }
 
+std::size_t http_server::unacknowledged(exchange_id key) const {
+    const exchange* found = m_native->m_exchanges.find(key);
+    return found && found->m_request
+               ? static_cast<std::size_t>(
+                     internal::unacknowledged_bytes(found->m_socket))
+               : 0;
+}
+
 bool http_server::awaits_turn(exchange_id key) const {
     const exchange* found = m_native->m_exchanges.find(key);
     return found && !found->m_request;
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -149,6 +149,10 @@
      *  the caller can tell that it is incomplete. */
     void abort(exchange_id key);
 
+    /*! @brief Resets an exchange's connection at its end, so that the kernel
+     *  drops what was not taken, unless that is of an earlier answer. */
+    void reset_at_end(exchange_id key);
+
     /*! @brief Sends a complete answer; does nothing if one was started. To a
      *  HEAD request only the head is sent, with the length of the body. */
     void answer(exchange_id key, int status, std::span<const header> headers,
@@ -180,6 +184,11 @@
      *  show that: the caller may still read. */
     [[nodiscard]] bool caller_unreachable(exchange_id key) const;
 
+    /*! @brief Bytes that the kernel keeps for an exchange's connection, as its
+     *  caller has not acknowledged them. 0 for a finished exchange, or one
+     *  whose answer is held. */
+    [[nodiscard]] std::size_t unacknowledged(exchange_id key) const;
+
     /*! @brief Whether an answer is held until the ones before it on its
      *  connection were written, however long that takes. */
     [[nodiscard]] bool awaits_turn(exchange_id key) const;
--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -204,6 +204,11 @@
 void http_server::native::linger(internal::accepted_connection& connection) {
     const int socket = h2o_socket_get_fd(connection.m_socket);
     int kept = std::exchange(connection.m_kept, -1);
+    if (connection.m_reset_at_end) {
+        if (kept >= 0)
+            close(kept);
+        return;
+    }
     if (kept < 0)
         kept = fcntl(socket, F_DUPFD_CLOEXEC, 0);
     if (kept < 0 && m_lingering.close_oldest())
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -75,9 +75,10 @@
     h2o_socket_t* m_socket;
     time_point m_accepted;
     connection_id m_key;
-    bool m_ended{};      // shut down while idle; requests are not passed on
-    bool m_broken_off{}; // its last answer was broken off
-    held_bounds m_held;  // of what had arrived when limits were lowered
+    bool m_ended{};        // shut down while idle; requests are not passed on
+    bool m_broken_off{};   // its last answer was broken off
+    bool m_reset_at_end{}; // what its caller has not taken is dropped
+    held_bounds m_held;    // of what had arrived when limits were lowered
     // Duplicate of its descriptor after a request was rejected and until the
     // next one is whole, as h2o closes on input that never becomes one.
     int m_kept{-1};
--- a/test/io/http_server_closing.cpp
+++ b/test/io/http_server_closing.cpp
@@ -262,3 +262,43 @@
     }
     run_until([&] { return open_descriptors() == before; });
 }
+
+// Its kernel kept what was sent until the caller had read it.
+TEST_F(http_server_closing_test, a_caller_that_reads_nothing_can_be_reset) {
+    constexpr int small_buffer = 4096;
+    const std::string piece(std::size_t{64} << 10U, 'x');
+    raw_caller caller{m_where, small_buffer};
+    caller.write(m_get);
+    run_until_received(1);
+    m_server.start(m_exchanges.front(), 200, {}, std::nullopt);
+    m_server.send(m_exchanges.front(), piece, false);
+    run_until([this] { return m_ready == 1; });
+    EXPECT_GT(m_server.unacknowledged(m_exchanges.front()), 0U);
+    m_server.reset_at_end(m_exchanges.front());
+    m_server.abort(m_exchanges.front());
+    run_until([this] { return m_server.connections() == 0; });
+    run_until_closed(caller);
+    EXPECT_EQ(caller.error(), ECONNRESET);
+    EXPECT_LT(caller.bytes().size(), piece.size());
+}
+
+TEST_F(http_server_closing_test, a_reset_takes_no_answer_before_it) {
+    constexpr int small_buffer = 4096;
+    const std::string body(std::size_t{64} << 10U, 'x');
+    raw_caller caller{m_where, small_buffer};
+    caller.write(std::string{m_get} + m_get);
+    run_until_received(1);
+    m_server.answer(m_exchanges.front(), 200, {}, body);
+    run_until_received(2);
+    m_server.start(m_exchanges.back(), 200, {}, std::nullopt);
+    m_server.send(m_exchanges.back(), "begin", false);
+    run_until([this] { return m_ready == 1; });
+    m_server.reset_at_end(m_exchanges.back());
+    m_server.abort(m_exchanges.back());
+    // A connection that is reset is closed by then.
+    run_until([this] { return m_closed == 2; });
+    for (int i = 0; i < 20; ++i)
+        m_loop.run_once(milliseconds{1});
+    run_until_closed(caller);
+    EXPECT_TRUE(body_of(caller).starts_with(body));
+}
--- a/test/platform/endless_answers.cpp
+++ b/test/platform/endless_answers.cpp
@@ -129,6 +129,15 @@
         return io::event_loop::now() - began;
     }
 
+    // Answers that the entry broke off for a cause.
+    int broken_off(const std::string& cause) {
+        const auto got = get(m_settings.m_control, "/metrics");
+        const std::string& page = std::get<io::fetch_answer>(got).m_body;
+        const std::string name =
+            "\nskylark_broken_off_total{cause=\"" + cause + "\"} ";
+        return std::stoi(page.substr(page.find(name) + name.size()));
+    }
+
     static constexpr auto give_up = seconds{8};
     streaming_upstream m_upstream{m_loop};
 };
@@ -197,6 +206,27 @@
     EXPECT_GT(caller.bytes().size(), *m_upstream.m_length);
 }
 
+// Most of what is kept for callers that read nothing is kept by the kernel,
+// which no limit counted.
+TEST_F(endless_answer, unread_answers_are_cut_for_what_the_kernel_keeps) {
+    constexpr int callers = 10;
+    // What the process keeps for all of them fits.
+    m_settings.m_answer_bytes = std::size_t{1} << 20U;
+    m_upstream.m_piece.resize(std::size_t{64} << 10U);
+    m_upstream.m_pause = duration{0};
+    start_with_streaming_upstream();
+    std::vector<std::unique_ptr<test::raw_caller>> waiting;
+    for (int i = 0; i < callers; ++i) {
+        waiting.push_back(std::make_unique<test::raw_caller>(
+            m_settings.m_callers, small_buffer));
+        waiting.back()->write(head("GET", "5000"));
+    }
+    turn_until([this] { return m_upstream.m_begun > 1; });
+    turn_until([this] { return m_upstream.m_ended == m_upstream.m_begun; });
+    EXPECT_GE(broken_off("unread"), 1);
+    EXPECT_GE(broken_off("deadline"), 1);
+}
+
 // Its answer is read to its end to keep the connection, so it must have one.
 TEST_F(endless_answer, is_ended_for_a_caller_that_left_before_it_began) {
     m_upstream.m_thinking = milliseconds{200};
