--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -12,6 +12,7 @@
 #include "io/listener.hpp"
 #include "io/receive_windows.hpp"
 #include "io/request_input.hpp"
+#include "io/socket_memory.hpp"
 #include "io/socket_queue.hpp"
 
 namespace skylark::io {
@@ -169,6 +170,26 @@
         m_native->break_off(*found);
 }
 
+void http_server::reset_at_end(exchange_id key) {
+    const exchange* found = m_native->m_exchanges.find(key);
+    auto* connection =
+        found ? m_native->m_connections.find(found->m_connection) : nullptr;
+    if (!connection)
+        return;
+    // Answers before it may still be on their way. A part that h2o is still
+    // writing counts as written, but the kernel may not have it yet.
+    const std::size_t written =
+        connection->m_socket->bytes_written - connection->m_answer_bytes;
+    const std::size_t pending =
+        found->m_send_pending ? found->m_piece.size() : 0;
+    if (!found->m_request || unacknowledged(key) + pending > written)
+        return;
+    connection->m_reset_at_end = true;
+    constexpr linger at_once{1, 0};
+    setsockopt(found->m_socket, SOL_SOCKET, SO_LINGER, &at_once,
+               sizeof at_once);
+}
+
 void http_server::answer(exchange_id key, int status,
                          std::span<const header> headers,
                          std::string_view body) {
@@ -219,6 +240,14 @@
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) != 0;
 }
 
+std::size_t http_server::unacknowledged(exchange_id key) const {
+    const exchange* found = m_native->m_exchanges.find(key);
+    return found && found->m_request
+               ? static_cast<std::size_t>(
+                     internal::unacknowledged_bytes(found->m_socket))
+               : 0;
+}
+
 bool http_server::awaits_turn(exchange_id key) const {
     const exchange* found = m_native->m_exchanges.find(key);
     return found && !found->m_request;
@@ -232,6 +261,18 @@
     return m_native->m_connections.size() + m_native->m_lingering.size();
 }
 
+std::size_t http_server::kernel_bytes(exchange_id key) const {
+    const exchange* found = m_native->m_exchanges.find(key);
+    return found ? internal::socket_memory(found->m_socket) : 0;
+}
+
+std::size_t http_server::kernel_bytes() const {
+    std::size_t sum = m_native->m_lingering.kernel_bytes();
+    for (const auto& [key, item] : m_native->m_connections)
+        sum += internal::socket_memory(h2o_socket_get_fd(item.m_socket));
+    return sum;
+}
+
 std::size_t http_server::active() const {
     return m_native->m_exchanges.size();
 }
