--- a/src/io/http_server_answer.cpp
+++ b/src/io/http_server_answer.cpp
@@ -14,7 +14,8 @@
 namespace {
 // Bytes that a caller receives at once, before it can send another request.
 constexpr std::size_t short_answer = std::size_t{16} << 10U;
-// Time for which the kernel keeps the sent part of an answer that is broken off.
+// Time for which the kernel keeps the sent part of an answer that is broken
+// off.
 constexpr duration broken_output_time = seconds{2};
 } // namespace
 
