--- a/src/entry/on_demand_prober.hpp
+++ b/src/entry/on_demand_prober.hpp
@@ -45,8 +45,8 @@
         time_point m_started;
         time_point m_sent; // when the connection was ready
         std::size_t m_body_size{};
-        bool m_reused{};   // the connection was idle before
-        bool m_usable{};   // the response head belongs to this probe
+        bool m_reused{}; // the connection was idle before
+        bool m_usable{}; // the response head belongs to this probe
         health_info m_signs;
     };
 
