Raise the soft limit on descriptors to the hard one at the start

What callers saw: none of theirs; a start with a soft limit below what it needs ended, although it was free to raise it.

Evidence: test/process/start_with_low_descriptor_limit.py, soft limit 12, on the code before: "code 2: listen: got 127.63.1.1:8081, expected a free local address (Bad file descriptor)". In a trial with 6 the process ended by SIGABRT ("pipe: Too many open files"). Now it serves, and its soft limit is the hard one.

Cause and change: the limit was taken as found; main() now raises it before it opens anything. Only a hard limit that low still ends a start.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -121,6 +121,9 @@
 add_process_test(start_on_held_port test/process/start_on_held_port.py)
 # Standard output and error are closed, or have lost their reader.
 add_process_test(start_without_output test/process/start_without_output.py)
+# The soft limit on descriptors is below what the entry needs.
+add_process_test(start_with_low_descriptor_limit
+                 test/process/start_with_low_descriptor_limit.py)
 # A fault leaves its last line, and the status of its signal.
 add_process_test(fault_report test/process/fault_report.py)
 # Callers end their input just before the entries handle SIGTERM.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -74,6 +75,15 @@
             static_cast<void>(open("/dev/null", O_RDWR) < 0);
 }
 
+// Each connection takes a descriptor, and a soft limit is often 1024.
+void raise_descriptor_limit() {
+    rlimit bounds{};
+    if (getrlimit(RLIMIT_NOFILE, &bounds) != 0)
+        return;
+    bounds.rlim_cur = bounds.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &bounds); // a lower limit serves fewer callers
+}
+
 int run(const skylark::entry::settings& from, const std::string& path) {
     const auto free = skylark::entry::wait_for_ports(from);
     if (!free) {
@@ -120,6 +130,7 @@
 
 int main(int argc, char** argv) {
     fill_standard_descriptors();
+    raise_descriptor_limit();
     skylark::entry::report_faults();
     CLI::App app{"Entry instance of skylarkspindle"};
     std::string path;
