Count the iterations of the event loop

A loop that turns without a pause, as one without a descriptor did, was not to be told from a busy one: the metrics knew long iterations only. skylark_iterations_total shows it beside the process's time.

The loop numbers its iterations already; the counter is raised to that number every 0.5 s. The test of the counter is new with it.

--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -33,7 +33,7 @@
     "deadline", "stalled", "unread", "other"};
 
 // In the order of the enumerations.
-constexpr std::array<description, 24> counters{{
+constexpr std::array<description, 25> counters{{
     {"skylark_retries_total", "attempts after a failed one"},
     {"skylark_hedges_total", "second attempts beside a slow one"},
     {"skylark_hedges_won_total", "hedges that answered first"},
@@ -61,6 +61,7 @@
     {"skylark_unauthenticated_total",
      "requests refused without the key of a team"},
     {"skylark_allowance_messages_total", "messages sent about tokens"},
+    {"skylark_iterations_total", "iterations of the event loop"},
     {"skylark_slow_iterations_total",
      "iterations of the event loop that worked for over 100 ms"},
 }};
@@ -242,6 +243,11 @@
         static_cast<double>(by));
 }
 
+void metrics::count_up_to(counter which, std::uint64_t total) {
+    auto& counted = *m_store->m_counters[static_cast<std::size_t>(which)];
+    counted.Increment(static_cast<double>(total) - counted.Value());
+}
+
 void metrics::set(gauge which, std::int64_t value) {
     m_store->m_gauges[static_cast<std::size_t>(which)]->Set(
         static_cast<double>(value));
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -47,6 +47,7 @@
     answers_skipped,
     unauthenticated,
     allowance_messages,
+    iterations,
     slow_iterations
 };
 
@@ -114,6 +115,8 @@
     void broke_off(std::string_view cause);
 
     void count(counter which, std::uint64_t by = 1);
+    /*! @brief Raises a counter to a total that is kept elsewhere. */
+    void count_up_to(counter which, std::uint64_t total);
     void set(gauge which, std::int64_t value);
 
     /*! @brief The page in Prometheus' text format. */
--- a/src/entry/node_process.cpp
+++ b/src/entry/node_process.cpp
@@ -51,6 +51,7 @@
     const io::loop_work work = m_shared.m_loop.take_work();
     m_slow_iterations.add(now, work.m_longest);
     metrics& out = m_shared.m_metrics;
+    out.count_up_to(counter::iterations, m_shared.m_loop.iteration());
     out.set(gauge::longest_iteration_ms, to_ms(m_slow_iterations.longest(now)));
     if (work.m_slow == 0)
         return;
--- a/test/entry/metrics.cpp
+++ b/test/entry/metrics.cpp
@@ -26,6 +26,15 @@
     EXPECT_FALSE(holds("cause")) << page;
 }
 
+TEST(metrics, a_total_that_is_kept_elsewhere_is_not_counted_twice) {
+    entry::metrics metrics;
+    metrics.count_up_to(entry::counter::iterations, 5);
+    metrics.count_up_to(entry::counter::iterations, 5);
+    metrics.count_up_to(entry::counter::iterations, 7);
+    EXPECT_NE(metrics.page().find("\nskylark_iterations_total 7\n"),
+              std::string::npos);
+}
+
 // The names of counters and gauges are listed apart from their enumerations.
 TEST(metrics, the_last_counter_and_gauge_have_their_names) {
     entry::metrics metrics;
