Spread pipelined requests over iterations of the loop

A caller that sent thousands of requests in one write, each refused at once, held the loop until all of them were answered, as h2o begins the next request within the iteration in which the answer before it was written.

Of one connection 8 requests are handled in an iteration; the next one waits for the iteration behind it. h2o reads nothing of the connection and keeps the request meanwhile; if the connection is gone by then, the request went with it and the owner has not heard of it.

--- a/src/io/http_server_native.cpp
+++ b/src/io/http_server_native.cpp
@@ -22,6 +22,11 @@
 
 namespace {
 
+// Requests of one connection that are handled in one iteration of the loop. h2o
+// goes on with the next one as soon as an answer was written, so a caller whose
+// requests are refused at once would keep all others waiting.
+constexpr std::size_t most_in_iteration = 8;
+
 std::string_view view(const h2o_iovec_t& from) {
     return {from.base, from.len};
 }
@@ -142,25 +147,46 @@
         socket_of(request)->on_close.data);
     if (connection->m_kept >= 0)
         close(std::exchange(connection->m_kept, -1));
+    // h2o keeps the request as long as its connection.
+    auto handle = [&server, key = connection->m_key, request] {
+        if (auto* found = server.m_connections.find(key))
+            server.handle(*found, request);
+    };
+    if (server.count_request(*connection))
+        handle();
+    else
+        server.m_loop->after(duration{0}, std::move(handle));
+    return 0;
+}
+
+bool http_server::native::count_request(
+    internal::accepted_connection& connection) const {
+    const std::uint64_t iteration = m_loop->iteration();
+    if (std::exchange(connection.m_iteration, iteration) != iteration)
+        connection.m_iteration_requests = 0;
+    return ++connection.m_iteration_requests <= most_in_iteration;
+}
+
+void http_server::native::handle(internal::accepted_connection& connection,
+                                 h2o_req_t* request) {
     // The request crossed the close of its connection; no answer would arrive.
-    if (connection->m_ended) {
+    if (connection.m_ended) {
         request->http1_is_persistent = 0;
         h2o_send_error_503(request, "Service Unavailable", "shutting down\n",
                            0);
-        return 0;
+        return;
     }
     // The caller may close the connection during the calls below.
-    const connection_id key = connection->m_key;
-    if (!server.join(request)) {
-        server.m_last_request = event_loop::now();
-        if (server.reject_oversized(request, server.collect_headers(request)))
-            return 0;
-        const exchange_id opened = server.open(request);
-        server.m_handlers.m_request(opened, server.view_of(request));
+    const connection_id key = connection.m_key;
+    if (!join(request)) {
+        m_last_request = event_loop::now();
+        if (reject_oversized(request, collect_headers(request)))
+            return;
+        const exchange_id opened = open(request);
+        m_handlers.m_request(opened, view_of(request));
     }
-    server.begin_early(key);
-    server.plan_watch();
-    return 0;
+    begin_early(key);
+    plan_watch();
 }
 
 void http_server::native::on_answer(h2o_filter_t* self, h2o_req_t* request,
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -96,6 +96,8 @@
     // Bytes behind the front request when the last of them were the begin of a
     // request; 0 otherwise.
     std::size_t m_unfinished{};
+    std::uint64_t m_iteration{};        // in which the last request came
+    std::size_t m_iteration_requests{}; // that came in it
 };
 
 } // namespace internal
@@ -156,6 +158,10 @@
     void linger(internal::accepted_connection& connection);
     // Ends a connection that h2o reads; answers on their way arrive.
     void end_receiving(internal::accepted_connection& connection);
+    // Returns whether a request is within the bound for an iteration.
+    bool count_request(internal::accepted_connection& connection) const;
+    void handle(internal::accepted_connection& connection, h2o_req_t* request);
+
     exchange_id open(h2o_req_t* request);
     std::size_t collect_headers(h2o_req_t* request);
     // Valid until the next call.
--- a/test/io/http_server_pipelining.cpp
+++ b/test/io/http_server_pipelining.cpp
@@ -1,4 +1,5 @@
 // Requests behind others on one connection, of every kind of framing.
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -227,3 +228,47 @@
     run_until([&] { return !caller.read(); });
     EXPECT_EQ(m_exchanges.size(), 2U);
 }
+
+// A caller with many requests behind each other must not keep the others
+// waiting until all of them are answered.
+TEST_F(http_server_pipelining_test,
+       requests_answered_at_once_are_spread_over_iterations) {
+    constexpr std::size_t sent = 2000;
+    constexpr std::size_t most_in_iteration = 32;
+    m_refuse_all = true;
+    raw_caller caller{m_where};
+    std::string rest;
+    for (std::size_t i = 0; i < sent; ++i)
+        rest += m_get;
+    std::size_t most = 0;
+    std::size_t answered = 0;
+    for (std::size_t i = 0; i < sent && answered < sent; ++i) {
+        caller.write_some(rest);
+        const std::size_t before = m_exchanges.size();
+        m_loop.run_once(milliseconds{1});
+        most = std::max(most, m_exchanges.size() - before);
+        caller.read();
+        answered = count(caller.bytes(), "HTTP/1.1 503 ");
+    }
+    EXPECT_EQ(answered, sent);
+    EXPECT_LE(most, most_in_iteration);
+}
+
+// The owner does not know yet of a request that waits for the next iteration.
+TEST_F(http_server_pipelining_test,
+       a_caller_that_leaves_takes_waiting_requests_with_it) {
+    constexpr int sent = 500;
+    m_refuse_all = true;
+    {
+        raw_caller caller{m_where};
+        std::string all;
+        for (int i = 0; i < sent; ++i)
+            all += m_get;
+        caller.write(all);
+        run_until_received(1);
+        caller.reset_at_end();
+    }
+    run_until([&] { return m_server.connections() == 0; });
+    EXPECT_EQ(m_server.active(), 0U);
+    EXPECT_EQ(static_cast<std::size_t>(m_closed), m_exchanges.size());
+}
