Keep descriptors for upstreams, pause accepting without one

An entry with more callers than descriptors accepted until none was left. It could open no connection to an upstream, so those accepted got 503; the listening socket stayed readable, so the loop turned without a pause; callers in the listen queue and operators got nothing.

Callers get half of the descriptors that RLIMIT_NOFILE allows, behind a quarter (64 at most) for the process itself. At that bound, or if accept() finds none, the listening sockets are not polled for 20 ms. Meanwhile short answers close their connections and connections idle for 1 s are closed, so that callers in the listen queue have their turn.

--- a/cmake/test.cmake
+++ b/cmake/test.cmake
@@ -138,6 +138,9 @@
                  --stalled-s 2 --running-again-s 1 --held-up-at 3.7
                  --deadline-ms 2000 --service-us 1200000)
 
+# More callers than descriptors.
+add_process_test(no_descriptors test/process/no_descriptors.py)
+
 # Faulty servers send without an end: the entry neither ends nor runs out of
 # memory, and others lose nothing on kept connections.
 add_process_test(endless_answers test/process/endless_answers.py --plays
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -89,6 +89,7 @@
     auto* socket = h2o_evloop_socket_create(m_native->m_loop->native(), fd,
                                             H2O_SOCKET_FLAG_DONT_READ);
     socket->data = m_native.get();
+    m_native->m_most_connections = native::most_connections();
     h2o_socket_read_start(socket, &native::on_accept);
     m_native->m_listeners.push_back(socket);
     return internal::local_address(fd);
--- a/src/io/http_server_answer.cpp
+++ b/src/io/http_server_answer.cpp
@@ -14,7 +14,8 @@
 namespace {
 // Bytes that a caller receives at once, before it can send another request.
 constexpr std::size_t short_answer = std::size_t{16} << 10U;
-// Time for which the kernel keeps the sent part of an answer that is broken off.
+// Time for which the kernel keeps the sent part of an answer that is broken
+// off.
 constexpr duration broken_output_time = seconds{2};
 } // namespace
 
@@ -40,7 +41,7 @@
 void http_server::native::write(exchange& item, std::string piece, bool last) {
     // A caller that is told that its connection closes takes what it has sent
     // behind the request for lost.
-    if (m_closing && last && !item.m_head_sent &&
+    if ((m_closing || m_accept_paused) && last && !item.m_head_sent &&
         piece.size() <= short_answer &&
         internal::input_behind(*item.m_request) == 0)
         item.m_request->http1_is_persistent = 0;
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -1,7 +1,6 @@
-// Connections of the HTTP server: accepting, and limits on their input.
+// Open connections of the HTTP server: ends of idle ones, and limits on their
+// input.
 #include <algorithm>
-#include <cerrno>
-#include <netinet/tcp.h>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -16,17 +15,11 @@
 using internal::accepted_connection;
 
 namespace {
-// Time for which the kernel keeps output that a caller does not take. No limit
-// of the process counts it once the connection is closed.
-constexpr duration output_time = seconds{30};
-// Connections accepted in one loop iteration, so that a burst does not keep
-// open connections waiting.
-constexpr int accept_batch = 64;
-// Exceeds the listen queue; bounds the last accepting while callers go on
-// connecting.
-constexpr int last_accept_batch = 8192;
 // Time that a new connection has for its first byte during a shutdown.
 constexpr auto first_input_time = milliseconds{50};
+// Time for which idle callers are kept although others wait; more often they go
+// on at once.
+constexpr auto kept_idle_time = seconds{1};
 // Size of the interim response that invites a body.
 constexpr std::size_t continue_size =
     std::string_view{"HTTP/1.1 100 Continue\r\n\r\n"}.size();
@@ -41,39 +34,6 @@
 }
 } // namespace
 
-// Returns whether the listen queue may hold further connections.
-bool http_server::native::accept_one(h2o_socket_t* listener) {
-    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-    if (!socket)
-        return errno == ECONNABORTED || errno == EINTR;
-    constexpr int on = 1;
-    const int fd = h2o_socket_get_fd(socket);
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    internal::limit_unacknowledged_time(fd, output_time);
-    const connection_id key = m_connections.emplace(
-        accepted_connection{this, socket, event_loop::now(), {}});
-    accepted_connection& added = *m_connections.find(key);
-    added.m_key = key;
-    added.m_since = added.m_accepted;
-    socket->on_close.cb = &native::on_socket_close;
-    socket->on_close.data = &added;
-    h2o_accept(&m_accept, socket);
-    return true;
-}
-
-void http_server::native::on_accept(h2o_socket_t* listener, const char* error) {
-    auto& server = *static_cast<native*>(listener->data);
-    if (error)
-        return;
-    for (int i = 0; i < accept_batch && server.accept_one(listener); ++i) {
-    }
-}
-
-void http_server::native::accept_queued(h2o_socket_t* listener) {
-    for (int i = 0; i < last_accept_batch && accept_one(listener); ++i) {
-    }
-}
-
 // h2o closes its side when it reads the end of the input.
 void http_server::native::end_idle() {
     const time_point now = event_loop::now();
@@ -87,6 +47,25 @@
     }
 }
 
+// Idle callers make room for those that wait in the listen queue.
+void http_server::native::end_longest_idle(std::size_t most) {
+    const time_point now = event_loop::now();
+    std::vector<accepted_connection*> idle;
+    for (auto& [key, item] : m_connections)
+        if (!item.m_ended && now - item.m_since >= kept_idle_time &&
+            is_idle(item.m_socket))
+            idle.push_back(&item);
+    std::sort(idle.begin(), idle.end(),
+              [](const auto* left, const auto* right) {
+                  return left->m_since < right->m_since;
+              });
+    idle.resize(std::min(idle.size(), most));
+    for (accepted_connection* item : idle) {
+        item->m_ended = true;
+        shutdown(h2o_socket_get_fd(item->m_socket), SHUT_RDWR);
+    }
+}
+
 // A request that has begun keeps the time that it had then, however long its
 // connection was idle before.
 void http_server::native::end_overdue() {
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -1,6 +1,6 @@
 // State of the HTTP server; private to http_server.cpp,
-// http_server_connections.cpp, http_server_early.cpp and
-// http_server_native.cpp.
+// http_server_accepting.cpp, http_server_connections.cpp, http_server_early.cpp
+// and http_server_native.cpp.
 #ifndef SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 #define SKYLARK_IO_HTTP_SERVER_NATIVE_HPP
 
@@ -128,13 +128,19 @@
     std::size_t m_held_limit{}; // bytes of held answers of one connection
     std::size_t m_held_bytes{}; // of all connections
     bool m_watching{};          // watch_input() is planned
-    bool m_closing{};           // short answers close
+    std::size_t m_most_connections{};
+    bool m_accept_paused{}; // none are accepted, and short answers close
+    bool m_closing{};       // short answers close
     bool m_shutting_down{};
 
     // Sockets whose requests were received whole and are in progress.
     [[nodiscard]] std::set<int> sockets_in_exchange();
     bool accept_one(h2o_socket_t* listener);
     void accept_queued(h2o_socket_t* listener);
+    static std::size_t most_connections();
+    [[nodiscard]] bool is_full() const;
+    void pause_accepting();
+    void end_longest_idle(std::size_t most);
     void end_idle();
     void end_overdue();
     void set_bounds(const request_bounds& bounds);
@@ -152,16 +158,16 @@
     static void on_stop(h2o_generator_t* self, h2o_req_t* request);
     static void on_dispose(void* self);
 
+    // Returns whether a request is within the bound for an iteration.
+    bool count_request(internal::accepted_connection& connection) const;
+    void handle(internal::accepted_connection& connection, h2o_req_t* request);
+
     static h2o_socket_t* socket_of(h2o_req_t* request);
     void discarded(discard_cause cause, std::size_t bytes) const;
     // Keeps a connection that h2o closes next until its caller has the answer.
     void linger(internal::accepted_connection& connection);
     // Ends a connection that h2o reads; answers on their way arrive.
     void end_receiving(internal::accepted_connection& connection);
-    // Returns whether a request is within the bound for an iteration.
-    bool count_request(internal::accepted_connection& connection) const;
-    void handle(internal::accepted_connection& connection, h2o_req_t* request);
-
     exchange_id open(h2o_req_t* request);
     std::size_t collect_headers(h2o_req_t* request);
     // Valid until the next call.
