--- a/src/io/http_server_answer.cpp
+++ b/src/io/http_server_answer.cpp
@@ -41,7 +41,7 @@
 void http_server::native::write(exchange& item, std::string piece, bool last) {
     // A caller that is told that its connection closes takes what it has sent
     // behind the request for lost.
-    if (m_closing && last && !item.m_head_sent &&
+    if ((m_closing || m_accept_paused) && last && !item.m_head_sent &&
         piece.size() <= short_answer &&
         internal::input_behind(*item.m_request) == 0)
         item.m_request->http1_is_persistent = 0;
