Answer uploads that exceed the limit on all input with 503

Callers saw a closed connection without a byte when several long uploads arrived at once: limit_total_input() shut the largest unfinished requests down, so their callers could not tell that the requests had not run, nor when to return.

The server writes a 503 with the refusal fields of the dialect (Retry-After) before it ends such a connection, and lingers so that the answer arrives. h2o reads these connections, so no other answer is on its way. What h2o does not read is left alone.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -2,6 +2,8 @@
 #include "entry/node.hpp"
 
 #include <skylark/core/hash.hpp>
+#include <skylark/core/random.hpp>
+#include <skylark/limit/retry_after.hpp>
 
 #include "entry/entry_list.hpp"
 #include "entry/process_memory.hpp"
@@ -56,6 +58,15 @@
          },
          [this](const io::request_view& request) {
              return m_forwarder.may_begin_early(request);
+         },
+         [this, random = random_source{seed_of(from)}]() mutable {
+             return std::visit(
+                 [&random](const auto& kind) {
+                     return kind.refusal_headers(
+                         not_run{not_run_proof::not_admitted},
+                         retry_after(refusal{}, random), std::nullopt);
+                 },
+                 m_shared.m_dialect);
          }});
     loop.on_pause(defaults::pause_limit, [this](duration gap) { paused(gap); });
 }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -31,9 +31,10 @@
     //! that wait, and to requests that begin later.
     duration m_idle_timeout{seconds{60}};
     std::size_t m_head_bytes{std::size_t{64} << 10U};
-    //! Total received bytes of all unfinished requests. Above this total, the
-    //! connections of requests that are still being received are closed,
-    //! largest first. At least one request of maximum size is admitted.
+    //! Total received bytes of all unfinished requests. Above this total,
+    //! requests that are still being received are answered with 503 and their
+    //! connections closed, largest first. At least one request of maximum size
+    //! is admitted.
     std::size_t m_input_bytes{defaults::input_bytes};
     //! SO_SNDBUF, read by listen(); 0: kernel's default. Bounds what counts as
     //! written although the caller has not received it.
@@ -79,6 +80,10 @@
         //! callback no request is begun early. The views are valid only during
         //! the call.
         std::function<bool(const request_view&)> m_may_begin_early;
+        //! Header fields of the 503 for a request that is ended while it is
+        //! received, for the limit on all input. Without this callback there
+        //! are none.
+        std::function<std::vector<header>()> m_overload_headers;
     };
 
     http_server(event_loop& loop, const server_limits& limits);
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -178,9 +178,23 @@
     socket->_cb.read(socket, h2o_socket_error_io);
 }
 
-// Closes connections whose requests are still being received, largest first,
-// until the total is within the limit. None of these requests has been
-// processed, so callers may safely retry.
+// h2o hands a request over once it is whole, so the answer passes it by. Input
+// that h2o is reading is not behind an unfinished answer.
+void http_server::native::refuse_receiving(accepted_connection& connection) {
+    std::string text = "HTTP/1.1 503 Service Unavailable\r\n";
+    if (m_handlers.m_overload_headers)
+        for (const header& field : m_handlers.m_overload_headers())
+            text += field.m_name + ": " + field.m_value + "\r\n";
+    text += "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    ::send(h2o_socket_get_fd(connection.m_socket), text.data(), text.size(),
+           MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (m_handlers.m_rejected)
+        m_handlers.m_rejected(status::unavailable, {});
+    end_receiving(connection);
+}
+
+// Refuses requests that are still being received, largest first, until the
+// total is within the limit. None of them has been processed.
 void http_server::native::limit_total_input() {
     std::size_t sum = 0;
     for (const auto& [key, item] : m_connections)
@@ -190,19 +204,20 @@
     if (sum <= limit)
         return;
     const std::set<int> in_exchange = sockets_in_exchange();
-    std::vector<std::pair<std::size_t, int>> receiving;
-    for (const auto& [key, item] : m_connections) {
+    std::vector<std::pair<std::size_t, accepted_connection*>> receiving;
+    for (auto& [key, item] : m_connections) {
         const int fd = h2o_socket_get_fd(item.m_socket);
         const std::size_t size = item.m_socket->input->size;
-        if (size > 0 && !in_exchange.contains(fd))
-            receiving.emplace_back(size, fd);
+        if (size > 0 && h2o_socket_is_reading(item.m_socket) &&
+            !in_exchange.contains(fd))
+            receiving.emplace_back(size, &item);
     }
     std::sort(receiving.rbegin(), receiving.rend());
-    for (const auto& [size, fd] : receiving) {
+    for (const auto& [size, connection] : receiving) {
         if (sum <= limit)
             return;
         discarded(discard_cause::input_limit, size);
-        shutdown(fd, SHUT_RDWR);
+        refuse_receiving(*connection);
         sum -= size;
     }
 }
--- a/src/io/http_server_native.hpp
+++ b/src/io/http_server_native.hpp
@@ -140,6 +140,8 @@
     void widen_bounds();
     void close_oversized();
     void limit_total_input();
+    // Answers a request that is still being received and ends its connection.
+    void refuse_receiving(internal::accepted_connection& connection);
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
     static void on_accept(h2o_socket_t* listener, const char* error);
     static void on_socket_close(void* data);
--- a/test/platform/uploads.cpp
+++ b/test/platform/uploads.cpp
@@ -250,4 +250,14 @@
     }
     // Eight times 6 MB came; three of them fit into 20 MB.
     EXPECT_EQ(ended, callers - 3);
+    // The others are told that their requests have not run.
+    std::size_t refused = 0;
+    for (const auto& caller : all) {
+        const std::string& got = caller->bytes();
+        refused += got.starts_with("HTTP/1.1 503") &&
+                           got.find("Retry-After: ") != std::string::npos
+                       ? 1
+                       : 0;
+    }
+    EXPECT_EQ(refused, ended);
 }
