--- a/test/entry/metrics.cpp
+++ b/test/entry/metrics.cpp
@@ -39,11 +39,14 @@
 TEST(metrics, the_last_counter_and_gauge_have_their_names) {
     entry::metrics metrics;
     metrics.count(entry::counter::slow_iterations, 3);
+    metrics.set(entry::gauge::unbounded_answers, 3);
     metrics.set(entry::gauge::socket_buffer_bytes, 4);
     const std::string page = metrics.page();
     EXPECT_NE(page.find("\nskylark_slow_iterations_total 3\n"),
               std::string::npos)
         << page;
+    EXPECT_NE(page.find("\nskylark_unbounded_answers 3\n"), std::string::npos)
+        << page;
     EXPECT_NE(page.find("\nskylark_socket_buffer_bytes 4\n"), std::string::npos)
         << page;
 }
