Show that an answer that falls silent outlasts its route's time limit

Cause: an answer of declared length may pass the deadline by its mean pace since its head, which hides that nothing has arrived for long. The stand-ins keep only what the scripts use, and a server can truncate answers.

--- a/review/support-2/harness.py
+++ b/review/support-2/harness.py
@@ -99,15 +99,10 @@
         self.host, self.port = address
         self.items = {}       # key: (value, revision, created, lease)
         self.history = []     # (revision, key, value or None)
-        self.history_from = 0
         self.revision = 10
-        self.era = 1
         self.leases = {}      # id: [ttl, end]
         self.last_lease = 100
         self.changed = asyncio.Event()
-        self.fault = lambda peer, path: None  # "silent", "503", "reset"
-        self.calls = []
-        self.copies = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host,
@@ -136,27 +131,6 @@
         self.history.append((self.revision, key, None))
         self.wake()
 
-    def save_copy(self):
-        self.copies.append((now(), dict(self.items), self.revision))
-
-    def restore(self, age):
-        """Returns from the newest copy of at least this age."""
-        at, items, revision = [c for c in self.copies
-                               if now() - c[0] >= age][-1]
-        self.items = {k: v for k, v in items.items() if not v[3]}
-        self.revision = revision
-        self.history = []
-        self.history_from = revision
-        self.leases = {}
-        self.copies = []
-        self.era += 1
-        self.wake()
-
-    def drop_history(self):
-        self.history = []
-        self.history_from = self.revision
-        self.wake()
-
     async def expire(self):
         while True:
             await asyncio.sleep(0.05)
@@ -169,31 +143,21 @@
             self.delete(key)
 
     async def serve(self, reader, writer):
-        peer = writer.get_extra_info("peername")[0]
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError,
                                  asyncio.CancelledError):
             while head := await read_head(reader):
-                method, target, _ = head[0].split(" ")
+                target = head[0].split(" ")[1]
                 body = await read_body(reader, head[1])
-                self.calls.append((now(), peer, method, target))
-                fault = self.fault(peer, target)
-                if fault == "silent":
-                    await asyncio.sleep(3600)
-                if fault == "reset":
-                    break
-                status, answer = (503, {}) if fault == "503" else \
-                    await self.route(method, target, body, reader)
-                if status == 0:
-                    break
+                status, answer = await self.route(target, body)
                 data = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} -\r\nContent-Type: "
-                             f"application/json\r\nStore-Era: {self.era}\r\n"
+                             f"application/json\r\nStore-Era: 1\r\n"
                              f"Content-Length: {len(data)}\r\n\r\n".encode() +
                              data)
                 await writer.drain()
         writer.close()
 
-    async def route(self, method, target, body, reader):
+    async def route(self, target, body):
         parts = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(parts.query))
         path = parts.path
@@ -237,11 +201,7 @@
     async def watch(self, query):
         prefix, after = query.get("prefix", ""), int(query["after"])
         end = now() + int(query["wait_ms"]) / 1000
-        era = self.era
         while True:
-            if after < self.history_from or after > self.revision or \
-                    era != self.era:
-                return 410, {"current_rev": self.revision}
             events = []
             for revision, key, value in self.history:
                 if revision > after and key.startswith(prefix):
@@ -283,24 +243,17 @@
     def __init__(self, test, name, service, zone, address, **options):
         self.test, self.id, self.service, self.zone = test, name, service, zone
         self.host, self.port = address
-        self.slots = options.get("slots", 6)
-        self.queue = options.get("queue", 6)
+        self.slots = self.queue = 6
         self.work = options.get("work", lambda: 0.05)
-        self.tells_load = options.get("tells_load", True)
-        self.heartbeat = options.get("heartbeat", BOUNDS["heartbeat_ms"] / 1000)
-        self.respond = options.get("respond")  # overrides the whole answer
+        # Part of an answer's body that is sent; None: all of it.
+        self.truncates = options.get("truncates", lambda: None)
         self.running = self.waiting = 0
         self.seq = 0
-        self.state = "ready"
-        self.cold_until = 0.0
-        self.leaving = False
-        self.rest_until = 0.0
         self.runs = []        # (time, id, method, target, fields, body)
         self.arrivals = []    # (time, id): all requests, run or not
-        self.health_asked = 0
+        self.truncated = []
         self.free = asyncio.Condition()
         self.writers = set()
-        self.beats = True
         self.registered = None  # address in the record, if another
 
     @property
@@ -319,11 +272,8 @@
                 "born": self.born,
                 "info": {"service": self.service, "zone": self.zone,
                          "version": "v1", "slots": self.slots},
-                "status": {"state": self.state, "seq_no": self.seq,
-                           "warmup_left_ms": self.cold_left()}}
-
-    def cold_left(self):
-        return max(0, int((self.cold_until - now()) * 1000))
+                "status": {"state": "ready", "seq_no": self.seq,
+                           "warmup_left_ms": 0}}
 
     def write(self):
         self.seq += 1
@@ -331,29 +281,22 @@
 
     async def beat(self):
         while True:
-            await asyncio.sleep(self.heartbeat)
-            if self.beats:
-                self.write()
+            await asyncio.sleep(BOUNDS["heartbeat_ms"] / 1000)
+            self.write()
 
-    async def stop(self, erase=False):
+    async def stop(self):
         self.beat_task.cancel()
         self.server.close()
         for writer in list(self.writers):
             with contextlib.suppress(Exception):
                 writer.transport.abort()
-        if erase:
-            self.test.store.delete(f"servers/{self.id}")
 
     def load(self):
-        if not self.tells_load:
-            return ""
         return f"Server-Load: {self.running},{self.waiting},{self.slots},100\r\n"
 
     def head(self, status, fields, size):
-        text = f"HTTP/1.1 {status} -\r\nContent-Length: {size}\r\n"
-        if self.leaving:
-            text += "Server-Leaving: 1\r\n"
-        return text + fields + self.load() + "\r\n"
+        return (f"HTTP/1.1 {status} -\r\nContent-Length: {size}\r\n" +
+                fields + self.load() + "\r\n")
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -369,9 +312,7 @@
                 self.arrivals.append((now(), name))
                 self.test.record.add("arrived", self.id, name, method, target,
                                      f"deadline={fields.get('deadline-ms')}")
-                if await self.answer(reader, writer, name, method, target,
-                                     fields, body) is False:
-                    break
+                await self.answer(writer, name, method, target, fields, body)
         except (ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError):
             pass
@@ -380,30 +321,24 @@
             writer.close()
 
     async def health(self, writer):
-        self.health_asked += 1
-        status = 503 if self.state == "draining" or self.leaving else 200
-        extra = f"Instance-Id: {self.id}\r\n"
-        if self.cold_left():
-            extra += f"Warmup-Ms: {self.cold_left()}\r\n"
-        writer.write(self.head(status, extra, 0).encode())
+        writer.write(self.head(200, f"Instance-Id: {self.id}\r\n",
+                               0).encode())
         await writer.drain()
 
-    async def refuse(self, writer, name, status, extra=""):
+    async def refuse(self, writer, name, status):
         self.test.record.add("refused", self.id, name, status)
         writer.write(self.head(status, f"Request-Id: {name}\r\n"
-                               f"Not-Executed: 1\r\n{extra}", 0).encode())
+                               f"Not-Executed: 1\r\n", 0).encode())
         await writer.drain()
 
-    async def answer(self, reader, writer, name, method, target, fields, body):
+    async def answer(self, writer, name, method, target, fields, body):
         expected = fields.get("expected-instance", self.id)
         if expected != self.id:
-            return await self.refuse(writer, name, 421)
-        if now() < self.rest_until:
-            left = self.rest_until - now()
-            return await self.refuse(writer, name, 503,
-                                     f"Retry-After: {left:.3f}\r\n")
+            await self.refuse(writer, name, 421)
+            return
         if self.running >= self.slots and self.waiting >= self.queue:
-            return await self.refuse(writer, name, 503)
+            await self.refuse(writer, name, 503)
+            return
         self.waiting += 1
         async with self.free:
             await self.free.wait_for(lambda: self.running < self.slots)
@@ -412,24 +347,26 @@
         try:
             self.runs.append((now(), name, method, target, fields, body))
             self.test.record.add("run", self.id, name)
-            if self.respond:
-                return await self.respond(self, reader, writer, name, method,
-                                          target, fields, body)
             await asyncio.sleep(self.work())
-            return await self.finish(writer, name)
+            await self.finish(writer, name)
         finally:
             async with self.free:
                 self.running -= 1
                 self.free.notify_all()
 
     def body_of(self, name):
-        return f"{name} {self.id}\n".encode()
-
-    async def finish(self, writer, name, status=200, body=None):
-        body = self.body_of(name) if body is None else body
-        writer.write(self.head(status, f"Request-Id: {name}\r\n"
+        return f"{name} {self.id}\n".encode() * 50
+
+    async def finish(self, writer, name):
+        body = self.body_of(name)
+        size, part = len(body), self.truncates()
+        if part is not None:
+            self.truncated.append(name)
+            self.test.record.add("truncates", self.id, name)
+            body = body[:int(size * part)]
+        writer.write(self.head(200, f"Request-Id: {name}\r\n"
                                f"Response-Stamp: {self.id}.{name}\r\n",
-                               len(body)).encode() + body)
+                               size).encode() + body)
         await writer.drain()
 
 
@@ -437,31 +374,25 @@
     return {"columns": columns, "rows": rows}
 
 
-def config(version, routes, services, tenants=None, limits=None):
+def config(version, routes, services):
     """Body of op/config; routes and services are lists of tables."""
     def columns(rows):
         names = []
         for row in rows:
             names += [key for key in row if key not in names]
         return table(names, [[row.get(key) for key in names] for row in rows])
-    out = {"version": f"{version:08x}", "routes": columns(routes),
-           "services": columns(services),
-           "limits": limits or {"max_header_bytes": 16384,
-                                "max_body_bytes": 1048576,
-                                "header_timeout_ms": 5000,
-                                "idle_timeout_ms": 30000}}
-    if tenants is not None:
-        out["tenants"] = columns(tenants)
-    return out
+    return {"version": f"{version:08x}", "routes": columns(routes),
+            "services": columns(services),
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
 
 class Test:
     """A small deployment; a context manager."""
 
-    def __init__(self, folder, zones=("rennes", "brest", "vannes"),
-                 binary=None):
+    def __init__(self, folder):
         self.folder = pathlib.Path(folder)
-        self.zones = list(zones)
+        self.zones = ["rennes", "brest", "vannes"]
         self.net = free_net()
         self.record = Record(self.folder / "record.txt")
         self.store = Store((f"127.{self.net}.0.1", 8500))
@@ -473,7 +404,7 @@
                         (ROOT / "deploy/system.toml").read_text("utf-8"),
                         re.M).group(1)
         self.command = run.split()
-        self.command[0] = str(binary or ROOT / self.command[0])
+        self.command[0] = str(ROOT / self.command[0])
         self.seeds = []
 
     async def __aenter__(self):
@@ -584,9 +515,6 @@
         self.record.add("signal", entry, number)
         self.entries[entry].send_signal(number)
 
-    def log(self, entry):
-        return (self.temp / f"{entry}.log").read_text("utf-8", "replace")
-
 
 _last = 0
 
@@ -603,10 +531,6 @@
         self.body, self.sent, self.ended = body, sent, ended
         self.whole = whole
 
-    def __repr__(self):
-        return (f"{self.id} status={self.status} whole={self.whole} "
-                f"{self.ended - self.sent:.3f}s {self.body[:60]!r}")
-
 
 class Consumer:
     """One connection of a consumer, kept open for many requests."""
@@ -625,9 +549,8 @@
             self.writer.close()
         self.reader = self.writer = None
 
-    async def send(self, path, method="GET", body=b"", deadline=2000,
-                   fields="", name=None, timeout=None):
-        name = name or new_id()
+    async def send(self, path, method="GET", body=b"", deadline=2000):
+        name = new_id()
         sent = now()
         status, got, data, whole = 0, {}, b"", False
         try:
@@ -638,7 +561,7 @@
             self.writer.write(
                 f"{method} {path} HTTP/1.1\r\nHost: {self.host_name}\r\n"
                 f"Request-Id: {name}\r\nDeadline-Ms: {deadline}\r\n"
-                f"{length}{fields}\r\n".encode() + body)
+                f"{length}\r\n".encode() + body)
             self.test.record.add("sent", self.entry, name, method, path)
 
             async def read():
@@ -649,7 +572,7 @@
                 status, got = int(head[0].split(" ")[1]), head[1]
                 data = await read_body(self.reader, got, True)
                 whole = True
-            await asyncio.wait_for(read(), timeout or deadline / 1000 + 1)
+            await asyncio.wait_for(read(), deadline / 1000 + 1)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
         out = Result(name, status, got, data, sent, now(), whole)
